--- /dev/null
+++ b/local/__init__.py
@@ -0,0 +1,3 @@
+"""A small fleet on this machine: stand-ins and instances as processes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/chiveslip/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command-line tool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/chiveslip/cli/main.py
@@ -0,0 +1,53 @@
+"""The program ``chiveslip``: the operators' command line."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import cappa
+
+import chiveslip
+from chiveslip.cli.configuration_commands import Check
+from chiveslip.cli.configuration_commands import CheckSettings
+from chiveslip.cli.configuration_commands import Diff
+from chiveslip.cli.configuration_commands import Publish
+from chiveslip.cli.configuration_commands import Render
+from chiveslip.cli.fleet_commands import ShowAudit
+from chiveslip.cli.fleet_commands import ShowStatus
+from chiveslip.cli.fleet_commands import ShowTrace
+from chiveslip.cli.fleet_commands import Wait
+from chiveslip.cli.key_commands import MakeKey
+from chiveslip.cli.key_commands import WithdrawKey
+
+
+@cappa.command(name="chiveslip")
+@dataclass
+class Chiveslip:
+    """Operate a fleet of chiveslip instances.
+
+    Exit codes: 0 done, 1 faulty input, 2 wrong arguments, 3 an instance does not
+    answer or has nothing, 4 a revision is not in force.
+    """
+
+    command: cappa.Subcommands[
+        Check
+        | CheckSettings
+        | Diff
+        | MakeKey
+        | Publish
+        | Render
+        | ShowAudit
+        | ShowStatus
+        | ShowTrace
+        | Wait
+        | WithdrawKey
+    ]
+
+
+def main() -> None:
+    """Run the command line with the arguments of this process."""
+    cappa.invoke(Chiveslip, version=chiveslip.__version__)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/chiveslip/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""What operators publish: documents, templates, revisions, and where they are read."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/chiveslip/configuration/service_source.py
@@ -0,0 +1,63 @@
+"""The platform's configuration service: read and watch over HTTP, by long poll."""
+
+from __future__ import annotations
+
+from typing import final
+
+from tornado.httpclient import HTTPClientError
+from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPResponse
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from chiveslip.configuration.source import ConfigurationSource
+from chiveslip.configuration.source import Document
+from chiveslip.configuration.source import SourceError
+from chiveslip.settings.fields import Address
+
+_INDEX_HEADER = "X-Index"
+_MOST_BYTES = 2 * 1024 * 1024
+
+
+@final
+class ServiceSource(ConfigurationSource):
+    """Client of the configuration service.
+
+    A value is at ``/v1/kv/<name>``; ``index`` and ``wait`` ask for the next change.
+    """
+
+    def __init__(self, address: Address, read_timeout_s: float) -> None:
+        self._base = f"http://{address}/v1/kv/"
+        self._read_timeout_s = read_timeout_s
+        self._client = SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=16, max_body_size=_MOST_BYTES
+        )
+
+    async def watch(self, name: str, after_index: int, wait_s: float) -> Document:
+        """Return the value of `name` when its index differs from `after_index`."""
+        url = f"{self._base}{name}?index={after_index}&wait={wait_s:g}"
+        response = await self._get(url, wait_s + self._read_timeout_s)
+        index = response.headers.get(_INDEX_HEADER, "")
+        if not index.isdigit():
+            raise SourceError(f"{name}: the answer has no {_INDEX_HEADER}")
+        return Document(content=response.body, index=int(index))
+
+    async def part(self, digest: str) -> bytes:
+        """Return the content-addressed part `digest`."""
+        response = await self._get(f"{self._base}part/{digest}", self._read_timeout_s)
+        return response.body
+
+    async def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    async def _get(self, url: str, timeout_s: float) -> HTTPResponse:
+        request = HTTPRequest(
+            url,
+            connect_timeout=self._read_timeout_s,
+            request_timeout=timeout_s,
+            follow_redirects=False,
+        )
+        try:
+            return await self._client.fetch(request)
+        except (HTTPClientError, OSError) as error:
+            raise SourceError(f"{url}: {error}") from error
--- /dev/null
+++ b/src/chiveslip/daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The daemon: wires the parts together."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/chiveslip/dispatch/engine_calls.py
@@ -0,0 +1,388 @@
+"""The road of a completion call: allow, place, dispatch, answer, settle."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable
+from typing import final
+
+import attrs
+from returns.result import Failure
+
+from chiveslip import auth
+from chiveslip import hashing
+from chiveslip.allowance.desk import AllowanceDesk
+from chiveslip.auth import Caller
+from chiveslip.clock import Clock
+from chiveslip.configuration.model import Adapter
+from chiveslip.configuration.model import Configuration
+from chiveslip.configuration.model import Endpoint
+from chiveslip.configuration.model import EndpointList
+from chiveslip.dispatch.completion import Completion
+from chiveslip.dispatch.connection import BrokenOffError
+from chiveslip.dispatch.connection import ConnectError
+from chiveslip.dispatch.connection import ConnectionPool
+from chiveslip.dispatch.connection import Exchange
+from chiveslip.dispatch.connection import ResponseHead
+from chiveslip.dispatch.engine_stream import StreamRelay
+from chiveslip.dispatch.events import used_tokens
+from chiveslip.dispatch.outcome import FailedError
+from chiveslip.dispatch.outcome import Trace
+from chiveslip.dispatch.outcome import failed
+from chiveslip.dispatch.reply import Call
+from chiveslip.dispatch.reply import CallerGoneError
+from chiveslip.dispatch.reply import Reply
+from chiveslip.dispatch.retry_budget import RetryBudget
+from chiveslip.dispatch.suspects import CrashSuspects
+from chiveslip.engines import placement
+from chiveslip.engines.adapter import AdapterVersion
+from chiveslip.engines.adapter import resolve
+from chiveslip.engines.dialect import ADAPTER_HEADER
+from chiveslip.engines.dialect import REQUEST_ID_HEADER
+from chiveslip.engines.dialect import EngineDialect
+from chiveslip.engines.dialect import Outgoing
+from chiveslip.engines.fair_queue import Waiter
+from chiveslip.engines.homes import EngineHomes
+from chiveslip.generated import result_codes
+from chiveslip.results import Refusal
+from chiveslip.results import ResultCode
+
+_ANSWER_BYTES = 16 * 1024 * 1024
+_MOST_RESUMES = 3
+_CANCEL_S = 1.0
+_NOT_LOADED = 404
+
+
+@attrs.frozen(kw_only=True)
+class EngineCallTools:
+    """What all completion calls of an instance share."""
+
+    me: str
+    clock: Clock
+    desk: AllowanceDesk
+    homes: EngineHomes
+    pool: ConnectionPool
+    dialect: EngineDialect
+    budget: RetryBudget
+    suspects: CrashSuspects
+    configuration: Callable[[], Configuration | None]
+    endpoints: Callable[[], EndpointList]
+    chunk_silence_s: float
+
+
+class _TryElsewhereError(Exception):
+    """The try came to nothing and no part of an answer has gone out."""
+
+    def __init__(self, refusal: Refusal, *, sent: bool) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+        self.sent = sent
+
+
+@final
+class EngineCall:
+    """One completion call on its road."""
+
+    def __init__(
+        self,
+        tools: EngineCallTools,
+        call: Call,
+        caller: Caller,
+        completion: Completion,
+        reply: Reply,
+        trace: Trace,
+    ) -> None:
+        self._tools = tools
+        self._call = call
+        self._caller = caller
+        self._completion = completion
+        self._reply = reply
+        self._trace = trace
+        self._relay = StreamRelay(reply.write)
+        self._used: float | None = None
+
+    async def run(self) -> None:
+        """Run the call and answer it.
+
+        Raises
+        ------
+        FailedError
+            If it ends with a refusal; the allowance is settled already.
+        CallerGoneError
+            If the caller left.
+        """
+        adapter, version = self._resolve()
+        self._trace.adapter = str(version)
+        fingerprint = self._fingerprint()
+        self._refuse_suspect(fingerprint)
+        account = f"organisation/{self._caller.organisation.name}"
+        charged = await self._tools.desk.charge(
+            account, self._completion.reserve, self._call.deadline
+        )
+        if isinstance(charged, Failure):
+            raise FailedError(charged.failure())
+        reserve = charged.unwrap()
+        self._step(f"charged {reserve.tokens:g} tokens")
+        self._used = 0.0
+        try:
+            await self._try_engines(adapter, version, fingerprint)
+        finally:
+            # What may have been generated stays charged.
+            used = reserve.tokens if self._used is None else self._used
+            self._trace.tokens = used
+            self._tools.desk.settle(account, reserve, used)
+
+    def _resolve(self) -> tuple[Adapter, AdapterVersion]:
+        configuration = self._tools.configuration()
+        if configuration is None:
+            raise failed(result_codes.NOT_READY, "There is no configuration yet.")
+        found = resolve(
+            self._completion.model, self._caller.organisation, configuration
+        )
+        if isinstance(found, Failure):
+            raise FailedError(found.failure())
+        return found.unwrap()
+
+    def _fingerprint(self) -> str:
+        name = f"{self._caller.organisation.name}\x00{self._call.path}\x00"
+        return hashing.content_hash(name.encode() + self._call.body)
+
+    def _refuse_suspect(self, fingerprint: str) -> None:
+        if self._tools.suspects.is_blocked(fingerprint, self._tools.clock.now()):
+            detail = "The same request took endpoints down; change it."
+            raise failed(result_codes.CRASH_SUSPECT, detail)
+
+    async def _try_engines(
+        self, adapter: Adapter, version: AdapterVersion, fingerprint: str
+    ) -> None:
+        self._tools.budget.called()
+        tried: list[str] = []
+        last = Refusal(
+            code=result_codes.NO_ENDPOINT,
+            detail=f"No live engine serves {adapter.base_model}.",
+        )
+        sent = False
+        for _ in range(placement.MOST_TRIES):
+            engine = self._next_engine(adapter, version, tried)
+            if engine is None:
+                break
+            if sent and not self._tools.budget.may_retry():
+                break
+            tried.append(engine.id)
+            try:
+                await self._try_engine(engine, version, len(tried), fingerprint)
+            except _TryElsewhereError as error:
+                self._step(f"{engine.id}: {error.refusal.detail}")
+                last = error.refusal
+                sent = sent or error.sent
+                self._refuse_suspect_after(fingerprint)
+            else:
+                return
+        if sent and last.code.run is result_codes.NO_ENDPOINT.run:
+            # An earlier try was sent, so "not run" would not be true.
+            last = Refusal(code=result_codes.ENDPOINT_FAILED, detail=last.detail)
+        raise FailedError(last)
+
+    def _refuse_suspect_after(self, fingerprint: str) -> None:
+        if self._tools.suspects.is_blocked(fingerprint, self._tools.clock.now()):
+            detail = "The request took endpoints down and is not run again."
+            raise failed(result_codes.OUTCOME_UNKNOWN, detail)
+
+    def _next_engine(
+        self, adapter: Adapter, version: AdapterVersion, tried: list[str]
+    ) -> Endpoint | None:
+        engines = placement.engines_for(
+            version, adapter.base_model, self._tools.endpoints(), avoid=tried
+        )
+        return next((engine for engine in engines if engine.id not in tried), None)
+
+    async def _try_engine(
+        self, engine: Endpoint, version: AdapterVersion, number: int, fingerprint: str
+    ) -> None:
+        acquired = await self._tools.homes.acquire(
+            engine, self._waiter(version, number)
+        )
+        if isinstance(acquired, Failure):
+            raise self._unless_final(acquired.failure())
+        permit = acquired.unwrap()
+        self._step(f"permit {permit.number} for {engine.id} from {permit.home}")
+        try:
+            await self._dispatch(engine, version, fingerprint)
+        finally:
+            self._tools.homes.end(permit)
+
+    def _waiter(self, version: AdapterVersion, number: int) -> Waiter:
+        organisation = self._caller.organisation
+        return Waiter(
+            request=f"{self._call.id}.{number}",
+            organisation=organisation.name,
+            instance=self._tools.me,
+            adapter=version,
+            priority=organisation.priority,
+            weight=organisation.weight,
+            tokens=self._completion.reserve,
+            arrived_at=self._tools.clock.now(),
+            deadline=self._call.deadline,
+        )
+
+    def _unless_final(self, refusal: Refusal) -> Exception:
+        if refusal.code is result_codes.DEADLINE_BEFORE_START:
+            return FailedError(refusal)
+        return _TryElsewhereError(refusal, sent=False)
+
+    async def _dispatch(
+        self, engine: Endpoint, version: AdapterVersion, fingerprint: str
+    ) -> None:
+        try:
+            exchange = await self._tools.pool.open(engine.address, fresh=False)
+        except ConnectError as error:
+            raise _elsewhere(result_codes.NO_ENDPOINT, str(error), False) from error
+        try:
+            self._check_before_sending()
+            self._trace.endpoint = engine.id
+            await exchange.send(self._outgoing(version))
+            self._step(f"sent to {engine.id}")
+            # From here on tokens may be generated, so the reserve stays charged
+            # until the engine says what it used.
+            self._used = None
+            await self._receive(exchange, engine, version)
+        except BrokenOffError as error:
+            if self._left_s <= 0:
+                await self._cancel(engine)
+                detail = "The deadline passed while the call ran."
+                code = result_codes.DEADLINE_WHILE_RUNNING
+                raise failed(code, detail) from error
+            # A kept connection may have ended by itself; that blames nobody.
+            if not exchange.reused:
+                self._tools.suspects.crashed(fingerprint, self._tools.clock.now())
+            raise _elsewhere(result_codes.ENDPOINT_FAILED, str(error), True) from error
+        except CallerGoneError:
+            await self._cancel(engine)
+            raise
+        finally:
+            exchange.close()
+
+    def _check_before_sending(self) -> None:
+        if self._tools.clock.now() >= self._call.deadline:
+            detail = "The deadline passed before the call was sent."
+            raise failed(result_codes.DEADLINE_BEFORE_START, detail)
+        configuration = self._tools.configuration()
+        if configuration is None:
+            raise failed(result_codes.NOT_READY, "There is no configuration.")
+        again = auth.by_hash(self._caller.key_hash, configuration)
+        if isinstance(again, Failure):
+            raise FailedError(again.failure())
+
+    def _outgoing(self, version: AdapterVersion) -> Outgoing:
+        return self._tools.dialect.call(
+            self._completion.path,
+            self._completion.body,
+            version,
+            request=self._call.id,
+            priority=self._caller.organisation.priority,
+        )
+
+    async def _receive(
+        self, exchange: Exchange, engine: Endpoint, version: AdapterVersion
+    ) -> None:
+        head = await exchange.head(self._left_s)
+        if head.status == _NOT_LOADED or head.status >= 500:
+            self._used = 0.0
+            detail = f"{engine.id} answered {head.status}"
+            raise _elsewhere(result_codes.ENDPOINT_FAILED, detail, True)
+        self._check_echo(head, version)
+        if self._completion.stream and head.status == 200:
+            await self._receive_stream(exchange, engine, version)
+            return
+        body = await exchange.body(_ANSWER_BYTES, self._left_s)
+        self._used = float(used_tokens(body) or self._completion.reserve)
+        if head.status != 200:
+            self._used = 0.0
+        headers = {"Content-Type": _content_type(head), ADAPTER_HEADER: str(version)}
+        await self._reply.start(head.status, headers)
+        await self._reply.write(body)
+        await self._reply.finish()
+
+    def _check_echo(self, head: ResponseHead, version: AdapterVersion) -> None:
+        same_call = head.headers.get(REQUEST_ID_HEADER) == self._call.id
+        ran = head.headers.get(ADAPTER_HEADER, "")
+        if same_call and (ran == str(version) or head.status != 200):
+            return
+        detail = f"The endpoint answered for {ran or 'no adapter'}, not {version}."
+        if not same_call:
+            detail = "The endpoint answered another request."
+        raise failed(result_codes.WRONG_ADAPTER, detail)
+
+    async def _receive_stream(
+        self, exchange: Exchange, engine: Endpoint, version: AdapterVersion
+    ) -> None:
+        headers = {"Content-Type": "text/event-stream", ADAPTER_HEADER: str(version)}
+        await self._reply.start(200, headers)
+        try:
+            await self._relay.relay(exchange, self._silence_s)
+        except BrokenOffError as error:
+            self._step(f"stream broke off: {error}")
+            await self._resume(engine, version, str(error))
+        usage = self._relay.usage
+        counted = self._completion.prompt_tokens + self._relay.passed
+        self._used = float(counted if usage is None else usage)
+        await self._reply.finish()
+
+    async def _resume(
+        self, engine: Endpoint, version: AdapterVersion, cause: str
+    ) -> None:
+        for _ in range(_MOST_RESUMES):
+            if not self._relay.can_resume or self._left_s <= 0:
+                break
+            try:
+                exchange = await self._tools.pool.open(engine.address, fresh=True)
+            except ConnectError as error:
+                cause = str(error)
+                break
+            try:
+                last = self._relay.last_number
+                outgoing = self._tools.dialect.resume(self._call.id, version, last)
+                await exchange.send(outgoing)
+                head = await exchange.head(self._silence_s)
+                if head.status != 200:
+                    cause = f"resume answered {head.status}"
+                    break
+                self._check_echo(head, version)
+                self._step(f"resumed after event {last}")
+                await self._relay.relay(exchange, self._silence_s)
+            except BrokenOffError as error:
+                cause = str(error)
+                continue
+            finally:
+                exchange.close()
+            return
+        refusal = Refusal(code=result_codes.ANSWER_TRUNCATED, detail=cause)
+        raise FailedError(refusal)
+
+    async def _cancel(self, engine: Endpoint) -> None:
+        with contextlib.suppress(ConnectError, BrokenOffError):
+            exchange = await self._tools.pool.open(engine.address, fresh=True)
+            try:
+                await exchange.send(self._tools.dialect.cancel(self._call.id))
+                await exchange.head(_CANCEL_S)
+            finally:
+                exchange.close()
+
+    @property
+    def _left_s(self) -> float:
+        return self._call.deadline - self._tools.clock.now()
+
+    @property
+    def _silence_s(self) -> float:
+        return min(self._left_s, self._tools.chunk_silence_s)
+
+    def _step(self, text: str) -> None:
+        self._trace.step(self._tools.clock.now(), text)
+
+
+def _elsewhere(code: ResultCode, detail: str, sent: bool) -> _TryElsewhereError:
+    return _TryElsewhereError(Refusal(code=code, detail=detail), sent=sent)
+
+
+def _content_type(head: ResponseHead) -> str:
+    return str(head.headers.get("Content-Type", "application/json"))
--- /dev/null
+++ b/src/chiveslip/dispatch/service_calls.py
@@ -0,0 +1,308 @@
+"""The road of a call to a plain service, repeatable or once-only."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+from typing import final
+
+import attrs
+from returns.result import Failure
+
+from chiveslip import auth
+from chiveslip import hashing
+from chiveslip.allowance.account import Reserve
+from chiveslip.allowance.desk import AllowanceDesk
+from chiveslip.auth import Caller
+from chiveslip.clock import Clock
+from chiveslip.configuration.model import Configuration
+from chiveslip.configuration.model import Endpoint
+from chiveslip.configuration.model import EndpointList
+from chiveslip.configuration.model import Route
+from chiveslip.dispatch.connection import BrokenOffError
+from chiveslip.dispatch.connection import ConnectError
+from chiveslip.dispatch.connection import ConnectionPool
+from chiveslip.dispatch.connection import Exchange
+from chiveslip.dispatch.connection import ResponseHead
+from chiveslip.dispatch.outcome import FailedError
+from chiveslip.dispatch.outcome import Trace
+from chiveslip.dispatch.outcome import failed
+from chiveslip.dispatch.reply import Call
+from chiveslip.dispatch.reply import Reply
+from chiveslip.dispatch.retry_budget import RetryBudget
+from chiveslip.generated import result_codes
+from chiveslip.idempotency.claim import Replayed
+from chiveslip.idempotency.claims import Claim
+from chiveslip.idempotency.claims import Claims
+from chiveslip.idempotency.records import KeptAnswer
+from chiveslip.idempotency.records import OnceKey
+from chiveslip.services.dialect import ServiceDialect
+from chiveslip.services.selection import ServiceSelection
+
+_ANSWER_BYTES = 16 * 1024 * 1024
+_OPEN_ORGANISATION = "open"
+_SERVER_FAULT = 500
+
+
+@attrs.frozen(kw_only=True)
+class ServiceCallTools:
+    """What all service calls of an instance share."""
+
+    me: str
+    clock: Clock
+    desk: AllowanceDesk
+    claims: Claims
+    pool: ConnectionPool
+    dialect: ServiceDialect
+    selection: ServiceSelection
+    budget: RetryBudget
+    configuration: Callable[[], Configuration | None]
+    endpoints: Callable[[], EndpointList]
+    retries: int
+
+
+class _NotSentError(Exception):
+    """No byte of the request has left."""
+
+
+@final
+class ServiceCall:
+    """One call to a plain service on its road.
+
+    Parameters
+    ----------
+    caller
+        None on a route that is open to all.
+    once_key
+        The caller's idempotency key, or None.
+    """
+
+    def __init__(
+        self,
+        tools: ServiceCallTools,
+        call: Call,
+        caller: Caller | None,
+        route: Route,
+        once_key: str | None,
+        reply: Reply,
+        trace: Trace,
+    ) -> None:
+        self._tools = tools
+        self._call = call
+        self._caller = caller
+        self._route = route
+        self._once_key = once_key
+        self._reply = reply
+        self._trace = trace
+
+    async def run(self) -> None:
+        """Run the call and answer it.
+
+        Raises
+        ------
+        FailedError
+            If it ends with a refusal.
+        CallerGoneError
+            If the caller left.
+        """
+        if self._caller is None:
+            await self._run_charged()
+            return
+        account = f"organisation/{self._caller.organisation.name}"
+        charged = await self._tools.desk.charge(
+            account, self._route.tokens, self._call.deadline
+        )
+        if isinstance(charged, Failure):
+            raise FailedError(charged.failure())
+        try:
+            await self._run_charged()
+        except FailedError as error:
+            self._refund_if_not_run(account, charged.unwrap(), error)
+            raise
+
+    def _refund_if_not_run(
+        self, account: str, reserve: Reserve, error: FailedError
+    ) -> None:
+        if error.refusal.code.run is result_codes.NO_ENDPOINT.run:
+            self._tools.desk.settle(account, reserve, 0.0)
+
+    async def _run_charged(self) -> None:
+        if self._route.idempotent:
+            await self._run_idempotent()
+        elif self._once_key is None:
+            await self._run_once(None)
+        else:
+            await self._run_claimed(self._once_key)
+
+    async def _run_idempotent(self) -> None:
+        self._tools.budget.called()
+        tried: list[str] = []
+        detail = f"No live endpoint of {self._route.service} took the call."
+        error = failed(result_codes.NO_ENDPOINT, detail)
+        while True:
+            endpoint = self._choose(tried)
+            if endpoint is None or len(tried) > self._tools.retries:
+                raise error
+            tried.append(endpoint.id)
+            try:
+                head, body = await self._attempt(endpoint, fresh=False)
+            except _NotSentError as cause:
+                # Nothing ran, so another endpoint costs no retry.
+                if error.refusal.code is result_codes.NO_ENDPOINT:
+                    error = failed(result_codes.NO_ENDPOINT, str(cause))
+                continue
+            except BrokenOffError as cause:
+                error = failed(result_codes.ENDPOINT_FAILED, str(cause))
+                if not self._may_retry(tried):
+                    raise error from cause
+                continue
+            if head.status >= _SERVER_FAULT and self._may_retry(tried):
+                error = failed(result_codes.ENDPOINT_FAILED, f"status {head.status}")
+                continue
+            await self._answer(head.status, _content_type(head), body)
+            return
+
+    def _may_retry(self, tried: list[str]) -> bool:
+        if self._left_s <= 0 or len(tried) > self._tools.retries:
+            return False
+        return self._choose(tried) is not None and self._tools.budget.may_retry()
+
+    async def _run_claimed(self, once_key: str) -> None:
+        organisation = _OPEN_ORGANISATION
+        if self._caller is not None:
+            organisation = self._caller.organisation.name
+        key = OnceKey(
+            organisation=organisation, key_hash=hashing.content_hash(once_key.encode())
+        )
+        claim = await self._tools.claims.place(key, self._body_hash(), uuid.uuid4().hex)
+        if isinstance(claim.result, Failure):
+            raise FailedError(claim.result.failure())
+        granted = claim.result.unwrap()
+        if isinstance(granted, Replayed):
+            self._step("answered from the record of the first call")
+            kept = granted.answer
+            await self._answer(kept.status, kept.content_type, kept.body, replayed=True)
+            return
+        self._step("the record is in place")
+        await self._run_once(claim)
+
+    async def _run_once(self, claim: Claim | None) -> None:
+        """Send the call at most once; only what was not sent is tried elsewhere."""
+        tried: list[str] = []
+        cause = f"no live endpoint of {self._route.service}"
+        while len(tried) <= self._tools.retries:
+            endpoint = self._choose(tried)
+            if endpoint is None:
+                break
+            tried.append(endpoint.id)
+            try:
+                head, body = await self._attempt(endpoint, fresh=True)
+            except _NotSentError as error:
+                cause = str(error)
+                continue
+            except FailedError:
+                # Every refusal raised here comes before the first byte.
+                self._withdraw(claim)
+                raise
+            except BrokenOffError as error:
+                code = result_codes.OUTCOME_UNKNOWN
+                if self._left_s <= 0:
+                    code = result_codes.DEADLINE_WHILE_RUNNING
+                raise failed(code, str(error)) from error
+            self._finish(claim, head, body)
+            await self._answer(head.status, _content_type(head), body)
+            return
+        self._withdraw(claim)
+        raise failed(result_codes.NO_ENDPOINT, cause)
+
+    def _withdraw(self, claim: Claim | None) -> None:
+        if claim is not None:
+            self._tools.claims.not_run(claim)
+
+    def _finish(self, claim: Claim | None, head: ResponseHead, body: bytes) -> None:
+        if claim is None:
+            return
+        answer = KeptAnswer(
+            status=head.status, content_type=_content_type(head), body=body
+        )
+        self._tools.claims.finished(claim, answer)
+
+    async def _attempt(
+        self, endpoint: Endpoint, *, fresh: bool
+    ) -> tuple[ResponseHead, bytes]:
+        selection = self._tools.selection
+        try:
+            exchange = await self._tools.pool.open(endpoint.address, fresh=fresh)
+        except ConnectError as error:
+            selection.judged(endpoint.id, failed=True, now=self._tools.clock.now())
+            raise _NotSentError(str(error)) from error
+        selection.started(endpoint.id)
+        ok = False
+        try:
+            head, body = await self._exchange(exchange, endpoint)
+            ok = head.status < _SERVER_FAULT
+        finally:
+            selection.ended(endpoint.id, failed=not ok, now=self._tools.clock.now())
+            exchange.close()
+        return head, body
+
+    async def _exchange(
+        self, exchange: Exchange, endpoint: Endpoint
+    ) -> tuple[ResponseHead, bytes]:
+        self._check_before_sending(endpoint)
+        self._trace.endpoint = endpoint.id
+        await exchange.send(self._tools.dialect.call(self._call, self._caller))
+        self._step(f"sent to {endpoint.id}")
+        head = await exchange.head(self._left_s)
+        if not self._tools.dialect.answers(self._call, head):
+            raise BrokenOffError("the endpoint answered another request")
+        body = await exchange.body(_ANSWER_BYTES, self._left_s)
+        return head, body
+
+    def _check_before_sending(self, endpoint: Endpoint) -> None:
+        if self._left_s <= 0:
+            detail = "The deadline passed before the call was sent."
+            raise failed(result_codes.DEADLINE_BEFORE_START, detail)
+        if endpoint.id not in self._tools.endpoints().endpoints:
+            raise failed(result_codes.NO_ENDPOINT, f"{endpoint.id} has left.")
+        if self._caller is None:
+            return
+        configuration = self._tools.configuration()
+        if configuration is None:
+            raise failed(result_codes.NOT_READY, "There is no configuration.")
+        again = auth.by_hash(self._caller.key_hash, configuration)
+        if isinstance(again, Failure):
+            raise FailedError(again.failure())
+
+    def _choose(self, tried: list[str]) -> Endpoint | None:
+        return self._tools.selection.choose(
+            self._route.service,
+            self._tools.endpoints(),
+            tried,
+            self._tools.clock.now(),
+        )
+
+    async def _answer(
+        self, status: int, content_type: str, body: bytes, *, replayed: bool = False
+    ) -> None:
+        headers = {"Content-Type": content_type}
+        if replayed:
+            headers["Idempotent-Replayed"] = "true"
+        await self._reply.start(status, headers)
+        await self._reply.write(body)
+        await self._reply.finish()
+
+    def _body_hash(self) -> str:
+        name = f"{self._call.method} {self._call.path}\n"
+        return hashing.content_hash(name.encode() + self._call.body)
+
+    @property
+    def _left_s(self) -> float:
+        return self._call.deadline - self._tools.clock.now()
+
+    def _step(self, text: str) -> None:
+        self._trace.step(self._tools.clock.now(), text)
+
+
+def _content_type(head: ResponseHead) -> str:
+    return str(head.headers.get("Content-Type", "application/octet-stream"))
--- /dev/null
+++ b/src/chiveslip/engines/placement.py
@@ -0,0 +1,43 @@
+"""Order in which engines are tried for an adapter."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from chiveslip import hashing
+from chiveslip.configuration.model import Endpoint
+from chiveslip.configuration.model import EndpointKind
+from chiveslip.configuration.model import EndpointList
+from chiveslip.configuration.model import State
+from chiveslip.engines.adapter import AdapterVersion
+
+MOST_TRIES = 3
+
+
+def engines_for(
+    adapter: AdapterVersion,
+    base_model: str,
+    endpoints: EndpointList,
+    avoid: Collection[str] = (),
+) -> list[Endpoint]:
+    """Return the live engines to try for an adapter, the best first.
+
+    Rendezvous hashing sends an adapter to the same engine each time, so that it
+    is loaded once and its calls are batched.
+
+    Parameters
+    ----------
+    avoid
+        Engines that refused or failed lately; they come last.
+    """
+    fitting = {
+        e.id: e
+        for e in endpoints.endpoints.values()
+        if e.kind is EndpointKind.ENGINE
+        and e.state is State.LIVE
+        and e.serves == base_model
+    }
+    ranked = hashing.rank(str(adapter), fitting)
+    ordered = [e for e in ranked if e not in avoid]
+    ordered += [e for e in ranked if e in avoid]
+    return [fitting[name] for name in ordered[:MOST_TRIES]]
--- /dev/null
+++ b/src/chiveslip/fleet/fleet.py
@@ -0,0 +1,320 @@
+"""The fleet part: published lists, heartbeats, and what follows from them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import final
+
+import attrs
+
+from chiveslip import logs
+from chiveslip.audit import AuditKind
+from chiveslip.audit import AuditTrail
+from chiveslip.clock import Clock
+from chiveslip.configuration import documents
+from chiveslip.configuration.model import EndpointList
+from chiveslip.configuration.model import InstanceList
+from chiveslip.configuration.reading import FaultyDocumentError
+from chiveslip.configuration.source import ConfigurationSource
+from chiveslip.configuration.source import Document
+from chiveslip.configuration.source import SourceError
+from chiveslip.fleet.ownership import Ownership
+from chiveslip.fleet.peers import PeerError
+from chiveslip.fleet.peers import Peers
+from chiveslip.fleet.relays import relays
+from chiveslip.generated import peer_pb2 as wire
+from chiveslip.tasks import TaskSet
+
+
+@attrs.frozen(kw_only=True)
+class FleetTimes:
+    """Intervals of the fleet part, in seconds."""
+
+    confirm_s: float
+    watch_s: float
+    retry_s: float
+
+
+@attrs.frozen(kw_only=True)
+class PeerStatus:
+    """What a peer said last, and when (local time in seconds)."""
+
+    incarnation: str
+    view_revision: int
+    configuration_revision: int
+    serving: bool
+    heard_at: float
+
+
+class ConfigurationKnowledge:
+    """What the fleet part asks of the configuration part."""
+
+    def __init__(
+        self, revision: Callable[[], int], heard: Callable[[int, str], None]
+    ) -> None:
+        self.revision = revision
+        self.heard = heard
+
+
+@final
+class Fleet:
+    """Owns the view of instances and endpoints and the heartbeats.
+
+    Parameters
+    ----------
+    on_view
+        Called before a newer list of instances is believed in, with the list.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: str,
+        data_centre: str,
+        incarnation: str,
+        ownership: Ownership,
+        peers: Peers,
+        source: ConfigurationSource,
+        clock: Clock,
+        times: FleetTimes,
+        audit: AuditTrail,
+    ) -> None:
+        self._me = me
+        self._data_centre = data_centre
+        self._incarnation = incarnation
+        self._ownership = ownership
+        self._peers = peers
+        self._source = source
+        self._clock = clock
+        self._times = times
+        self._audit = audit
+        self._log = logs.get_logger("fleet")
+        self._tasks = TaskSet("fleet")
+        self._started_at = clock.now()
+        self._endpoints = EndpointList(revision=0, endpoints={})
+        self._contents: dict[str, bytes] = {}
+        self._heard: dict[str, PeerStatus] = {}
+        self._pulling: set[str] = set()
+        self._seen_serving = False
+        self._was_held = False
+        self.serving = False
+        self.stopping = False
+        self.configuration: ConfigurationKnowledge | None = None
+        self.on_view: Callable[[InstanceList], None] | None = None
+        self.on_endpoints: Callable[[EndpointList], None] | None = None
+
+    @property
+    def ownership(self) -> Ownership:
+        """The ownership believed in."""
+        return self._ownership
+
+    @property
+    def endpoints(self) -> EndpointList:
+        """The list of endpoints believed in."""
+        return self._endpoints
+
+    @property
+    def heard(self) -> dict[str, PeerStatus]:
+        """What each peer said last."""
+        return dict(self._heard)
+
+    @property
+    def found_serving_peer(self) -> bool:
+        """Whether any peer served when this instance joined."""
+        return self._seen_serving
+
+    def start(self) -> None:
+        """Start the watches and the heartbeats."""
+        self._tasks.start(self._watch(documents.INSTANCES, self._take_instances))
+        self._tasks.start(self._watch(documents.ENDPOINTS, self._take_endpoints))
+        self._tasks.start(self._beat())
+
+    async def close(self) -> None:
+        """Stop all of it."""
+        await self._tasks.close()
+
+    def reads_itself(self) -> bool:
+        """Return whether this instance reads from the service, or from peers."""
+        view = self._ownership.view
+        if self._me not in view.instances:
+            return True
+        return self._me in relays(view, self._data_centre)
+
+    def answer_confirm(self, request: wire.ConfirmRequest) -> wire.ConfirmReply:
+        """Answer a peer's heartbeat."""
+        self._note_revisions(
+            request.instance,
+            request.view_revision,
+            request.endpoints_revision,
+            request.configuration_revision,
+        )
+        return wire.ConfirmReply(
+            instance=self._me,
+            incarnation=self._incarnation,
+            view_revision=self._ownership.view.revision,
+            endpoints_revision=self._endpoints.revision,
+            configuration_revision=self._configuration_revision(),
+            serving=self.serving,
+            uptime_seconds=self._clock.now() - self._started_at,
+        )
+
+    def document(self, name: str) -> bytes:
+        """Return a published list as it was read; empty if there is none yet."""
+        return self._contents.get(name, b"")
+
+    def _configuration_revision(self) -> int:
+        return self.configuration.revision() if self.configuration else 0
+
+    async def _watch(self, name: str, take: Callable[[bytes], int | None]) -> None:
+        index = 0
+        while True:
+            if not self.reads_itself():
+                await asyncio.sleep(self._times.confirm_s)
+                continue
+            asked_at = self._clock.now()
+            # A short watch confirms the view often enough to hold a lease by it.
+            wait_s = min(self._times.watch_s, self._times.confirm_s)
+            if name != documents.INSTANCES:
+                wait_s = self._times.watch_s
+            document = await self._read(name, index, wait_s)
+            if document is None:
+                await asyncio.sleep(self._times.retry_s)
+                continue
+            index = document.index
+            revision = take(document.content)
+            if name == documents.INSTANCES and revision is not None:
+                self._ownership.read_from_service(revision, asked_at, self._clock.now())
+
+    async def _read(self, name: str, index: int, wait_s: float) -> Document | None:
+        try:
+            return await self._source.watch(name, index, wait_s)
+        except SourceError as error:
+            self._log.warning("A list cannot be read.", name=name, cause=str(error))
+            return None
+
+    def _take_instances(self, content: bytes) -> int | None:
+        if content == self._contents.get(documents.INSTANCES):
+            return self._ownership.view.revision
+        try:
+            view = documents.read_instances(content)
+        except FaultyDocumentError as error:
+            self._log.error("The list of instances is refused.", cause=str(error))
+            return None
+        if view.revision <= self._ownership.view.revision:
+            return view.revision
+        if self.on_view is not None:
+            self.on_view(view)
+        self._ownership.adopt(view, self._clock.now())
+        self._contents[documents.INSTANCES] = content
+        self._heard = {k: v for k, v in self._heard.items() if k in view.instances}
+        self._audit.add(
+            AuditKind.OWNERSHIP,
+            revision=view.revision,
+            subject="instances",
+            cause="the list of instances changed",
+        )
+        return view.revision
+
+    def _take_endpoints(self, content: bytes) -> int | None:
+        if content == self._contents.get(documents.ENDPOINTS):
+            return self._endpoints.revision
+        try:
+            endpoints = documents.read_endpoints(content)
+        except FaultyDocumentError as error:
+            self._log.error("The list of endpoints is refused.", cause=str(error))
+            return None
+        if endpoints.revision > self._endpoints.revision:
+            self._endpoints = endpoints
+            self._contents[documents.ENDPOINTS] = content
+            if self.on_endpoints is not None:
+                self.on_endpoints(endpoints)
+        return endpoints.revision
+
+    async def _beat(self) -> None:
+        while True:
+            targets = set(self._ownership.witnesses)
+            if not self.reads_itself():
+                targets.update(relays(self._ownership.view, self._data_centre))
+            targets.discard(self._me)
+            for target in targets:
+                self._tasks.start(self._beat_one(target))
+            await asyncio.sleep(self._times.confirm_s)
+            self._note_lease()
+
+    async def _beat_one(self, target: str) -> None:
+        sent_at = self._clock.now()
+        request = wire.ConfirmRequest(
+            instance=self._me,
+            incarnation=self._incarnation,
+            view_revision=self._ownership.view.revision,
+            endpoints_revision=self._endpoints.revision,
+            configuration_revision=self._configuration_revision(),
+            stopping=self.stopping,
+        )
+        try:
+            reply = await self._peers.confirm(target, request)
+        except PeerError:
+            return
+        if reply.instance != target:
+            # Another process has taken over the address.
+            return
+        now = self._clock.now()
+        self._seen_serving = self._seen_serving or reply.serving
+        self._heard[target] = PeerStatus(
+            incarnation=reply.incarnation,
+            view_revision=reply.view_revision,
+            configuration_revision=reply.configuration_revision,
+            serving=reply.serving,
+            heard_at=now,
+        )
+        if request.view_revision == self._ownership.view.revision:
+            self._ownership.confirmed(target, reply.view_revision, sent_at, now)
+        self._note_revisions(
+            target,
+            reply.view_revision,
+            reply.endpoints_revision,
+            reply.configuration_revision,
+        )
+
+    def _note_revisions(
+        self, peer: str, view: int, endpoints: int, configuration: int
+    ) -> None:
+        if view > self._ownership.view.revision:
+            self._pull(peer, documents.INSTANCES, self._take_instances)
+        if endpoints > self._endpoints.revision:
+            self._pull(peer, documents.ENDPOINTS, self._take_endpoints)
+        if self.configuration and configuration > self.configuration.revision():
+            self.configuration.heard(configuration, peer)
+
+    def _pull(self, peer: str, name: str, take: Callable[[bytes], int | None]) -> None:
+        if name in self._pulling:
+            return
+        self._pulling.add(name)
+        self._tasks.start(self._pull_one(peer, name, take))
+
+    async def _pull_one(
+        self, peer: str, name: str, take: Callable[[bytes], int | None]
+    ) -> None:
+        try:
+            request = wire.PullRequest(instance=self._me, kind=name)
+            reply = await self._peers.pull(peer, request)
+            if reply.document:
+                take(reply.document)
+        except PeerError as error:
+            self._log.warning("A pull failed.", name=name, cause=str(error))
+        finally:
+            self._pulling.discard(name)
+
+    def _note_lease(self) -> None:
+        held = self._ownership.has_lease(self._clock.now())
+        if held == self._was_held:
+            return
+        self._was_held = held
+        cause = "the view is confirmed" if held else "the lease lapsed"
+        self._audit.add(
+            AuditKind.OWNERSHIP,
+            revision=self._ownership.view.revision,
+            subject="lease",
+            cause=cause,
+        )
--- /dev/null
+++ b/src/chiveslip/fleet/handover.py
@@ -0,0 +1,114 @@
+"""Hand-over of allowances from one home to the next, without the hold-off."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from typing import final
+
+from chiveslip import logs
+from chiveslip.allowance.bucket import BucketSnapshot
+from chiveslip.allowance.desk import home_key
+from chiveslip.allowance.home import AllowanceHome
+from chiveslip.allowance.home import Limits
+from chiveslip.clock import Clock
+from chiveslip.configuration.model import InstanceList
+from chiveslip.configuration.model import State
+from chiveslip.fleet.ownership import Ownership
+from chiveslip.fleet.peers import PeerError
+from chiveslip.fleet.peers import Peers
+from chiveslip.generated import peer_pb2 as wire
+from chiveslip.hashing import rank
+from chiveslip.tasks import TaskSet
+
+_TRIES = 3
+
+
+@final
+class HandOvers:
+    """Gives buckets away when the view moves them, and takes them in."""
+
+    def __init__(
+        self,
+        *,
+        me: str,
+        clock: Clock,
+        ownership: Ownership,
+        peers: Peers,
+        home: AllowanceHome,
+        limits_of: Callable[[str], Limits | None],
+    ) -> None:
+        self._me = me
+        self._clock = clock
+        self._ownership = ownership
+        self._peers = peers
+        self._home = home
+        self._limits_of = limits_of
+        self._tasks = TaskSet("handover")
+        self._log = logs.get_logger("handover")
+
+    async def close(self) -> None:
+        """Stop what still runs."""
+        await self._tasks.close()
+
+    def before_view(self, view: InstanceList) -> None:
+        """Give away what `view` moves, before it is believed in."""
+        now = self._clock.now()
+        members = [i.id for i in view.instances.values() if i.state is State.LIVE]
+        moved: dict[str, list[wire.BucketState]] = collections.defaultdict(list)
+        for account in self._home.organisations:
+            successor = next(iter(rank(home_key(account), members)), None)
+            if successor == self._me:
+                continue
+            # Only a home that may act knows the bucket's true state.
+            held = self._ownership.holds(home_key(account), now)
+            snapshot = self._home.release(account, now)
+            if held and snapshot is not None and successor is not None:
+                moved[successor].append(_state(account, snapshot))
+        for successor, states in moved.items():
+            request = wire.HandOverRequest(
+                instance=self._me, view_revision=view.revision, buckets=states
+            )
+            self._tasks.start(self._send(successor, request))
+
+    def answer(self, request: wire.HandOverRequest) -> bool:
+        """Take in what a predecessor hands over.
+
+        It is taken only in the view for which it was handed over; a refused
+        sender tries again, and after that the hold-off passes instead.
+        """
+        if request.view_revision != self._ownership.view.revision:
+            return False
+        now = self._clock.now()
+        for state in request.buckets:
+            key = home_key(state.organisation)
+            limits = self._limits_of(state.organisation)
+            if limits is None or self._ownership.home(key) != self._me:
+                continue
+            if state.organisation in self._home.organisations:
+                continue
+            self._ownership.take_over(key, request.view_revision)
+            self._home.adopt(
+                state.organisation,
+                limits,
+                BucketSnapshot(level=state.level, outstanding=state.outstanding),
+                term=self._ownership.term,
+                now=now,
+            )
+        return True
+
+    async def _send(self, successor: str, request: wire.HandOverRequest) -> None:
+        for _ in range(_TRIES):
+            try:
+                if await self._peers.hand_over(successor, request):
+                    return
+            except PeerError as error:
+                self._log.warning("A hand-over failed.", cause=str(error))
+
+
+def _state(account: str, snapshot: BucketSnapshot) -> wire.BucketState:
+    return wire.BucketState(
+        organisation=account,
+        level=snapshot.level,
+        outstanding=snapshot.outstanding,
+    )
--- /dev/null
+++ b/src/chiveslip/fleet/ownership.py
@@ -0,0 +1,220 @@
+"""Ownership: which instance decides for a key, and whether this one may act.
+
+The home of a key follows from the published list alone, by rendezvous hashing.
+Being home is a lease on one's own belief: an instance whose view is confirmed
+neither by most of its witnesses, nor by half of them and the configuration
+service, fences itself. A successor waits for the hold-off first, which is longer
+than any lease or credit of its predecessor.
+
+The module holds no clock and no socket; every method is told the time in
+seconds of one local monotonic clock.
+"""
+
+from __future__ import annotations
+
+from typing import final
+
+import attrs
+
+from chiveslip import hashing
+from chiveslip.configuration.model import Instance
+from chiveslip.configuration.model import InstanceList
+from chiveslip.configuration.model import State
+
+_HOME_CACHE_ENTRIES = 100_000
+
+
+@attrs.frozen(kw_only=True)
+class LeaseTerms:
+    """Times in seconds, and the most witnesses of one instance."""
+
+    lease_s: float
+    hold_off_s: float
+    witnesses: int
+
+
+@attrs.frozen(kw_only=True)
+class _PastView:
+    view: InstanceList
+    ended_at: float | None
+
+
+@final
+class Ownership:
+    """The ownership that one instance believes in."""
+
+    def __init__(self, me: str, terms: LeaseTerms) -> None:
+        self._me = me
+        self._terms = terms
+        self._view = InstanceList(revision=0, instances={})
+        self._members: tuple[str, ...] = ()
+        self._witnesses: tuple[str, ...] = ()
+        self._past: list[_PastView] = []
+        self._confirmed_at: dict[str, float] = {}
+        self._service_read_at = float("-inf")
+        self._lease_until = float("-inf")
+        self._held_since: float | None = None
+        self._term = 0
+        self._handed_over: set[str] = set()
+        self._homes: dict[str, str] = {}
+
+    @property
+    def view(self) -> InstanceList:
+        """The list of instances believed in."""
+        return self._view
+
+    @property
+    def witnesses(self) -> tuple[str, ...]:
+        """The peers whose confirmation this instance needs."""
+        return self._witnesses
+
+    @property
+    def term(self) -> int:
+        """Number of the present lease; what was decided in another one is void."""
+        return self._term
+
+    def member(self, instance: str) -> Instance | None:
+        """Return the published entry of `instance`."""
+        return self._view.instances.get(instance)
+
+    def adopt(self, view: InstanceList, now: float) -> bool:
+        """Believe in `view` if it is newer; return whether it was."""
+        if view.revision <= self._view.revision:
+            return False
+        if self._view.revision and view.revision > self._view.revision + 1:
+            # In a skipped view another instance may have been home and acted.
+            self._lose_lease()
+        self._past = [past for past in self._past if self._is_recent(past, now)]
+        if self._view.revision:
+            self._past.append(_PastView(view=self._view, ended_at=None))
+        self._view = view
+        self._members = tuple(
+            sorted(i.id for i in view.instances.values() if i.state is State.LIVE)
+        )
+        others = [member for member in self._members if member != self._me]
+        ranked = hashing.rank(f"witness/{self._me}", others)
+        self._witnesses = tuple(ranked[: self._terms.witnesses])
+        self._confirmed_at.clear()
+        self._handed_over.clear()
+        self._homes.clear()
+        # The new view has to be confirmed anew before anything more is decided;
+        # the lease that runs is not prolonged by what was heard of the old one.
+        return True
+
+    def confirmed(self, peer: str, revision: int, sent_at: float, now: float) -> None:
+        """Note the answer of `peer` to a heartbeat sent at `sent_at`.
+
+        Parameters
+        ----------
+        revision
+            The peer's view revision; a higher one confirms nothing.
+        """
+        if peer not in self._witnesses or revision > self._view.revision:
+            return
+        previous = self._confirmed_at.get(peer, float("-inf"))
+        self._confirmed_at[peer] = max(previous, sent_at)
+        self._renew(now)
+
+    def read_from_service(self, revision: int, asked_at: float, now: float) -> None:
+        """Note that the service, asked at `asked_at`, still gave this view."""
+        if revision < self._view.revision:
+            return
+        self._service_read_at = max(self._service_read_at, asked_at)
+        self._renew(now)
+
+    def has_lease(self, now: float) -> bool:
+        """Return whether the view is confirmed; a lapse ends the term."""
+        if now < self._lease_until:
+            return True
+        if self._held_since is not None:
+            self._lose_lease()
+        return False
+
+    def home(self, key: str) -> str | None:
+        """Return the instance that is home of `key` in this view."""
+        if not self._members:
+            return None
+        known = self._homes.get(key)
+        if known is not None:
+            return known
+        if len(self._homes) >= _HOME_CACHE_ENTRIES:
+            self._homes.clear()
+        found = _home_in(self._members, key)
+        self._homes[key] = found
+        return found
+
+    def ranked(self, key: str, most: int) -> list[str]:
+        """Return up to `most` instances in the rendezvous order of `key`."""
+        return hashing.rank(key, self._members)[:most]
+
+    def holds(self, key: str, now: float) -> bool:
+        """Return whether this instance may act as home of `key` now."""
+        if not self.has_lease(now) or self.home(key) != self._me:
+            return False
+        if self._held_since is None or now < self._held_since + self._hold_off_s:
+            return key in self._handed_over
+        return all(self._was_mine(past, key, now) for past in self._past)
+
+    def take_over(self, key: str, revision: int) -> None:
+        """Note that the predecessor handed `key` over for view `revision`."""
+        if revision == self._view.revision:
+            self._handed_over.add(key)
+
+    def moved(self, key: str) -> str | None:
+        """Return the home of `key` if it is another instance, else None."""
+        home = self.home(key)
+        return home if home != self._me else None
+
+    @property
+    def _hold_off_s(self) -> float:
+        return self._terms.hold_off_s
+
+    def _was_mine(self, past: _PastView, key: str, now: float) -> bool:
+        if key in self._handed_over or not self._is_recent(past, now):
+            return True
+        members = [i.id for i in past.view.instances.values() if i.state is State.LIVE]
+        return bool(members) and _home_in(tuple(sorted(members)), key) == self._me
+
+    def _is_recent(self, past: _PastView, now: float) -> bool:
+        return past.ended_at is None or now < past.ended_at + self._hold_off_s
+
+    def _renew(self, now: float) -> None:
+        sent = sorted(self._confirmed_at.values(), reverse=True)
+        group = len(self._witnesses) + 1
+        needed = group // 2
+        until = self._majority_until(sent, needed, now)
+        if group % 2 == 0 and self._service_read_at > float("-inf"):
+            with_service = self._majority_until(sent, needed - 1, now)
+            service_until = self._service_read_at + self._terms.lease_s
+            until = max(until, min(with_service, service_until))
+        if until <= now:
+            return
+        if not self.has_lease(now):
+            self._held_since = now
+            self._term += 1
+        self._lease_until = max(self._lease_until, until)
+        # The hold-off runs from the first confirmation of the newer view, because
+        # a predecessor may have been confirmed until then.
+        self._past = [
+            past if past.ended_at is not None else attrs.evolve(past, ended_at=now)
+            for past in self._past
+        ]
+
+    def _majority_until(self, sent: list[float], needed: int, now: float) -> float:
+        """Return until when `needed` witnesses confirm; self counts besides."""
+        if needed <= 0:
+            return now + self._terms.lease_s
+        if len(sent) < needed:
+            return float("-inf")
+        return sent[needed - 1] + self._terms.lease_s
+
+    def _lose_lease(self) -> None:
+        self._held_since = None
+        self._lease_until = float("-inf")
+        self._handed_over.clear()
+        self._confirmed_at.clear()
+        self._service_read_at = float("-inf")
+
+
+def _home_in(members: tuple[str, ...], key: str) -> str:
+    return max(members, key=lambda member: (hashing.score(key, member), member))
--- /dev/null
+++ b/src/chiveslip/fleet/service.py
@@ -0,0 +1,120 @@
+"""The gRPC service that other instances call: passes each message to its part."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+from typing import final
+
+import attrs
+from grpclib.server import Stream
+
+from chiveslip.allowance.desk import AllowanceDesk
+from chiveslip.configuration import documents
+from chiveslip.configuration.keeper import ConfigurationKeeper
+from chiveslip.engines.homes import EngineHomes
+from chiveslip.fleet.fleet import Fleet
+from chiveslip.fleet.handover import HandOvers
+from chiveslip.generated import peer_pb2 as wire
+from chiveslip.generated.peer_grpc import PeerBase
+from chiveslip.idempotency.claims import Claims
+
+
+@attrs.frozen(kw_only=True)
+class PeerParts:
+    """The parts that answer peers."""
+
+    fleet: Fleet
+    keeper: ConfigurationKeeper
+    desk: AllowanceDesk
+    homes: EngineHomes
+    claims: Claims
+    hand_overs: HandOvers
+
+
+@final
+class PeerService(PeerBase):
+    """Answers other instances."""
+
+    def __init__(self, parts: PeerParts) -> None:
+        self._parts = parts
+
+    async def Confirm(  # noqa: N802
+        self, stream: Stream[wire.ConfirmRequest, wire.ConfirmReply]
+    ) -> None:
+        """Answer a heartbeat."""
+        await _answer(stream, self._parts.fleet.answer_confirm)
+
+    async def Pull(  # noqa: N802
+        self, stream: Stream[wire.PullRequest, wire.PullReply]
+    ) -> None:
+        """Answer a request for a published document."""
+        await _answer(stream, self._pull)
+
+    async def Credit(  # noqa: N802
+        self, stream: Stream[wire.CreditRequest, wire.CreditReply]
+    ) -> None:
+        """Answer a request for credit."""
+        await _answer(stream, self._parts.desk.answer)
+
+    async def Permit(  # noqa: N802
+        self, stream: Stream[wire.PermitRequest, wire.PermitReply]
+    ) -> None:
+        """Answer a request for a permit."""
+        await _answer_later(stream, self._parts.homes.answer_permit)
+
+    async def EndPermit(  # noqa: N802
+        self, stream: Stream[wire.PermitEnd, wire.Acknowledgement]
+    ) -> None:
+        """Take a permit back."""
+        await _answer(stream, self._end_permit)
+
+    async def Remember(  # noqa: N802
+        self, stream: Stream[wire.RememberRequest, wire.RememberReply]
+    ) -> None:
+        """Answer a claim on a once-only call."""
+        await _answer(stream, self._parts.claims.answer_remember)
+
+    async def Finish(  # noqa: N802
+        self, stream: Stream[wire.FinishRequest, wire.Acknowledgement]
+    ) -> None:
+        """Take in the outcome of a once-only call."""
+        await _answer(stream, self._finish)
+
+    async def HandOver(  # noqa: N802
+        self, stream: Stream[wire.HandOverRequest, wire.Acknowledgement]
+    ) -> None:
+        """Take over from a predecessor."""
+        await _answer(stream, self._hand_over)
+
+    def _pull(self, request: wire.PullRequest) -> wire.PullReply:
+        if request.kind == documents.MANIFEST:
+            return self._parts.keeper.answer_pull(request)
+        return wire.PullReply(document=self._parts.fleet.document(request.kind))
+
+    def _end_permit(self, request: wire.PermitEnd) -> wire.Acknowledgement:
+        self._parts.homes.answer_end(request)
+        return wire.Acknowledgement(accepted=True)
+
+    def _finish(self, request: wire.FinishRequest) -> wire.Acknowledgement:
+        accepted = self._parts.claims.answer_finish(request)
+        return wire.Acknowledgement(accepted=accepted)
+
+    def _hand_over(self, request: wire.HandOverRequest) -> wire.Acknowledgement:
+        accepted = self._parts.hand_overs.answer(request)
+        return wire.Acknowledgement(accepted=accepted)
+
+
+async def _answer(stream: Stream[Any, Any], answer: Callable[[Any], Any]) -> None:
+    request = await stream.recv_message()
+    if request is not None:
+        await stream.send_message(answer(request))
+
+
+async def _answer_later(
+    stream: Stream[Any, Any], answer: Callable[[Any], Awaitable[Any]]
+) -> None:
+    request = await stream.recv_message()
+    if request is not None:
+        await stream.send_message(await answer(request))
--- /dev/null
+++ b/src/chiveslip/hashing.py
@@ -0,0 +1,28 @@
+"""Hashes: fast ones for placement, cryptographic ones for identity."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+import xxhash
+
+
+def rank(key: str, members: Iterable[str]) -> list[str]:
+    """Return `members` in the rendezvous order of `key`, the first one best."""
+    return sorted(members, key=lambda m: (score(key, m), m), reverse=True)
+
+
+def score(key: str, member: str) -> int:
+    """Return the rendezvous weight of `member` for `key`, a 64-bit number."""
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode())
+
+
+def content_hash(content: bytes) -> str:
+    """Return the SHA-256 of `content` in hexadecimal."""
+    return hashlib.sha256(content).hexdigest()
+
+
+def key_hash(key: str) -> str:
+    """Return the hash under which a caller's key stands in the configuration."""
+    return content_hash(key.encode())
--- /dev/null
+++ b/src/chiveslip/http/__init__.py
@@ -0,0 +1,3 @@
+"""The side of callers and operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/chiveslip/settings/fields.py
@@ -0,0 +1,154 @@
+"""Types of settings, and how a value with its unit is read."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+
+import attrs
+
+_DURATION_UNITS_S = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
+_SIZE_UNITS_B = {"B": 1, "KiB": 1024, "MiB": 1024**2}
+_QUANTITY = re.compile(r"(\d+(?:\.\d+)?)\s*([A-Za-z%]*)")
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+
+Value = str | int | float
+
+
+@attrs.frozen
+class Address:
+    """A TCP or UDP address."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@attrs.frozen(kw_only=True)
+class Field:
+    """One setting: its name, type, default and allowed values, as written."""
+
+    name: str
+    type: str
+    default: str | None = None
+    min: str | None = None
+    max: str | None = None
+    choices: tuple[str, ...] = ()
+
+    @property
+    def allowed(self) -> str:
+        """The allowed values in words, for an error message."""
+        if self.choices:
+            return "one of " + ", ".join(self.choices)
+        if self.min is not None:
+            return f"a {self.type} from {self.min} to {self.max}"
+        return _EXAMPLES[self.type]
+
+
+def parse_value(field: Field, text: str) -> Value | Address:
+    """Read `text` as a value of `field`.
+
+    Raises
+    ------
+    ValueError
+        If the text has the wrong type, lacks its unit or is out of range.
+    """
+    value = _PARSERS[field.type](text)
+    if field.choices and value not in field.choices:
+        raise ValueError("not an allowed value")
+    if field.min is None or field.max is None or isinstance(value, (str, Address)):
+        return value
+    low = _PARSERS[field.type](field.min)
+    high = _PARSERS[field.type](field.max)
+    if not low <= value <= high:  # type: ignore[operator]
+        raise ValueError("out of range")
+    return value
+
+
+def parse_address(text: str) -> Address:
+    """Read ``host:port``, the host being an IP number.
+
+    Raises
+    ------
+    ValueError
+        If the text is not such an address.
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError("not an address")
+    return Address(host, int(port))
+
+
+def parse_duration(text: str) -> float:
+    """Read a duration with its unit and return seconds."""
+    number, unit = _quantity(text)
+    if unit not in _DURATION_UNITS_S:
+        raise ValueError(_unit_fault(unit, _DURATION_UNITS_S))
+    return number * _DURATION_UNITS_S[unit]
+
+
+def parse_size(text: str) -> int:
+    """Read a size with its unit and return bytes."""
+    number, unit = _quantity(text)
+    if unit not in _SIZE_UNITS_B:
+        raise ValueError(_unit_fault(unit, _SIZE_UNITS_B))
+    return int(number * _SIZE_UNITS_B[unit])
+
+
+def _quantity(text: str) -> tuple[float, str]:
+    match = _QUANTITY.fullmatch(text)
+    if match is None:
+        raise ValueError("not a number with a unit")
+    return float(match[1]), match[2]
+
+
+def _unit_fault(unit: str, units: dict[str, float] | dict[str, int]) -> str:
+    names = ", ".join(units)
+    if not unit:
+        return f"the unit is missing (one of {names})"
+    return f"unknown unit {unit!r} (one of {names})"
+
+
+def _parse_percent(text: str) -> float:
+    number, unit = _quantity(text)
+    if unit != "%":
+        raise ValueError("the unit is missing (%)")
+    return number / 100
+
+
+def _parse_count(text: str) -> int:
+    if not text.isdigit():
+        raise ValueError("not a whole number")
+    return int(text)
+
+
+def _parse_name(text: str) -> str:
+    if not _NAME.fullmatch(text):
+        raise ValueError("not a name")
+    return text
+
+
+def _parse_path(text: str) -> str:
+    if not text:
+        raise ValueError("empty path")
+    return text
+
+
+_PARSERS: dict[str, Callable[[str], Value | Address]] = {
+    "name": _parse_name,
+    "address": parse_address,
+    "path": _parse_path,
+    "choice": str,
+    "duration": parse_duration,
+    "size": parse_size,
+    "count": _parse_count,
+    "percent": _parse_percent,
+}
+
+_EXAMPLES = {
+    "name": "a name of up to 63 letters, digits, dots, dashes and underscores",
+    "address": "an address such as 127.0.0.1:8080",
+    "path": "a path",
+}
