--- a/src/chiveslip/allowance/desk.py
+++ b/src/chiveslip/allowance/desk.py
@@ -37,6 +37,7 @@
 REPORT_DELAY_S = 0.1
 HOME_RETRY_S = 0.1
 LONGEST_PAUSE_S = 0.25
+SHORTEST_PAUSE_S = 0.002
 _LOW_WATER = 0.5
 
 
@@ -215,7 +216,8 @@
             self._refuse_hopeless(account, line, reply.wait_seconds)
             if line.waiting and line.waiting[0] is not waited_for:
                 return 0.0
-            return reply.wait_seconds
+            # A wait of almost nothing would only ask again in vain.
+            return max(reply.wait_seconds, SHORTEST_PAUSE_S)
         if reply.outcome == wire.CreditReply.TOO_LARGE:
             self._refuse_first(line)
             return 0.0
--- a/src/chiveslip/cli/fleet_commands.py
+++ b/src/chiveslip/cli/fleet_commands.py
@@ -114,7 +114,10 @@
         lines = []
         for address, trace in found.items():
             lines.append(f"{address}: {trace['organisation'] or 'open'}")
-            lines += [f"  {at:10.6f} s  {text}" for at, text in trace["steps"]]
+            lines += [
+                f"  {line['at_s']:10.6f} s  {line['step']}: {line['text']}"
+                for line in trace["steps"]
+            ]
         output.show(found, "\n".join(lines), as_json=self.json)
 
 
--- /dev/null
+++ b/src/chiveslip/daemon/node.py
@@ -0,0 +1,369 @@
+"""The parts of one instance, wired together; sockets are outside.
+
+What an instance meets is given to it: clock, random numbers, the source of
+published documents, the other instances, and connections to endpoints.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import final
+
+import attrs
+
+from chiveslip import logs
+from chiveslip.allowance.desk import AllowanceDesk
+from chiveslip.allowance.desk import DeskTimes
+from chiveslip.allowance.home import Limits
+from chiveslip.audit import AuditTrail
+from chiveslip.clock import Clock
+from chiveslip.configuration.keeper import ConfigurationKeeper
+from chiveslip.configuration.keeper import KeeperTimes
+from chiveslip.configuration.model import Configuration
+from chiveslip.configuration.model import State
+from chiveslip.configuration.source import ConfigurationSource
+from chiveslip.dispatch.admission import Admission
+from chiveslip.dispatch.connection import Connector
+from chiveslip.dispatch.engine_calls import EngineCallTools
+from chiveslip.dispatch.retry_budget import RetryBudget
+from chiveslip.dispatch.road import RoadTools
+from chiveslip.dispatch.service_calls import ServiceCallTools
+from chiveslip.dispatch.suspects import CrashSuspects
+from chiveslip.engines.dialect import OpenAIDialect
+from chiveslip.engines.homes import EngineHomes
+from chiveslip.engines.task import STORE_ACCOUNT
+from chiveslip.engines.task import EngineTimes
+from chiveslip.engines.task import EngineTools
+from chiveslip.fleet.fleet import ConfigurationKnowledge
+from chiveslip.fleet.fleet import Fleet
+from chiveslip.fleet.fleet import FleetTimes
+from chiveslip.fleet.handover import HandOvers
+from chiveslip.fleet.ownership import Ownership
+from chiveslip.fleet.peers import Peers
+from chiveslip.fleet.service import PeerParts
+from chiveslip.generated.settings import Settings
+from chiveslip.idempotency.claims import Claims
+from chiveslip.idempotency.records import RecordLimits
+from chiveslip.idempotency.records import Records
+from chiveslip.services.dialect import PlainHttpDialect
+from chiveslip.services.selection import ServiceSelection
+
+_JOIN_POLL_S = 0.05
+
+
+@attrs.frozen(kw_only=True)
+class Surroundings:
+    """What an instance meets.
+
+    Attributes
+    ----------
+    incarnation
+        Differs for each process that runs under the same name.
+    """
+
+    clock: Clock
+    generator: random.Random
+    incarnation: str
+    source: ConfigurationSource
+    peers: Peers
+    connector: Connector
+
+
+@final
+class Node:
+    """All parts of an instance but its sockets."""
+
+    def __init__(
+        self, settings: Settings, surroundings: Surroundings, ownership: Ownership
+    ) -> None:
+        self._settings = settings
+        self._around = surroundings
+        self._clock = surroundings.clock
+        self._me = settings.instance.id
+        self._log = logs.get_logger("daemon")
+        self._ownership = ownership
+        self._audit = AuditTrail(self._me, settings.audit.lines)
+        self._suspects = CrashSuspects()
+        self._fleet = self._make_fleet()
+        self._keeper = self._make_keeper()
+        self._fleet.configuration = ConfigurationKnowledge(
+            lambda: self._keeper.store.newest_revision, self._keeper.heard
+        )
+        self._desk = self._make_desk()
+        self._homes = self._make_homes()
+        self._records = self._make_records()
+        self._claims = self._make_claims()
+        self._hand_overs = self._make_hand_overs()
+        self._fleet.on_view = self._hand_overs.before_view
+        self._admission = Admission(lambda: self._keeper.current)
+        self._road = self._make_road()
+
+    @property
+    def road(self) -> RoadTools:
+        """What the roads of calls need."""
+        return self._road
+
+    @property
+    def admission(self) -> Admission:
+        """The gate."""
+        return self._admission
+
+    @property
+    def audit(self) -> AuditTrail:
+        """The audit trail."""
+        return self._audit
+
+    @property
+    def fleet(self) -> Fleet:
+        """The fleet part."""
+        return self._fleet
+
+    @property
+    def keeper(self) -> ConfigurationKeeper:
+        """The configuration part."""
+        return self._keeper
+
+    @property
+    def desk(self) -> AllowanceDesk:
+        """The allowance part."""
+        return self._desk
+
+    @property
+    def homes(self) -> EngineHomes:
+        """The engines part."""
+        return self._homes
+
+    @property
+    def incarnation(self) -> str:
+        """What tells this process from others under the same name."""
+        return self._around.incarnation
+
+    @property
+    def peer_parts(self) -> PeerParts:
+        """The parts that answer peers."""
+        return PeerParts(
+            fleet=self._fleet,
+            keeper=self._keeper,
+            desk=self._desk,
+            homes=self._homes,
+            claims=self._claims,
+            hand_overs=self._hand_overs,
+        )
+
+    def start(self) -> None:
+        """Start all tasks."""
+        self._fleet.start()
+        self._keeper.start()
+        self._homes.start()
+
+    async def join(self) -> None:
+        """Wait until this instance knows what the fleet knows, then serve."""
+        while not self._has_joined():
+            await asyncio.sleep(_JOIN_POLL_S)
+        if not self._fleet.found_serving_peer:
+            # Nobody served before, so no call can have been forgotten.
+            self._records.know_all_since(float("-inf"))
+        # What was home before this instance came has surely ended by then.
+        await asyncio.sleep(self._settings.fleet.hold_off)
+        self._fleet.serving = True
+        self._admission.joined()
+        self._log.info("Ready.", instance=self._me)
+
+    async def drain(self, stop_listening: Callable[[], None]) -> None:
+        """Stop serving without cutting a call, and hand over.
+
+        Parameters
+        ----------
+        stop_listening
+            Called when the balancer has surely heard that this instance stops.
+        """
+        stop = self._settings.stop
+        self._log.info("Stopping.", running=self._admission.running)
+        self._admission.is_stopping = True
+        self._fleet.stopping = True
+        await asyncio.sleep(stop.notice)
+        stop_listening()
+        if not await self._admission.drained(stop.drain):
+            self._log.warning("Calls still run.", running=self._admission.running)
+        self._admission.refuses = True
+        # The homes move, with their state, when the list says that this instance
+        # leaves; until then the others still count on it.
+        leaves_by = self._clock.now() + stop.leave
+        while self._is_listed() and self._clock.now() < leaves_by:
+            await asyncio.sleep(_JOIN_POLL_S)
+        await self._hand_overs.delivered()
+
+    async def close(self) -> None:
+        """Stop all tasks."""
+        await self._homes.close()
+        await self._desk.close()
+        await self._claims.close()
+        await self._hand_overs.close()
+        await self._keeper.close()
+        await self._fleet.close()
+        await self._around.peers.close()
+        self._around.connector.close()
+        await self._around.source.close()
+
+    def _is_listed(self) -> bool:
+        entry = self._ownership.member(self._me)
+        return entry is not None and entry.state is State.LIVE
+
+    def _has_joined(self) -> bool:
+        known = self._keeper.current is not None and self._fleet.endpoints.revision > 0
+        return known and self._ownership.has_lease(self._clock.now())
+
+    def _limits_of(self, account: str) -> Limits | None:
+        configuration = self._keeper.current
+        if configuration is None:
+            return None
+        if account == STORE_ACCOUNT:
+            return _store_limits(configuration)
+        _, _, name = account.partition("/")
+        organisation = configuration.organisations.get(name)
+        if organisation is None:
+            return None
+        return Limits(rate=organisation.rate, burst=organisation.burst)
+
+    def _make_fleet(self) -> Fleet:
+        return Fleet(
+            me=self._me,
+            data_centre=self._settings.instance.data_centre,
+            incarnation=self._around.incarnation,
+            ownership=self._ownership,
+            peers=self._around.peers,
+            source=self._around.source,
+            clock=self._clock,
+            times=FleetTimes(
+                confirm_s=self._settings.fleet.confirm,
+                watch_s=self._settings.configuration.watch,
+                retry_s=self._settings.configuration.retry,
+            ),
+            audit=self._audit,
+            suspects=self._suspects,
+        )
+
+    def _make_keeper(self) -> ConfigurationKeeper:
+        return ConfigurationKeeper(
+            me=self._me,
+            source=self._around.source,
+            peers=self._around.peers,
+            audit=self._audit,
+            times=KeeperTimes(
+                watch_s=self._settings.configuration.watch,
+                retry_s=self._settings.configuration.retry,
+            ),
+            reads_itself=self._fleet.reads_itself,
+        )
+
+    def _make_desk(self) -> AllowanceDesk:
+        return AllowanceDesk(
+            me=self._me,
+            incarnation=self._around.incarnation,
+            clock=self._clock,
+            peers=self._around.peers,
+            ownership=self._ownership,
+            limits_of=self._limits_of,
+            times=DeskTimes(
+                credit_s=self._settings.allowance.credit,
+                horizon_s=self._settings.allowance.horizon,
+            ),
+        )
+
+    def _make_homes(self) -> EngineHomes:
+        tools = EngineTools(
+            clock=self._clock,
+            pool=self._around.connector,
+            dialect=OpenAIDialect(),
+            desk=self._desk,
+            audit=self._audit,
+            times=EngineTimes(
+                report_s=self._settings.engines.report,
+                load_timeout_s=self._settings.engines.load_timeout,
+            ),
+        )
+        return EngineHomes(
+            me=self._me,
+            fleet=self._fleet,
+            peers=self._around.peers,
+            tools=tools,
+            queue=self._settings.engines.queue,
+        )
+
+    def _make_records(self) -> Records:
+        limits = RecordLimits(
+            retention_s=self._settings.idempotency.retention,
+            most=self._settings.idempotency.records,
+            answer_bytes=self._settings.idempotency.answer,
+        )
+        return Records(limits, known_since=self._clock.now())
+
+    def _make_claims(self) -> Claims:
+        return Claims(
+            me=self._me,
+            clock=self._clock,
+            ownership=self._ownership,
+            peers=self._around.peers,
+            records=self._records,
+            replicas=self._settings.idempotency.replicas,
+        )
+
+    def _make_hand_overs(self) -> HandOvers:
+        return HandOvers(
+            me=self._me,
+            clock=self._clock,
+            ownership=self._ownership,
+            peers=self._around.peers,
+            home=self._desk.home,
+            limits_of=self._limits_of,
+        )
+
+    def _make_road(self) -> RoadTools:
+        return RoadTools(
+            clock=self._clock,
+            limits=self._settings.limits,
+            admission=self._admission,
+            engine_calls=self._engine_call_tools(),
+            service_calls=self._service_call_tools(),
+        )
+
+    def _engine_call_tools(self) -> EngineCallTools:
+        return EngineCallTools(
+            me=self._me,
+            clock=self._clock,
+            desk=self._desk,
+            homes=self._homes,
+            pool=self._around.connector,
+            dialect=OpenAIDialect(),
+            budget=RetryBudget(self._settings.services.retry_budget),
+            suspects=self._suspects,
+            configuration=lambda: self._keeper.current,
+            endpoints=lambda: self._fleet.endpoints,
+            chunk_silence_s=self._settings.engines.chunk_silence,
+        )
+
+    def _service_call_tools(self) -> ServiceCallTools:
+        return ServiceCallTools(
+            me=self._me,
+            clock=self._clock,
+            desk=self._desk,
+            claims=self._claims,
+            pool=self._around.connector,
+            dialect=PlainHttpDialect(),
+            selection=ServiceSelection(
+                self._settings.instance.data_centre, self._around.generator
+            ),
+            budget=RetryBudget(self._settings.services.retry_budget),
+            configuration=lambda: self._keeper.current,
+            endpoints=lambda: self._fleet.endpoints,
+            retries=self._settings.services.retries,
+        )
+
+
+def _store_limits(configuration: Configuration) -> Limits:
+    store = configuration.weight_store
+    # Half of the loads in flight may start at once; the rest of the room is for
+    # loads that take longer than they should.
+    return Limits(rate=store.loads_per_s, burst=max(store.loads_in_flight / 2, 1.0))
--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 import collections
 import contextlib
@@ -55,6 +56,94 @@
     headers: HTTPHeaders
 
 
+class Exchange(abc.ABC):
+    """A request to an endpoint and its answer as it comes."""
+
+    @property
+    @abc.abstractmethod
+    def reused(self) -> bool:
+        """Whether the connection carried an earlier exchange."""
+
+    @abc.abstractmethod
+    async def send(self, outgoing: Outgoing) -> None:
+        """Send the request; from here on it may run.
+
+        Raises
+        ------
+        BrokenOffError
+            If the connection ends while sending.
+        """
+
+    @abc.abstractmethod
+    async def head(self, timeout_s: float) -> ResponseHead:
+        """Wait for the answer's head.
+
+        Raises
+        ------
+        SilentError
+            If it does not come in `timeout_s` seconds.
+        BrokenOffError
+            If the connection ends before.
+        """
+
+    @abc.abstractmethod
+    def chunks(self, silence_s: float) -> AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        Raises
+        ------
+        SilentError
+            If nothing comes for `silence_s` seconds.
+        BrokenOffError
+            If the body ends before its end.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """End the exchange; only a connection that is surely idle is kept."""
+
+    async def body(self, most: int, silence_s: float) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        BrokenOffError
+            If it does not come whole, or is larger than `most` bytes.
+        """
+        parts = []
+        size = 0
+        async for chunk in self.chunks(silence_s):
+            size += len(chunk)
+            if size > most:
+                raise BrokenOffError("the answer is too large")
+            parts.append(chunk)
+        return b"".join(parts)
+
+
+class Connector(abc.ABC):
+    """Opens connections to endpoints."""
+
+    @abc.abstractmethod
+    async def open(self, address: Address, *, fresh: bool) -> Exchange:
+        """Return an exchange on a new connection, or on a proven one.
+
+        Parameters
+        ----------
+        fresh
+            Whether only a new connection will do, as for a call that may not be
+            repeated.
+
+        Raises
+        ------
+        ConnectError
+            If no connection comes about; nothing was sent.
+        """
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        return
+
+
 class _Receiver(HTTPMessageDelegate):
     """Passes an answer on as it comes; a slow consumer holds the sender back."""
 
@@ -85,19 +174,24 @@
 
 
 @final
-class Exchange:
-    """A request that was sent, and its answer as it comes."""
+class HttpExchange(Exchange):
+    """An exchange over HTTP/1.1."""
 
     def __init__(
         self, stream: IOStream, pool: ConnectionPool, address: Address, *, reused: bool
     ) -> None:
-        self.reused = reused
+        self._reused = reused
         self._stream = stream
         self._pool = pool
         self._address = address
         self._receiver = _Receiver()
         self._reader: asyncio.Task[None] | None = None
-        self._reusable = False
+        self._proven = False
+
+    @property
+    def reused(self) -> bool:
+        """Whether the connection carried an earlier exchange."""
+        return self._reused
 
     async def send(self, outgoing: Outgoing) -> None:
         """Send the request; from here on it may run."""
@@ -120,15 +214,7 @@
         self._reader = asyncio.create_task(self._read(connection))
 
     async def head(self, timeout_s: float) -> ResponseHead:
-        """Wait for the answer's head.
-
-        Raises
-        ------
-        SilentError
-            If it does not come in `timeout_s` seconds.
-        BrokenOffError
-            If the connection ends before.
-        """
+        """Wait for the answer's head."""
         try:
             async with asyncio.timeout(max(timeout_s, 0.0)):
                 return await asyncio.shield(self._receiver.head)
@@ -136,15 +222,7 @@
             raise SilentError("no answer in time") from error
 
     async def chunks(self, silence_s: float) -> AsyncIterator[bytes]:
-        """Yield the body as it comes.
-
-        Raises
-        ------
-        SilentError
-            If nothing comes for `silence_s` seconds.
-        BrokenOffError
-            If the body ends before its end.
-        """
+        """Yield the body as it comes."""
         while True:
             try:
                 async with asyncio.timeout(max(silence_s, 0.0)):
@@ -156,28 +234,11 @@
             yield chunk
         if not self._receiver.complete:
             raise BrokenOffError("the answer broke off")
-        self._reusable = True
-
-    async def body(self, most: int, silence_s: float) -> bytes:
-        """Return the whole body.
-
-        Raises
-        ------
-        BrokenOffError
-            If it does not come whole, or is larger than `most` bytes.
-        """
-        parts = []
-        size = 0
-        async for chunk in self.chunks(silence_s):
-            size += len(chunk)
-            if size > most:
-                raise BrokenOffError("the answer is too large")
-            parts.append(chunk)
-        return b"".join(parts)
+        self._proven = True
 
     def close(self) -> None:
         """End the exchange; only a connection that is surely idle is kept."""
-        if self._reusable and self._reader is not None and self._reader.done():
+        if self._proven and self._reader is not None and self._reader.done():
             self._pool.give_back(self._address, self._stream)
             return
         self._stream.close()
@@ -209,7 +270,7 @@
 
 
 @final
-class ConnectionPool:
+class ConnectionPool(Connector):
     """Opens connections to endpoints and keeps proven ones for a short while."""
 
     def __init__(self, clock: Clock, connect_timeout_s: float) -> None:
@@ -219,22 +280,10 @@
         self._idle: dict[Address, collections.deque[_Idle]] = {}
 
     async def open(self, address: Address, *, fresh: bool) -> Exchange:
-        """Return an exchange on a new connection, or on a proven one.
-
-        Parameters
-        ----------
-        fresh
-            Whether only a new connection will do, as for a call that may not be
-            repeated.
-
-        Raises
-        ------
-        ConnectError
-            If no connection comes about; nothing was sent.
-        """
+        """Return an exchange on a new connection, or on a proven one."""
         kept = None if fresh else self._take(address)
         if kept is not None:
-            return Exchange(kept, self, address, reused=True)
+            return HttpExchange(kept, self, address, reused=True)
         try:
             stream = await self._client.connect(
                 address.host, address.port, timeout=self._connect_timeout_s
@@ -242,7 +291,7 @@
         except (OSError, StreamClosedError, TimeoutError) as error:
             raise ConnectError(f"{address}: {error}") from error
         stream.set_nodelay(True)
-        return Exchange(stream, self, address, reused=False)
+        return HttpExchange(stream, self, address, reused=False)
 
     def give_back(self, address: Address, stream: IOStream) -> None:
         """Keep a connection whose last exchange ended whole."""
--- a/src/chiveslip/dispatch/engine_calls.py
+++ b/src/chiveslip/dispatch/engine_calls.py
@@ -21,12 +21,13 @@
 from chiveslip.dispatch.completion import Completion
 from chiveslip.dispatch.connection import BrokenOffError
 from chiveslip.dispatch.connection import ConnectError
-from chiveslip.dispatch.connection import ConnectionPool
+from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.connection import Exchange
 from chiveslip.dispatch.connection import ResponseHead
 from chiveslip.dispatch.engine_stream import StreamRelay
 from chiveslip.dispatch.events import used_tokens
 from chiveslip.dispatch.outcome import FailedError
+from chiveslip.dispatch.outcome import Step
 from chiveslip.dispatch.outcome import Trace
 from chiveslip.dispatch.outcome import failed
 from chiveslip.dispatch.reply import Call
@@ -61,7 +62,7 @@
     clock: Clock
     desk: AllowanceDesk
     homes: EngineHomes
-    pool: ConnectionPool
+    pool: Connector
     dialect: EngineDialect
     budget: RetryBudget
     suspects: CrashSuspects
@@ -100,6 +101,7 @@
         self._trace = trace
         self._relay = StreamRelay(reply.write)
         self._used: float | None = None
+        self._sent = False
 
     async def run(self) -> None:
         """Run the call and answer it.
@@ -122,7 +124,7 @@
         if isinstance(charged, Failure):
             raise FailedError(charged.failure())
         reserve = charged.unwrap()
-        self._step(f"charged {reserve.tokens:g} tokens")
+        self._step(Step.ALLOW, f"charged {reserve.tokens:g} tokens")
         self._used = 0.0
         try:
             await self._try_engines(adapter, version, fingerprint)
@@ -130,6 +132,7 @@
             # What may have been generated stays charged.
             used = reserve.tokens if self._used is None else self._used
             self._trace.tokens = used
+            self._step(Step.SETTLE, f"used {used:g} tokens")
             self._tools.desk.settle(account, reserve, used)
 
     def _resolve(self) -> tuple[Adapter, AdapterVersion]:
@@ -169,10 +172,11 @@
             if sent and not self._tools.budget.may_retry():
                 break
             tried.append(engine.id)
+            self._step(Step.PLACE, engine.id)
             try:
                 await self._try_engine(engine, version, len(tried), fingerprint)
             except _TryElsewhereError as error:
-                self._step(f"{engine.id}: {error.refusal.detail}")
+                self._step(Step.PLACE, f"{engine.id}: {error.refusal.detail}")
                 last = error.refusal
                 sent = sent or error.sent
                 self._refuse_suspect_after(fingerprint)
@@ -205,11 +209,17 @@
         if isinstance(acquired, Failure):
             raise self._unless_final(acquired.failure())
         permit = acquired.unwrap()
-        self._step(f"permit {permit.number} for {engine.id} from {permit.home}")
+        self._step(
+            Step.QUEUE, f"permit {permit.number} for {engine.id} from {permit.home}"
+        )
+        self._sent = False
+        ended = False
         try:
             await self._dispatch(engine, version, fingerprint)
+            ended = True
         finally:
-            self._tools.homes.end(permit)
+            abandoned = self._sent and not ended
+            self._tools.homes.end(permit, abandoned=abandoned)
 
     def _waiter(self, version: AdapterVersion, number: int) -> Waiter:
         organisation = self._caller.organisation
@@ -240,8 +250,9 @@
         try:
             self._check_before_sending()
             self._trace.endpoint = engine.id
+            self._sent = True
             await exchange.send(self._outgoing(version))
-            self._step(f"sent to {engine.id}")
+            self._step(Step.DISPATCH, f"sent to {engine.id}")
             # From here on tokens may be generated, so the reserve stays charged
             # until the engine says what it used.
             self._used = None
@@ -291,6 +302,7 @@
             detail = f"{engine.id} answered {head.status}"
             raise _elsewhere(result_codes.ENDPOINT_FAILED, detail, True)
         self._check_echo(head, version)
+        self._step(Step.FIRST_BYTE, f"status {head.status}")
         if self._completion.stream and head.status == 200:
             await self._receive_stream(exchange, engine, version)
             return
@@ -321,7 +333,7 @@
         try:
             await self._relay.relay(exchange, self._silence_s)
         except BrokenOffError as error:
-            self._step(f"stream broke off: {error}")
+            self._step(Step.MID_STREAM, f"broke off: {error}")
             await self._resume(engine, version, str(error))
         usage = self._relay.usage
         counted = self._completion.prompt_tokens + self._relay.passed
@@ -348,7 +360,7 @@
                     cause = f"resume answered {head.status}"
                     break
                 self._check_echo(head, version)
-                self._step(f"resumed after event {last}")
+                self._step(Step.MID_STREAM, f"resumed after event {last}")
                 await self._relay.relay(exchange, self._silence_s)
             except BrokenOffError as error:
                 cause = str(error)
@@ -376,8 +388,8 @@
     def _silence_s(self) -> float:
         return min(self._left_s, self._tools.chunk_silence_s)
 
-    def _step(self, text: str) -> None:
-        self._trace.step(self._tools.clock.now(), text)
+    def _step(self, step: Step, text: str) -> None:
+        self._trace.step(self._tools.clock.now(), step, text)
 
 
 def _elsewhere(code: ResultCode, detail: str, sent: bool) -> _TryElsewhereError:
--- a/src/chiveslip/dispatch/outcome.py
+++ b/src/chiveslip/dispatch/outcome.py
@@ -2,33 +2,61 @@
 
 from __future__ import annotations
 
+import enum
+
 import attrs
 
 from chiveslip.results import Refusal
 from chiveslip.results import ResultCode
 
 
+class Step(enum.Enum):
+    """The steps of a call's road, in their order."""
+
+    ACCEPT = "accept"
+    AUTHENTICATE = "authenticate"
+    ALLOW = "allow"
+    QUEUE = "queue"
+    PLACE = "place"
+    LOAD = "load"
+    DISPATCH = "dispatch"
+    FIRST_BYTE = "first byte"
+    MID_STREAM = "mid-stream"
+    SETTLE = "settle"
+    REPLY = "reply"
+
+
+@attrs.frozen(kw_only=True)
+class TraceLine:
+    """One step of a trace; `at_s` is in seconds from the call's arrival."""
+
+    at_s: float
+    step: str
+    text: str
+
+
 @attrs.define(kw_only=True)
 class Trace:
-    """The road of one call: what happened, and when (seconds from its arrival)."""
+    """The road of one call: what happened, and when."""
 
     request: str
     started_at: float
     organisation: str = ""
-    steps: list[tuple[float, str]] = attrs.field(factory=list)
+    steps: list[TraceLine] = attrs.field(factory=list)
     code: int = 0
     endpoint: str = ""
     adapter: str = ""
     tokens: float = 0.0
 
-    def step(self, now: float, text: str) -> None:
+    def step(self, now: float, step: Step, text: str) -> None:
         """Add a step."""
-        self.steps.append((round(now - self.started_at, 6), text))
+        at_s = round(now - self.started_at, 6)
+        self.steps.append(TraceLine(at_s=at_s, step=step.value, text=text))
 
     def ended(self, now: float, code: ResultCode) -> None:
         """Note the result."""
         self.code = code.code
-        self.step(now, f"answered {code.code} {code.name}")
+        self.step(now, Step.REPLY, f"{code.code} {code.name}")
 
 
 class FailedError(Exception):
--- a/src/chiveslip/dispatch/reply.py
+++ b/src/chiveslip/dispatch/reply.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from chiveslip.results import Refusal
+
 
 class CallerGoneError(Exception):
     """The caller left or takes no bytes any more."""
@@ -56,3 +58,7 @@
     @abc.abstractmethod
     async def finish(self) -> None:
         """End the answer."""
+
+    @abc.abstractmethod
+    async def refuse(self, refusal: Refusal) -> None:
+        """Answer with a refusal, or break off an answer that has begun."""
--- /dev/null
+++ b/src/chiveslip/dispatch/road.py
@@ -0,0 +1,234 @@
+"""The road of every call: admit, authenticate, hand on, and answer for it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import final
+
+import attrs
+from returns.result import Failure
+
+from chiveslip import auth
+from chiveslip import logs
+from chiveslip.auth import Caller
+from chiveslip.clock import Clock
+from chiveslip.configuration.model import Configuration
+from chiveslip.configuration.model import Route
+from chiveslip.dispatch import completion as completions
+from chiveslip.dispatch.admission import Admission
+from chiveslip.dispatch.engine_calls import EngineCall
+from chiveslip.dispatch.engine_calls import EngineCallTools
+from chiveslip.dispatch.outcome import FailedError
+from chiveslip.dispatch.outcome import Step
+from chiveslip.dispatch.outcome import Trace
+from chiveslip.dispatch.outcome import failed
+from chiveslip.dispatch.reply import Call
+from chiveslip.dispatch.reply import CallerGoneError
+from chiveslip.dispatch.reply import Reply
+from chiveslip.dispatch.service_calls import ServiceCall
+from chiveslip.dispatch.service_calls import ServiceCallTools
+from chiveslip.generated import result_codes
+from chiveslip.generated.settings import LimitsSettings
+from chiveslip.results import Refusal
+from chiveslip.results import ResultCode
+from chiveslip.services.dialect import IDEMPOTENCY_HEADER
+
+DEADLINE_HEADER = "X-Deadline-Seconds"
+_AUTHORIZATION = "authorization"
+_LONGEST_ONCE_KEY = 255
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """A caller's request as it arrived.
+
+    Attributes
+    ----------
+    uri
+        Path with its query.
+    headers
+        Headers by their lower-case names.
+    body
+        The body, or None if it is over the limit.
+    arrived_at
+        Local time in seconds.
+    """
+
+    id: str
+    method: str
+    uri: str
+    headers: dict[str, str]
+    body: bytes | None
+    arrived_at: float
+
+    @property
+    def path(self) -> str:
+        """Path without its query."""
+        return self.uri.partition("?")[0]
+
+
+@attrs.frozen(kw_only=True)
+class RoadTools:
+    """What all roads of an instance share."""
+
+    clock: Clock
+    limits: LimitsSettings
+    admission: Admission
+    engine_calls: EngineCallTools
+    service_calls: ServiceCallTools
+
+
+@final
+class Road:
+    """One call, from its arrival to its answer.
+
+    Parameters
+    ----------
+    on_once
+        Called when the call turns out to be one that may not be repeated, and so
+        runs on for its record's sake when its caller leaves.
+    """
+
+    def __init__(
+        self,
+        tools: RoadTools,
+        request: Request,
+        reply: Reply,
+        trace: Trace,
+        on_once: Callable[[], None],
+    ) -> None:
+        self._tools = tools
+        self._request = request
+        self._reply = reply
+        self._trace = trace
+        self._on_once = on_once
+        self._logger = logs.get_logger("dispatch")
+
+    async def serve(self) -> ResultCode:
+        """Run the call and answer it; return the result.
+
+        Raises
+        ------
+        CallerGoneError
+            If the caller left; nothing more can be said to it.
+        """
+        self._step(Step.ACCEPT, f"{self._request.method} {self._request.path}")
+        try:
+            await self._run()
+        except FailedError as error:
+            return await self._refuse(error.refusal)
+        except CallerGoneError:
+            raise
+        except Exception:
+            self._logger.exception("A call failed by a fault of the instance.")
+            detail = "The instance failed; its log has the cause."
+            code = result_codes.INTERNAL_ERROR
+            return await self._refuse(Refusal(code=code, detail=detail))
+        return result_codes.OK
+
+    async def _refuse(self, refusal: Refusal) -> ResultCode:
+        await self._reply.refuse(refusal)
+        return refusal.code
+
+    async def _run(self) -> None:
+        body = self._request.body
+        if body is None:
+            detail = f"The body is over {self._tools.limits.body} bytes."
+            raise failed(result_codes.BODY_TOO_LARGE, detail)
+        configuration = self._tools.admission.admit()
+        if self._request.path in completions.PATHS:
+            await self._run_completion(configuration, body)
+            return
+        await self._run_service(configuration, body)
+
+    async def _run_completion(self, configuration: Configuration, body: bytes) -> None:
+        if self._request.method != "POST":
+            raise failed(result_codes.BAD_METHOD, "Completions take POST.")
+        caller = self._authenticate(configuration, body)
+        read = completions.read_completion(self._request.path, body)
+        if isinstance(read, Failure):
+            raise FailedError(read.failure())
+        call = EngineCall(
+            self._tools.engine_calls,
+            self._call(body),
+            caller,
+            read.unwrap(),
+            self._reply,
+            self._trace,
+        )
+        await call.run()
+
+    async def _run_service(self, configuration: Configuration, body: bytes) -> None:
+        route = configuration.route(self._request.path)
+        if route is None:
+            raise failed(result_codes.NO_ROUTE, f"No route has {self._request.path}.")
+        if self._request.method not in route.methods:
+            allowed = ", ".join(route.methods)
+            raise failed(result_codes.BAD_METHOD, f"The route takes {allowed}.")
+        caller = None if route.open else self._authenticate(configuration, body)
+        call = ServiceCall(
+            self._tools.service_calls,
+            self._call(body),
+            caller,
+            route,
+            self._once_key(route),
+            self._reply,
+            self._trace,
+        )
+        if not route.idempotent:
+            self._on_once()
+        await call.run()
+
+    def _authenticate(self, configuration: Configuration, body: bytes) -> Caller:
+        authorization = self._request.headers.get(_AUTHORIZATION)
+        found = auth.authenticate(authorization, configuration)
+        if isinstance(found, Failure):
+            raise FailedError(found.failure())
+        caller = found.unwrap()
+        self._trace.organisation = caller.organisation.name
+        self._refuse_exposed_key((authorization or "").split()[-1], body)
+        self._step(Step.AUTHENTICATE, f"key {caller.key_id}")
+        return caller
+
+    def _refuse_exposed_key(self, key: str, body: bytes) -> None:
+        others = [v for n, v in self._request.headers.items() if n != _AUTHORIZATION]
+        exposed = key in self._request.uri or any(key in value for value in others)
+        if exposed or key.encode() in body:
+            detail = "The key may stand only in the Authorization header."
+            raise failed(result_codes.KEY_EXPOSED, detail)
+
+    def _once_key(self, route: Route) -> str | None:
+        key = self._request.headers.get(IDEMPOTENCY_HEADER.lower())
+        if key is None or route.idempotent:
+            return None
+        if not key or len(key) > _LONGEST_ONCE_KEY or not key.isprintable():
+            detail = f"Send 1 to {_LONGEST_ONCE_KEY} printable characters."
+            raise failed(result_codes.BAD_IDEMPOTENCY_KEY, detail)
+        return key
+
+    def _call(self, body: bytes) -> Call:
+        return Call(
+            id=self._request.id,
+            method=self._request.method,
+            path=self._request.uri,
+            headers=self._request.headers,
+            body=body,
+            deadline=self._request.arrived_at + self._deadline_s(),
+        )
+
+    def _deadline_s(self) -> float:
+        limits = self._tools.limits
+        text = self._request.headers.get(DEADLINE_HEADER.lower())
+        if text is None:
+            return limits.default_deadline
+        try:
+            seconds = float(text)
+        except ValueError:
+            seconds = 0.0
+        if not 0 < seconds < float("inf"):
+            detail = f"{DEADLINE_HEADER} is a number of seconds above zero."
+            raise failed(result_codes.BAD_DEADLINE, detail)
+        return min(seconds, limits.longest_deadline)
+
+    def _step(self, step: Step, text: str) -> None:
+        self._trace.step(self._tools.clock.now(), step, text)
--- a/src/chiveslip/dispatch/service_calls.py
+++ b/src/chiveslip/dispatch/service_calls.py
@@ -21,10 +21,11 @@
 from chiveslip.configuration.model import Route
 from chiveslip.dispatch.connection import BrokenOffError
 from chiveslip.dispatch.connection import ConnectError
-from chiveslip.dispatch.connection import ConnectionPool
+from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.connection import Exchange
 from chiveslip.dispatch.connection import ResponseHead
 from chiveslip.dispatch.outcome import FailedError
+from chiveslip.dispatch.outcome import Step
 from chiveslip.dispatch.outcome import Trace
 from chiveslip.dispatch.outcome import failed
 from chiveslip.dispatch.reply import Call
@@ -52,7 +53,7 @@
     clock: Clock
     desk: AllowanceDesk
     claims: Claims
-    pool: ConnectionPool
+    pool: Connector
     dialect: ServiceDialect
     selection: ServiceSelection
     budget: RetryBudget
@@ -114,6 +115,7 @@
         )
         if isinstance(charged, Failure):
             raise FailedError(charged.failure())
+        self._step(Step.ALLOW, f"charged {self._route.tokens:g} tokens")
         try:
             await self._run_charged()
         except FailedError as error:
@@ -179,11 +181,11 @@
             raise FailedError(claim.result.failure())
         granted = claim.result.unwrap()
         if isinstance(granted, Replayed):
-            self._step("answered from the record of the first call")
+            self._step(Step.QUEUE, "answered from the record of the first call")
             kept = granted.answer
             await self._answer(kept.status, kept.content_type, kept.body, replayed=True)
             return
-        self._step("the record is in place")
+        self._step(Step.QUEUE, "the record is in place")
         await self._run_once(claim)
 
     async def _run_once(self, claim: Claim | None) -> None:
@@ -231,6 +233,7 @@
         self, endpoint: Endpoint, *, fresh: bool
     ) -> tuple[ResponseHead, bytes]:
         selection = self._tools.selection
+        self._step(Step.PLACE, endpoint.id)
         try:
             exchange = await self._tools.pool.open(endpoint.address, fresh=fresh)
         except ConnectError as error:
@@ -251,11 +254,13 @@
     ) -> tuple[ResponseHead, bytes]:
         self._check_before_sending(endpoint)
         self._trace.endpoint = endpoint.id
+        self._trace.tokens = self._route.tokens
         await exchange.send(self._tools.dialect.call(self._call, self._caller))
-        self._step(f"sent to {endpoint.id}")
+        self._step(Step.DISPATCH, f"sent to {endpoint.id}")
         head = await exchange.head(self._left_s)
         if not self._tools.dialect.answers(self._call, head):
             raise BrokenOffError("the endpoint answered another request")
+        self._step(Step.FIRST_BYTE, f"status {head.status}")
         body = await exchange.body(_ANSWER_BYTES, self._left_s)
         return head, body
 
@@ -300,8 +305,8 @@
     def _left_s(self) -> float:
         return self._call.deadline - self._tools.clock.now()
 
-    def _step(self, text: str) -> None:
-        self._trace.step(self._tools.clock.now(), text)
+    def _step(self, step: Step, text: str) -> None:
+        self._trace.step(self._tools.clock.now(), step, text)
 
 
 def _content_type(head: ResponseHead) -> str:
--- a/src/chiveslip/dispatch/suspects.py
+++ b/src/chiveslip/dispatch/suspects.py
@@ -15,6 +15,14 @@
 _MOST_SUSPECTS = 1000
 
 
+@attrs.frozen(kw_only=True)
+class KnownSuspect:
+    """What is known of a suspect; `age_s` in seconds since its last crash."""
+
+    crashes: int
+    age_s: float
+
+
 @attrs.define
 class _Suspect:
     crashes: int
@@ -35,12 +43,19 @@
         suspect.crashes += 1
         suspect.seen_at = now
 
-    def heard(self, fingerprint: str, crashes: int, now: float) -> None:
-        """Take over what a peer knows; the higher count holds."""
-        suspect = self._suspects.setdefault(fingerprint, _Suspect(0, now))
-        if crashes > suspect.crashes:
-            suspect.crashes = crashes
-            suspect.seen_at = now
+    def heard(self, fingerprint: str, crashes: int, seen_at: float, now: float) -> None:
+        """Take over what a peer knows; the higher count holds.
+
+        Parameters
+        ----------
+        seen_at
+            Time of the last crash on the local clock, so that news that go round
+            grow old.
+        """
+        if now >= seen_at + MEMORY_S:
+            return
+        suspect = self._suspects.setdefault(fingerprint, _Suspect(0, seen_at))
+        suspect.crashes = max(suspect.crashes, crashes)
 
     def is_blocked(self, fingerprint: str, now: float) -> bool:
         """Return whether the request must not run now."""
@@ -49,10 +64,13 @@
             return False
         return suspect.crashes >= MOST_CRASHES
 
-    def known(self, now: float) -> dict[str, int]:
-        """Return all suspects with their crashes, for the peers."""
+    def known(self, now: float) -> dict[str, KnownSuspect]:
+        """Return all suspects, for the peers."""
         self._expire(now)
-        return {name: suspect.crashes for name, suspect in self._suspects.items()}
+        return {
+            name: KnownSuspect(crashes=suspect.crashes, age_s=now - suspect.seen_at)
+            for name, suspect in self._suspects.items()
+        }
 
     def _expire(self, now: float) -> None:
         old = [n for n, s in self._suspects.items() if now >= s.seen_at + MEMORY_S]
--- a/src/chiveslip/engines/home.py
+++ b/src/chiveslip/engines/home.py
@@ -105,6 +105,7 @@
     used_at: float
     uses: int = 0
     unloading: bool = False
+    abandoned_at: float = -math.inf
 
 
 @attrs.define
@@ -180,15 +181,21 @@
         # The permit may have been granted and its message lost.
         for number, running in list(self._running.items()):
             if running.permit.waiter.request == request:
-                self._release(self._running.pop(number), now)
+                self._release(self._running.pop(number), True, now)
         return self.tick(now)
 
-    def ended(self, number: int, now: float) -> list[Action]:
-        """Note that a permit's call ended or was never sent."""
+    def ended(self, number: int, *, abandoned: bool, now: float) -> list[Action]:
+        """Note that a permit's call ended or was never sent.
+
+        Parameters
+        ----------
+        abandoned
+            Whether the engine may still run the call.
+        """
         running = self._running.pop(number, None)
         if running is None:
             return []
-        self._release(running, now)
+        self._release(running, abandoned, now)
         return self.tick(now)
 
     def load_finished(self, adapter: AdapterVersion, now: float) -> list[Action]:
@@ -336,7 +343,9 @@
 
     def _is_idle(self, adapter: AdapterVersion) -> bool:
         held = self._loaded[adapter]
-        return held.uses == 0 and self._reported.get(adapter, 0) == 0
+        # What was abandoned may still run; only a later report proves the end.
+        proved = self._reported_at > held.abandoned_at
+        return held.uses == 0 and proved and self._reported.get(adapter, 0) == 0
 
     def _next_fencing(self) -> int:
         self._fencing += 1
@@ -345,9 +354,9 @@
     def _expire_permits(self, now: float) -> None:
         late = [n for n, running in self._running.items() if running.ends_by <= now]
         for number in late:
-            self._release(self._running.pop(number), now)
+            self._release(self._running.pop(number), True, now)
 
-    def _release(self, running: _Running, now: float) -> None:
+    def _release(self, running: _Running, abandoned: bool, now: float) -> None:
         held = self._loaded.get(running.permit.waiter.adapter)
         run_s = max(now - running.permit.waiter.arrived_at, 0.0)
         self._mean_run_s += 0.1 * (run_s - self._mean_run_s)
@@ -356,6 +365,8 @@
             return
         held.uses -= 1
         held.used_at = now
+        if abandoned:
+            held.abandoned_at = now
 
     def _restarted(self, report: LoadReport, first: bool, now: float) -> None:
         self._loaded = {adapter: _Loaded(used_at=now) for adapter in report.loaded}
--- a/src/chiveslip/engines/homes.py
+++ b/src/chiveslip/engines/homes.py
@@ -95,13 +95,16 @@
             return await self._acquire_here(engine, waiter)
         return await self._acquire_there(engine, home, waiter)
 
-    def end(self, permit: HeldPermit) -> None:
-        """Give a permit back."""
+    def end(self, permit: HeldPermit, *, abandoned: bool) -> None:
+        """Give a permit back; an abandoned call may still run at the engine."""
         if permit.home == self._me:
-            self._end_here(permit.engine.id, permit.number)
+            self._end_here(permit.engine.id, permit.number, abandoned)
             return
         message = wire.PermitEnd(
-            instance=self._me, endpoint=permit.engine.id, permit=permit.number
+            instance=self._me,
+            endpoint=permit.engine.id,
+            permit=permit.number,
+            abandoned=abandoned,
         )
         self._tasks.start(self._end_there(permit.home, message))
 
@@ -137,7 +140,7 @@
     def answer_end(self, request: wire.PermitEnd) -> None:
         """Take back a permit, or a request for one that nobody waits for."""
         if request.permit:
-            self._end_here(request.endpoint, request.permit)
+            self._end_here(request.endpoint, request.permit, request.abandoned)
             return
         kept = self._kept.get(request.endpoint)
         if kept is not None:
@@ -207,10 +210,10 @@
             # The home ends the permit itself when the call's deadline has passed.
             self._log.warning("A permit could not be given back.", cause=str(error))
 
-    def _end_here(self, engine: str, number: int) -> None:
+    def _end_here(self, engine: str, number: int, abandoned: bool) -> None:
         kept = self._kept.get(engine)
         if kept is not None:
-            kept.task.end(number)
+            kept.task.end(number, abandoned=abandoned)
 
     def _held(self, engine: str) -> _Kept | None:
         kept = self._kept.get(engine)
--- a/src/chiveslip/engines/task.py
+++ b/src/chiveslip/engines/task.py
@@ -19,7 +19,7 @@
 from chiveslip.configuration.model import Endpoint
 from chiveslip.dispatch.connection import BrokenOffError
 from chiveslip.dispatch.connection import ConnectError
-from chiveslip.dispatch.connection import ConnectionPool
+from chiveslip.dispatch.connection import Connector
 from chiveslip.engines.dialect import BadReportError
 from chiveslip.engines.dialect import EngineDialect
 from chiveslip.engines.dialect import Outgoing
@@ -60,7 +60,7 @@
     """What the tasks of all engines share."""
 
     clock: Clock
-    pool: ConnectionPool
+    pool: Connector
     dialect: EngineDialect
     desk: AllowanceDesk
     audit: AuditTrail
@@ -76,6 +76,7 @@
 @attrs.frozen
 class _Ended:
     number: int
+    abandoned: bool
 
 
 @attrs.frozen
@@ -151,9 +152,9 @@
                 self._give_back(answer.result())
             raise
 
-    def end(self, number: int) -> None:
-        """Give a permit back."""
-        self._mailbox.put_nowait(_Ended(number))
+    def end(self, number: int, *, abandoned: bool) -> None:
+        """Give a permit back; an abandoned call may still run."""
+        self._mailbox.put_nowait(_Ended(number, abandoned))
 
     def leave(self, request: str) -> None:
         """Take a call out of the queue."""
@@ -161,7 +162,7 @@
 
     def _give_back(self, result: PermitResult) -> None:
         if isinstance(result, Success):
-            self.end(result.unwrap().number)
+            self.end(result.unwrap().number, abandoned=False)
 
     async def _run(self) -> None:
         while True:
@@ -179,7 +180,9 @@
             self._answers[message.waiter.request] = message.answer
             return self._home.request(message.waiter, now)
         if isinstance(message, _Ended):
-            return self._home.ended(message.number, now)
+            return self._home.ended(
+                message.number, abandoned=message.abandoned, now=now
+            )
         if isinstance(message, _Left):
             self._answers.pop(message.request, None)
             return self._home.withdraw(message.request, now)
@@ -198,7 +201,7 @@
 
     def _grant(self, permit: Permit) -> None:
         if not self._answer(permit.waiter.request, Success(permit)):
-            self.end(permit.number)
+            self.end(permit.number, abandoned=False)
 
     def _answer(self, request: str, result: PermitResult) -> bool:
         answer = self._answers.pop(request, None)
--- a/src/chiveslip/fleet/fleet.py
+++ b/src/chiveslip/fleet/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import final
 
 import attrs
@@ -19,6 +20,7 @@
 from chiveslip.configuration.source import ConfigurationSource
 from chiveslip.configuration.source import Document
 from chiveslip.configuration.source import SourceError
+from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.fleet.ownership import Ownership
 from chiveslip.fleet.peers import PeerError
 from chiveslip.fleet.peers import Peers
@@ -79,6 +81,7 @@
         clock: Clock,
         times: FleetTimes,
         audit: AuditTrail,
+        suspects: CrashSuspects,
     ) -> None:
         self._me = me
         self._data_centre = data_centre
@@ -89,6 +92,7 @@
         self._clock = clock
         self._times = times
         self._audit = audit
+        self._suspects = suspects
         self._log = logs.get_logger("fleet")
         self._tasks = TaskSet("fleet")
         self._started_at = clock.now()
@@ -143,6 +147,7 @@
 
     def answer_confirm(self, request: wire.ConfirmRequest) -> wire.ConfirmReply:
         """Answer a peer's heartbeat."""
+        self._hear_suspects(request.crash_suspects)
         self._note_revisions(
             request.instance,
             request.view_revision,
@@ -157,12 +162,27 @@
             configuration_revision=self._configuration_revision(),
             serving=self.serving,
             uptime_seconds=self._clock.now() - self._started_at,
+            crash_suspects=self._known_suspects(),
         )
 
     def document(self, name: str) -> bytes:
         """Return a published list as it was read; empty if there is none yet."""
         return self._contents.get(name, b"")
 
+    def _known_suspects(self) -> list[wire.CrashSuspect]:
+        return [
+            wire.CrashSuspect(
+                fingerprint=name, crashes=known.crashes, age_seconds=known.age_s
+            )
+            for name, known in self._suspects.known(self._clock.now()).items()
+        ]
+
+    def _hear_suspects(self, suspects: Iterable[wire.CrashSuspect]) -> None:
+        now = self._clock.now()
+        for suspect in suspects:
+            seen_at = now - suspect.age_seconds
+            self._suspects.heard(suspect.fingerprint, suspect.crashes, seen_at, now)
+
     def _configuration_revision(self) -> int:
         return self.configuration.revision() if self.configuration else 0
 
@@ -251,6 +271,7 @@
             endpoints_revision=self._endpoints.revision,
             configuration_revision=self._configuration_revision(),
             stopping=self.stopping,
+            crash_suspects=self._known_suspects(),
         )
         try:
             reply = await self._peers.confirm(target, request)
@@ -260,6 +281,7 @@
             # Another process has taken over the address.
             return
         now = self._clock.now()
+        self._hear_suspects(reply.crash_suspects)
         self._seen_serving = self._seen_serving or reply.serving
         self._heard[target] = PeerStatus(
             incarnation=reply.incarnation,
--- a/src/chiveslip/fleet/handover.py
+++ b/src/chiveslip/fleet/handover.py
@@ -51,10 +51,20 @@
         """Stop what still runs."""
         await self._tasks.close()
 
+    async def delivered(self) -> None:
+        """Wait until what was given away has arrived, or cannot arrive."""
+        await self._tasks.join()
+
     def before_view(self, view: InstanceList) -> None:
         """Give away what `view` moves, before it is believed in."""
-        now = self._clock.now()
         members = [i.id for i in view.instances.values() if i.state is State.LIVE]
+        for successor, request in self._moves(members, view.revision).items():
+            self._tasks.start(self._send(successor, request))
+
+    def _moves(
+        self, members: list[str], revision: int
+    ) -> dict[str, wire.HandOverRequest]:
+        now = self._clock.now()
         moved: dict[str, list[wire.BucketState]] = collections.defaultdict(list)
         for account in self._home.organisations:
             successor = next(iter(rank(home_key(account), members)), None)
@@ -65,11 +75,12 @@
             snapshot = self._home.release(account, now)
             if held and snapshot is not None and successor is not None:
                 moved[successor].append(_state(account, snapshot))
-        for successor, states in moved.items():
-            request = wire.HandOverRequest(
-                instance=self._me, view_revision=view.revision, buckets=states
+        return {
+            successor: wire.HandOverRequest(
+                instance=self._me, view_revision=revision, buckets=states
             )
-            self._tasks.start(self._send(successor, request))
+            for successor, states in moved.items()
+        }
 
     def answer(self, request: wire.HandOverRequest) -> bool:
         """Take in what a predecessor hands over.
--- a/src/chiveslip/http/operators.py
+++ b/src/chiveslip/http/operators.py
@@ -10,7 +10,7 @@
 from tornado.web import RequestHandler
 
 from chiveslip.audit import AuditTrail
-from chiveslip.http.admission import Admission
+from chiveslip.dispatch.admission import Admission
 from chiveslip.http.traces import Traces
 
 _MOST_AUDIT_LINES = 1000
--- a/src/chiveslip/http/reply.py
+++ b/src/chiveslip/http/reply.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import math
+from collections.abc import Callable
 from typing import final
 
 from tornado.iostream import StreamClosedError
@@ -10,6 +13,12 @@
 
 from chiveslip.dispatch.reply import CallerGoneError
 from chiveslip.dispatch.reply import Reply
+from chiveslip.generated import result_codes
+from chiveslip.results import Refusal
+
+RESULT_HEADER = "X-Result-Code"
+CALL_ID_HEADER = "X-Call-Id"
+_EVENT_STREAM = "text/event-stream"
 
 
 @final
@@ -20,25 +29,41 @@
     ----------
     slow_reader_s
         A caller that takes nothing for this time in seconds is given up on.
+    closes
+        Whether the connection is to be closed after the answer.
     """
 
-    def __init__(self, handler: RequestHandler, slow_reader_s: float) -> None:
+    def __init__(
+        self,
+        handler: RequestHandler,
+        call_id: str,
+        *,
+        slow_reader_s: float,
+        closes: Callable[[], bool],
+    ) -> None:
         self._handler = handler
+        self._call_id = call_id
         self._slow_reader_s = slow_reader_s
+        self._closes = closes
         self._started = False
         self._finished = False
+        self._is_event_stream = False
 
     @property
     def started(self) -> bool:
         """Whether a byte of an answer has gone to the caller."""
         return self._started
 
+    @property
+    def finished(self) -> bool:
+        """Whether the answer was ended in its proper form."""
+        return self._finished
+
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Prepare the answer's head, which goes out with the first part."""
-        self._handler.set_status(status)
-        for name, value in headers.items():
-            self._handler.set_header(name, value)
-        if headers.get("Content-Type") == "text/event-stream":
+        self._set_head(status, result_codes.OK.code, headers)
+        if headers.get("Content-Type") == _EVENT_STREAM:
+            self._is_event_stream = True
             self._handler.set_header("Cache-Control", "no-store")
             await self._flush()
 
@@ -51,13 +76,48 @@
     async def finish(self) -> None:
         """End the answer."""
         self._started = True
-        self._finished = True
         try:
             async with asyncio.timeout(self._slow_reader_s):
+                self._finished = True
                 await self._handler.finish()
         except (StreamClosedError, TimeoutError) as error:
             raise CallerGoneError("the caller left before the end") from error
 
+    async def refuse(self, refusal: Refusal) -> None:
+        """Answer with a refusal, or break off what has begun."""
+        content = refusal_body(refusal, self._call_id)
+        if self._started:
+            if self._is_event_stream:
+                await self.write(b"event: error\ndata: " + content + b"\n\n")
+            # The end of the body is withheld: what came is no success.
+            self.abort()
+            return
+        headers = {"Content-Type": "application/json"}
+        wait_s = refusal.come_back_after_s
+        if wait_s is not None:
+            # Whole seconds, rounded up: coming earlier would be in vain.
+            headers["Retry-After"] = str(max(math.ceil(wait_s), 1))
+        self._set_head(refusal.code.status, refusal.code.code, headers)
+        self._handler.write(content)
+        await self.finish()
+
+    def abort(self) -> None:
+        """Close the connection without an end of the answer."""
+        stream = getattr(self._handler.request.connection, "stream", None)
+        if stream is not None:
+            stream.close()
+
+    def _set_head(self, status: int, code: int, headers: dict[str, str]) -> None:
+        self._handler.clear()
+        self._handler.clear_header("Server")
+        self._handler.set_status(status)
+        self._handler.set_header(RESULT_HEADER, str(code))
+        self._handler.set_header(CALL_ID_HEADER, self._call_id)
+        for name, value in headers.items():
+            self._handler.set_header(name, value)
+        if self._closes():
+            self._handler.set_header("Connection", "close")
+
     async def _flush(self) -> None:
         self._started = True
         try:
@@ -65,3 +125,18 @@
                 await self._handler.flush()
         except (StreamClosedError, TimeoutError) as error:
             raise CallerGoneError("the caller takes no more") from error
+
+
+def refusal_body(refusal: Refusal, call_id: str) -> bytes:
+    """Return the JSON body of a refusal."""
+    code = refusal.code
+    error = {
+        "code": code.code,
+        "name": code.name,
+        "message": refusal.detail,
+        "run": code.run.value,
+        "may_repeat": code.may_repeat,
+        "retry_after_s": refusal.come_back_after_s,
+        "call": call_id,
+    }
+    return json.dumps({"error": error}).encode()
--- a/src/chiveslip/tasks.py
+++ b/src/chiveslip/tasks.py
@@ -25,6 +25,10 @@
         task.add_done_callback(self._ended)
         return task
 
+    async def join(self) -> None:
+        """Wait until all tasks that run now have ended."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
     async def close(self) -> None:
         """Cancel all tasks and wait until they ended."""
         tasks = list(self._tasks)
--- /dev/null
+++ b/testing/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of chiveslip."""
+
+from __future__ import annotations
--- /dev/null
+++ b/testing/world/__init__.py
@@ -0,0 +1,3 @@
+"""A fleet in virtual time, with small fakes at the interfaces."""
+
+from __future__ import annotations
