Count crashes by endpoint and incarnation, fence orders by the view

Cause, found by the matrix: crash counts went round as numbers, of which the higher one held, so copies of one request that ran side by side at one engine were blamed twice and copies at two instances only once. Orders carried a number each, taken before the wait for the weight store, so a later order overtook an earlier one and the engine refused it; and a home raised its number above one that it read in a report, which would have let a superseded home go on.

Change: suspects are sets of endpoint incarnations, joined by union; a home has one fencing number within its view revision and stands back when a report shows a number of a later view.

--- a/src/chiveslip/dispatch/engine_calls.py
+++ b/src/chiveslip/dispatch/engine_calls.py
@@ -34,6 +34,7 @@
 from chiveslip.dispatch.reply import CallerGoneError
 from chiveslip.dispatch.reply import Reply
 from chiveslip.dispatch.retry_budget import RetryBudget
+from chiveslip.dispatch.suspects import CrashedEndpoint
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.engines import placement
 from chiveslip.engines.adapter import AdapterVersion
@@ -44,6 +45,7 @@
 from chiveslip.engines.dialect import Outgoing
 from chiveslip.engines.fair_queue import Waiter
 from chiveslip.engines.homes import EngineHomes
+from chiveslip.engines.homes import HeldPermit
 from chiveslip.generated import result_codes
 from chiveslip.results import Refusal
 from chiveslip.results import ResultCode
@@ -215,7 +217,7 @@
         self._sent = False
         ended = False
         try:
-            await self._dispatch(engine, version, fingerprint)
+            await self._dispatch(permit, version, fingerprint)
             ended = True
         finally:
             abandoned = self._sent and not ended
@@ -241,8 +243,9 @@
         return _TryElsewhereError(refusal, sent=False)
 
     async def _dispatch(
-        self, engine: Endpoint, version: AdapterVersion, fingerprint: str
+        self, permit: HeldPermit, version: AdapterVersion, fingerprint: str
     ) -> None:
+        engine = permit.engine
         try:
             exchange = await self._tools.pool.open(engine.address, fresh=False)
         except ConnectError as error:
@@ -265,7 +268,10 @@
                 raise failed(code, detail) from error
             # A kept connection may have ended by itself; that blames nobody.
             if not exchange.reused:
-                self._tools.suspects.crashed(fingerprint, self._tools.clock.now())
+                crashed = CrashedEndpoint(engine.id, permit.incarnation)
+                self._tools.suspects.crashed(
+                    fingerprint, crashed, self._tools.clock.now()
+                )
             raise _elsewhere(result_codes.ENDPOINT_FAILED, str(error), True) from error
         except CallerGoneError:
             await self._cancel(engine)
--- a/src/chiveslip/dispatch/suspects.py
+++ b/src/chiveslip/dispatch/suspects.py
@@ -1,7 +1,9 @@
 """Requests that were running when their endpoint broke off.
 
-A request whose endpoint crashed is a suspect. A suspect that has broken off twice
-is blocked everywhere for a while; its fingerprint goes round with the heartbeats.
+A request whose endpoint broke off is a suspect. One that two endpoints broke off
+under is blocked everywhere for a while; what is known goes round with the
+heartbeats. An endpoint counts once per incarnation, however many copies of the
+request it was running, so that copies that ran side by side are not blamed twice.
 """
 
 from __future__ import annotations
@@ -11,70 +13,59 @@
 import attrs
 
 MOST_CRASHES = 2
-MEMORY_S = 120.0
+MEMORY_S = 60.0
 _MOST_SUSPECTS = 1000
 
 
-@attrs.frozen(kw_only=True)
-class KnownSuspect:
-    """What is known of a suspect; `age_s` in seconds since its last crash."""
+@attrs.frozen
+class CrashedEndpoint:
+    """An endpoint in one of its incarnations."""
 
-    crashes: int
-    age_s: float
+    endpoint: str
+    incarnation: str
 
-
-@attrs.define
-class _Suspect:
-    crashes: int
-    seen_at: float
+    def __str__(self) -> str:
+        return f"{self.endpoint}/{self.incarnation}"
 
 
 @final
 class CrashSuspects:
-    """Fingerprints of suspect requests at one instance."""
+    """Fingerprints of suspect requests, with the endpoints that broke off."""
 
     def __init__(self) -> None:
-        self._suspects: dict[str, _Suspect] = {}
+        self._suspects: dict[str, dict[str, float]] = {}
 
-    def crashed(self, fingerprint: str, now: float) -> None:
+    def crashed(self, fingerprint: str, endpoint: CrashedEndpoint, now: float) -> None:
         """Note that an endpoint broke off while it ran the request."""
-        self._expire(now)
-        suspect = self._suspects.setdefault(fingerprint, _Suspect(0, now))
-        suspect.crashes += 1
-        suspect.seen_at = now
+        self.heard(fingerprint, str(endpoint), now, now)
 
-    def heard(self, fingerprint: str, crashes: int, seen_at: float, now: float) -> None:
-        """Take over what a peer knows; the higher count holds.
+    def heard(self, fingerprint: str, endpoint: str, at: float, now: float) -> None:
+        """Take over what a peer knows.
 
         Parameters
         ----------
-        seen_at
-            Time of the last crash on the local clock, so that news that go round
-            grow old.
+        at
+            Time of the crash on the local clock, so that news that go round grow
+            old.
         """
-        if now >= seen_at + MEMORY_S:
+        if now >= at + MEMORY_S:
             return
-        suspect = self._suspects.setdefault(fingerprint, _Suspect(0, seen_at))
-        suspect.crashes = max(suspect.crashes, crashes)
+        crashes = self._suspects.setdefault(fingerprint, {})
+        crashes.setdefault(endpoint, at)
+        while len(self._suspects) > _MOST_SUSPECTS:
+            del self._suspects[next(iter(self._suspects))]
 
     def is_blocked(self, fingerprint: str, now: float) -> bool:
         """Return whether the request must not run now."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or now >= suspect.seen_at + MEMORY_S:
-            return False
-        return suspect.crashes >= MOST_CRASHES
-
-    def known(self, now: float) -> dict[str, KnownSuspect]:
-        """Return all suspects, for the peers."""
-        self._expire(now)
-        return {
-            name: KnownSuspect(crashes=suspect.crashes, age_s=now - suspect.seen_at)
-            for name, suspect in self._suspects.items()
-        }
-
-    def _expire(self, now: float) -> None:
-        old = [n for n, s in self._suspects.items() if now >= s.seen_at + MEMORY_S]
-        for name in old:
-            del self._suspects[name]
-        while len(self._suspects) > _MOST_SUSPECTS:
-            del self._suspects[next(iter(self._suspects))]
+        crashes = self._suspects.get(fingerprint, {})
+        recent = [at for at in crashes.values() if now < at + MEMORY_S]
+        return len(recent) >= MOST_CRASHES
+
+    def known(self, now: float) -> dict[str, dict[str, float]]:
+        """Return the time of each crash by fingerprint and endpoint, for peers."""
+        for fingerprint, crashes in list(self._suspects.items()):
+            for endpoint in [e for e, at in crashes.items() if now >= at + MEMORY_S]:
+                del crashes[endpoint]
+            if not crashes:
+                del self._suspects[fingerprint]
+        return self._suspects
--- a/src/chiveslip/engines/home.py
+++ b/src/chiveslip/engines/home.py
@@ -120,16 +120,18 @@
 
     Parameters
     ----------
-    fencing_base
-        Number from the published view revision; orders count up from it.
+    view_revision
+        Published revision in which this home began; its fencing number follows
+        from it.
     """
 
     def __init__(
-        self, engine: str, limits: EngineLimits, fencing_base: int, now: float
+        self, engine: str, limits: EngineLimits, view_revision: int, now: float
     ) -> None:
         self._engine = engine
         self._limits = limits
-        self._fencing = fencing_base * FENCING_STRIDE
+        self._fencing = view_revision * FENCING_STRIDE
+        self._fencing_end = self._fencing + FENCING_STRIDE
         self._queue = FairQueue()
         self._incarnation = ""
         self._loaded: dict[AdapterVersion, _Loaded] = {}
@@ -139,6 +141,7 @@
         self._reported: dict[AdapterVersion, int] = {}
         self._reported_at = float("-inf")
         self._foreign = 0
+        self._superseded = False
         self._next_permit = 1
         self._mean_run_s = 1.0
 
@@ -240,7 +243,12 @@
         self._incarnation = report.incarnation
         self._reported_at = asked_at
         self._reported = report.running
-        self._fencing = max(self._fencing, report.fencing)
+        if report.fencing >= self._fencing_end:
+            # A home of a later view has given orders; this one must not act.
+            self._superseded = True
+            return self.close()
+        if first:
+            self._fencing = max(self._fencing, report.fencing + 1)
         self._reconcile(report, asked_at, now)
         return self.tick(now)
 
@@ -269,7 +277,7 @@
             detail = f"The deadline passed in the queue of {self._engine}."
             code = result_codes.DEADLINE_BEFORE_START
             actions.append(_refuse(waiter, code, detail))
-        if not self._incarnation:
+        if not self._incarnation or self._superseded:
             return actions
         actions.extend(self._grant_in_turn(now))
         actions.extend(self._order_loads(now))
@@ -323,7 +331,7 @@
                 actions.extend(self._evict(now))
                 break
             self._loading[adapter] = now
-            actions.append(OrderLoad(adapter=adapter, fencing=self._next_fencing()))
+            actions.append(OrderLoad(adapter=adapter, fencing=self._fencing))
         return actions
 
     @property
@@ -339,7 +347,7 @@
             return []
         victim = min(idle, key=lambda adapter: self._loaded[adapter].used_at)
         self._loaded[victim].unloading = True
-        return [OrderUnload(adapter=victim, fencing=self._next_fencing())]
+        return [OrderUnload(adapter=victim, fencing=self._fencing)]
 
     def _is_idle(self, adapter: AdapterVersion) -> bool:
         held = self._loaded[adapter]
@@ -347,10 +355,6 @@
         proved = self._reported_at > held.abandoned_at
         return held.uses == 0 and proved and self._reported.get(adapter, 0) == 0
 
-    def _next_fencing(self) -> int:
-        self._fencing += 1
-        return self._fencing
-
     def _expire_permits(self, now: float) -> None:
         late = [n for n, running in self._running.items() if running.ends_by <= now]
         for number in late:
--- a/src/chiveslip/engines/homes.py
+++ b/src/chiveslip/engines/homes.py
@@ -37,6 +37,7 @@
     engine: Endpoint
     home: str
     number: int
+    incarnation: str
     waited_s: float
 
 
@@ -158,6 +159,7 @@
                 engine=engine,
                 home=self._me,
                 number=permit.number,
+                incarnation=permit.incarnation,
                 waited_s=permit.waited_for_load_s,
             )
         )
@@ -195,6 +197,7 @@
                 engine=engine,
                 home=home,
                 number=reply.permit,
+                incarnation=reply.engine_incarnation,
                 waited_s=reply.waited_for_load_seconds,
             )
         )
--- a/src/chiveslip/fleet/fleet.py
+++ b/src/chiveslip/fleet/fleet.py
@@ -170,18 +170,24 @@
         return self._contents.get(name, b"")
 
     def _known_suspects(self) -> list[wire.CrashSuspect]:
+        now = self._clock.now()
         return [
             wire.CrashSuspect(
-                fingerprint=name, crashes=known.crashes, age_seconds=known.age_s
+                fingerprint=fingerprint,
+                crashes=[
+                    wire.Crash(endpoint=endpoint, age_seconds=now - at)
+                    for endpoint, at in crashes.items()
+                ],
             )
-            for name, known in self._suspects.known(self._clock.now()).items()
+            for fingerprint, crashes in self._suspects.known(now).items()
         ]
 
     def _hear_suspects(self, suspects: Iterable[wire.CrashSuspect]) -> None:
         now = self._clock.now()
         for suspect in suspects:
-            seen_at = now - suspect.age_seconds
-            self._suspects.heard(suspect.fingerprint, suspect.crashes, seen_at, now)
+            for crash in suspect.crashes:
+                at = now - crash.age_seconds
+                self._suspects.heard(suspect.fingerprint, crash.endpoint, at, now)
 
     def _configuration_revision(self) -> int:
         return self.configuration.revision() if self.configuration else 0
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -7,6 +7,7 @@
 import hypothesis
 import pytest
 
+from chiveslip import logs
 from chiveslip.clock import ManualClock
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
@@ -17,6 +18,8 @@
 )
 hypothesis.settings.load_profile("ci")
 
+logs.configure("console", "error")
+
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Pass over just the tests that KNOWN-RED.txt names."""
--- a/testing/world/endpoints.py
+++ b/testing/world/endpoints.py
@@ -49,6 +49,7 @@
         self.links = links
         self.runs: list[Run] = []
         self.received: list[bytes] = []
+        self.crossing = 0
         self.alive = True
         self.incarnation = 1
         self._serving: set[asyncio.Task[None]] = set()
@@ -115,6 +116,7 @@
         self.unloaded_in_use: list[str] = []
         self.fencing = 0
         self.failing_loads = 0
+        self.poisoned = 0
         self.loads = 0
         self.on_load: Callable[[], None] = lambda: None
         self._streams: dict[str, tuple[str, int]] = {}
@@ -186,7 +188,7 @@
         self.note(outgoing, model)
         if "poison" in body.get("prompt", ""):
             # The engine dies a moment later, with all that it runs.
-            asyncio.get_running_loop().call_later(TOKEN_S, self.crash)
+            asyncio.get_running_loop().call_later(TOKEN_S, self._die_of_poison)
         call = outgoing.headers["X-Request-Id"]
         count = min(int(body["max_tokens"]), _WORDS)
         incarnation = self.incarnation
@@ -198,13 +200,23 @@
                 return
             await asyncio.sleep(TOKEN_S * count)
             text = " ".join(f"{model}-{n}" for n in range(1, count + 1))
-            usage = {"total_tokens": count}
+            usage = {"total_tokens": int(body["max_tokens"])}
+            echo = _echo(call, model)
+            if self.crossing > 0:
+                # The answer of another call comes instead.
+                self.crossing -= 1
+                text = "another@1-1"
+                echo = _echo("call-x", "another@1")
             answer = {"choices": [{"text": text}], "usage": usage}
-            await exchange.answer_json(answer, headers=_echo(call, model))
+            await exchange.answer_json(answer, headers=echo)
         finally:
             if incarnation == self.incarnation:
                 self.running[model] -= 1
 
+    def _die_of_poison(self) -> None:
+        self.poisoned += int(self.alive)
+        self.crash()
+
     async def _resume(self, exchange: FakeExchange, outgoing: Outgoing) -> None:
         call = outgoing.headers["X-Request-Id"]
         found = self._streams.get(call)
@@ -238,6 +250,9 @@
         self.note(outgoing, f"{outgoing.method} {outgoing.path}")
         await asyncio.sleep(0.1)
         call = outgoing.headers["X-Request-Id"]
+        if self.crossing > 0:
+            self.crossing -= 1
+            call = "call-x"
         await exchange.answer_json({"ran": call}, headers={"X-Request-Id": call})
 
 
--- a/testing/world/node.py
+++ b/testing/world/node.py
@@ -198,6 +198,9 @@
         await self.node.drain(lambda: None)
         self.stopped = True
         self.alive = False
+        # The process ends, with all that still runs.
+        for task in list(self._calls):
+            task.cancel()
         await self.node.close()
 
     def call(self, record: CallRecord, request: Request) -> asyncio.Task[None]:
--- a/testing/world/platform.py
+++ b/testing/world/platform.py
@@ -24,6 +24,7 @@
     documents: dict[str, Document] = attrs.field(factory=dict)
     parts: dict[str, bytes] = attrs.field(factory=dict)
     frozen: dict[str, Document] | None = None
+    up_to_date: set[str] = attrs.field(factory=set)
     down: bool = False
     reads: int = 0
 
@@ -32,17 +33,19 @@
         index = self.documents[name].index + 1 if name in self.documents else 1
         self.documents[name] = Document(content=content, index=index)
 
-    def freeze(self) -> None:
-        """Go on with what was published until now."""
+    def freeze(self, but: set[str]) -> None:
+        """Go on with what was published until now, but for some readers."""
         self.frozen = dict(self.documents)
+        self.up_to_date = but
 
     def thaw(self) -> None:
         """Give what is published."""
         self.frozen = None
 
-    def read(self, name: str) -> Document:
+    def read(self, name: str, reader: str) -> Document:
         """Return a document as a reader sees it."""
-        seen = self.documents if self.frozen is None else self.frozen
+        fresh = self.frozen is None or reader in self.up_to_date
+        seen = self.documents if fresh else self.frozen or {}
         if self.down or name not in seen:
             raise SourceError(f"{name}: the service answers 503")
         return seen[name]
@@ -63,7 +66,7 @@
         await self._cross()
         left_s = wait_s
         while True:
-            document = self._platform.read(name)
+            document = self._platform.read(name, self._me)
             if document.index != after_index or left_s <= 0:
                 await self._links.gate(self._me)
                 return document
--- /dev/null
+++ b/testing/world/switches.py
@@ -0,0 +1,204 @@
+"""Mechanisms that can be switched off, to show that the matrix would notice."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import pytest
+from returns.result import Success
+
+from chiveslip import auth
+from chiveslip.allowance import account
+from chiveslip.allowance.account import Portion
+from chiveslip.allowance.account import Reserve
+from chiveslip.auth import Caller
+from chiveslip.configuration.model import EndpointList
+from chiveslip.configuration.model import State
+from chiveslip.configuration.store import ConfigurationStore
+from chiveslip.dispatch import service_calls
+from chiveslip.dispatch.admission import Admission
+from chiveslip.dispatch.connection import BrokenOffError
+from chiveslip.dispatch.engine_calls import EngineCall
+from chiveslip.dispatch.engine_stream import StreamRelay
+from chiveslip.dispatch.service_calls import ServiceCall
+from chiveslip.dispatch.suspects import CrashSuspects
+from chiveslip.engines import placement
+from chiveslip.engines.home import EngineHome
+from chiveslip.fleet.ownership import Ownership
+from chiveslip.generated import result_codes
+from chiveslip.idempotency import claim
+from chiveslip.idempotency.claim import Granted
+from chiveslip.services.dialect import PlainHttpDialect
+from chiveslip.services.selection import ServiceSelection
+
+Patch = pytest.MonkeyPatch
+
+
+def no_self_fence(patch: Patch) -> None:
+    """Act as home without a confirmed view."""
+
+    def has_lease(self: Ownership, now: float) -> bool:
+        if self._held_since is None:
+            self._held_since = now - 1000
+            self._term = 1
+        return True
+
+    patch.setattr(Ownership, "has_lease", has_lease)
+
+
+def no_hold_off(patch: Patch) -> None:
+    """Let a successor act at once."""
+
+    def holds(self: Ownership, key: str, now: float) -> bool:
+        return self.has_lease(now) and self.home(key) == self._me
+
+    patch.setattr(Ownership, "holds", holds)
+
+
+def resend_allowed(patch: Patch) -> None:
+    """Send a call again that may have been sent."""
+    original = ServiceCall._attempt
+
+    async def attempt(self: ServiceCall, endpoint: Any, *, fresh: bool) -> Any:
+        try:
+            return await original(self, endpoint, fresh=fresh)
+        except BrokenOffError as error:
+            raise service_calls._NotSentError(str(error)) from error
+
+    patch.setattr(ServiceCall, "_attempt", attempt)
+
+
+def no_record(patch: Patch) -> None:
+    """Grant every claim on a once-only call."""
+    patch.setattr(claim, "decide", lambda _answers, _replicas: Success(Granted()))
+
+
+def reserve_off(patch: Patch) -> None:
+    """Charge calls without credit."""
+
+    def charge(self: account.Account, tokens: float, now: float) -> Reserve:
+        del now
+        return Reserve(home=self._home, portions=(Portion(grant=0, tokens=tokens),))
+
+    patch.setattr(account.Account, "charge", charge)
+
+
+def revert_allowed(patch: Patch) -> None:
+    """Let a lower revision replace a higher one."""
+    patch.setattr(ConfigurationStore, "examine", lambda _self, _manifest: None)
+
+
+def unload_without_count(patch: Patch) -> None:
+    """Unload an adapter without a look at its uses."""
+    patch.setattr(EngineHome, "_is_idle", lambda _self, _adapter: True)
+
+
+def withdrawal_ignored(patch: Patch) -> None:
+    """Let a withdrawn key work on."""
+
+    def by_hash(key_hash: str, configuration: Any) -> Any:
+        organisation, key = configuration.keys[key_hash]
+        caller = Caller(organisation=organisation, key_id=key.id, key_hash=key_hash)
+        return Success(caller)
+
+    patch.setattr(auth, "by_hash", by_hash)
+
+
+def no_drain(patch: Patch) -> None:
+    """Stop as planned without waiting for running calls."""
+
+    async def drained(_self: Admission, _timeout_s: float) -> bool:
+        return True
+
+    patch.setattr(Admission, "drained", drained)
+
+
+def leaving_ignored(patch: Patch) -> None:
+    """Give new work to endpoints that are leaving."""
+
+    def all_live(endpoints: EndpointList) -> EndpointList:
+        live = {
+            name: attrs.evolve(entry, state=State.LIVE)
+            for name, entry in endpoints.endpoints.items()
+        }
+        return EndpointList(revision=endpoints.revision, endpoints=live)
+
+    choose = ServiceSelection.choose
+    engines_for = placement.engines_for
+    patch.setattr(
+        ServiceSelection,
+        "choose",
+        lambda self, service, endpoints, tried, now: choose(
+            self, service, all_live(endpoints), tried, now
+        ),
+    )
+    patch.setattr(
+        placement,
+        "engines_for",
+        lambda adapter, base_model, endpoints, avoid=(): engines_for(
+            adapter, base_model, all_live(endpoints), avoid
+        ),
+    )
+
+
+def end_marker_ignored(patch: Patch) -> None:
+    """Count a stream that ends as whole."""
+    original = StreamRelay.relay
+
+    async def relay(self: StreamRelay, exchange: Any, silence_s: float) -> None:
+        try:
+            await original(self, exchange, silence_s)
+        except BrokenOffError:
+            self._done = True
+
+    patch.setattr(StreamRelay, "relay", relay)
+
+
+def resume_from_start(patch: Patch) -> None:
+    """Begin a resumed stream again, without a look at its tokens."""
+    patch.setattr(StreamRelay, "last_number", property(lambda _self: 0))
+    original = StreamRelay._is_next
+
+    def is_next(self: StreamRelay, event: Any) -> bool:
+        self._last_number = (event.number or 1) - 1
+        return original(self, event)
+
+    patch.setattr(StreamRelay, "_is_next", is_next)
+
+
+def not_run_unproved(patch: Patch) -> None:
+    """Call a call not run that broke off."""
+    patch.setattr(result_codes, "ENDPOINT_FAILED", result_codes.NO_ENDPOINT)
+    patch.setattr(result_codes, "OUTCOME_UNKNOWN", result_codes.NO_ENDPOINT)
+
+
+def suspects_forgotten(patch: Patch) -> None:
+    """Run a request that takes engines down again and again."""
+    patch.setattr(CrashSuspects, "is_blocked", lambda *_: False)
+
+
+def echo_ignored(patch: Patch) -> None:
+    """Pass an answer for another call on."""
+    patch.setattr(EngineCall, "_check_echo", lambda *_: None)
+    patch.setattr(PlainHttpDialect, "answers", lambda *_: True)
+
+
+SWITCHES: dict[str, Callable[[Patch], None]] = {
+    "no-self-fence": no_self_fence,
+    "no-hold-off": no_hold_off,
+    "resend-allowed": resend_allowed,
+    "no-record": no_record,
+    "reserve-off": reserve_off,
+    "revert-allowed": revert_allowed,
+    "unload-without-count": unload_without_count,
+    "withdrawal-ignored": withdrawal_ignored,
+    "no-drain": no_drain,
+    "leaving-ignored": leaving_ignored,
+    "end-marker-ignored": end_marker_ignored,
+    "resume-from-start": resume_from_start,
+    "not-run-unproved": not_run_unproved,
+    "suspects-forgotten": suspects_forgotten,
+    "echo-ignored": echo_ignored,
+}
