--- a/testing/world/faults.py
+++ b/testing/world/faults.py
@@ -159,7 +159,7 @@
 
     def begin(self, world: World) -> None:
         """Send it through two instances, and again a while later."""
-        for wait_s in (0.0, 1.0, 2.0, 3.0):
+        for wait_s in (0.0, 1.0, 2.0, 3.0, 4.5, 6.0, 7.5, 9.0, 10.5):
             world.run_later(wait_s, lambda: self._send(world))
 
     def _send(self, world: World) -> None:
@@ -259,12 +259,19 @@
             world.links.cut(home, other)
         world.platform.freeze(but=others)
         world.unlist(home)
+        # The parted home has callers enough to spend all that it may grant.
+        for number in range(16):
+            world.run_later(0.1 * number, lambda: self._flood(world, home))
 
     def end(self, world: World) -> None:
         """Join them and let the service give what is published."""
         world.links.heal()
         world.platform.thaw()
 
+    def _flood(self, world: World, home: str) -> None:
+        for _ in range(2):
+            world.poll(home, "tiny", path="/bulk", deadline_s=1.0)
+
 
 def _pause(world: World, name: str) -> None:
     world.was_paused.add(name)
--- a/testing/world/scenario.py
+++ b/testing/world/scenario.py
@@ -177,7 +177,9 @@
     world.complete(other, "south", f"south-{kinds[number % 3]}", max_tokens=30)
     # Many times the rate of a small organisation, on all instances.
     for name in live:
-        world.complete(name, "tiny", "tiny-logs", max_tokens=90, deadline_s=2.0)
+        world.poll(name, "tiny", path="/bulk", deadline_s=1.0)
+        world.poll(name, "tiny", path="/bulk", deadline_s=1.0)
+    world.complete(node, "tiny", "tiny-logs", max_tokens=40, deadline_s=2.0)
     world.poll(node, "south")
 
 
--- a/testing/world/world.py
+++ b/testing/world/world.py
@@ -32,6 +32,7 @@
 BURST = 1200.0
 TINY_RATE = 100.0
 TINY_BURST = 300.0
+BULK_TOKENS = 50.0
 _SETTINGS = """
 instance: {{id: {name}, data_centre: here}}
 configuration: {{watch: 2 s, retry: 200 ms}}
@@ -304,10 +305,17 @@
             deadline_s=deadline_s,
         )
 
-    def poll(self, node: str, organisation: str, deadline_s: float = 8.0) -> CallRecord:
+    def poll(
+        self,
+        node: str,
+        organisation: str,
+        *,
+        path: str = "/bays",
+        deadline_s: float = 8.0,
+    ) -> CallRecord:
         """Send an idempotent call."""
         return self._send(
-            node, organisation, "GET", "/bays", kind="poll", deadline_s=deadline_s
+            node, organisation, "GET", path, kind="poll", deadline_s=deadline_s
         )
 
     def _send(
@@ -398,4 +406,11 @@
     return [
         {"prefix": "/bays", "methods": ["GET"], "service": "kiosk", "idempotent": True},
         {"prefix": "/unlock", "methods": ["POST"], "service": "kiosk"},
+        {
+            "prefix": "/bulk",
+            "methods": ["GET"],
+            "service": "kiosk",
+            "idempotent": True,
+            "tokens": BULK_TOKENS,
+        },
     ]
