Hold once-only records under every recent view, keep uses over a restart

A peer that still held an older view confirmed a newer one.

Change: a claim must hold at most of the replicas of each view of the retention, and an instance that joins learns these views; uses outlive an incarnation; only the same revision confirms.

--- a/src/chiveslip/daemon/node.py
+++ b/src/chiveslip/daemon/node.py
@@ -40,6 +40,7 @@
 from chiveslip.fleet.fleet import Fleet
 from chiveslip.fleet.fleet import FleetTimes
 from chiveslip.fleet.handover import HandOvers
+from chiveslip.fleet.history import ViewHistory
 from chiveslip.fleet.ownership import Ownership
 from chiveslip.fleet.peers import Peers
 from chiveslip.fleet.service import PeerParts
@@ -86,6 +87,7 @@
         self._ownership = ownership
         self._audit = AuditTrail(self._me, settings.audit.lines)
         self._suspects = CrashSuspects()
+        self._history = ViewHistory(settings.idempotency.retention)
         self._fleet = self._make_fleet()
         self._keeper = self._make_keeper()
         self._fleet.configuration = ConfigurationKnowledge(
@@ -162,6 +164,8 @@
         """Wait until this instance knows what the fleet knows, then serve."""
         while not self._has_joined():
             await asyncio.sleep(_JOIN_POLL_S)
+        while not await self._fleet.learn_history():
+            await asyncio.sleep(_JOIN_POLL_S)
         if not self._fleet.found_serving_peer:
             # Nobody served before, so no call can have been forgotten.
             self._records.know_all_since(float("-inf"))
@@ -243,6 +247,7 @@
             ),
             audit=self._audit,
             suspects=self._suspects,
+            history=self._history,
         )
 
     def _make_keeper(self) -> ConfigurationKeeper:
@@ -308,6 +313,7 @@
             peers=self._around.peers,
             records=self._records,
             replicas=self._settings.idempotency.replicas,
+            history=self._history,
         )
 
     def _make_hand_overs(self) -> HandOvers:
--- a/src/chiveslip/engines/home.py
+++ b/src/chiveslip/engines/home.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 from typing import final
 
@@ -103,7 +104,6 @@
 @attrs.define
 class _Loaded:
     used_at: float
-    uses: int = 0
     unloading: bool = False
     abandoned_at: float = -math.inf
 
@@ -138,6 +138,9 @@
         self._loading: dict[AdapterVersion, float] = {}
         self._failed: dict[AdapterVersion, float] = {}
         self._running: dict[int, _Running] = {}
+        # Uses outlive an incarnation: a permit that was given before a restart may
+        # be used after it.
+        self._uses: collections.Counter[AdapterVersion] = collections.Counter()
         self._reported: dict[AdapterVersion, int] = {}
         self._reported_at = float("-inf")
         self._foreign = 0
@@ -239,7 +242,7 @@
             return []
         first = not self._incarnation
         if report.incarnation != self._incarnation:
-            self._restarted(report, first, now)
+            self._restarted(report, now)
         self._incarnation = report.incarnation
         self._reported_at = asked_at
         self._reported = report.running
@@ -304,7 +307,7 @@
 
     def _permit(self, waiter: Waiter, now: float) -> Permit:
         held = self._loaded[waiter.adapter]
-        held.uses += 1
+        self._uses[waiter.adapter] += 1
         held.used_at = now
         permit = Permit(
             number=self._next_permit,
@@ -353,7 +356,8 @@
         held = self._loaded[adapter]
         # What was abandoned may still run; only a later report proves the end.
         proved = self._reported_at > held.abandoned_at
-        return held.uses == 0 and proved and self._reported.get(adapter, 0) == 0
+        unused = self._uses[adapter] == 0
+        return unused and proved and self._reported.get(adapter, 0) == 0
 
     def _expire_permits(self, now: float) -> None:
         late = [n for n, running in self._running.items() if running.ends_by <= now]
@@ -361,23 +365,21 @@
             self._release(self._running.pop(number), True, now)
 
     def _release(self, running: _Running, abandoned: bool, now: float) -> None:
-        held = self._loaded.get(running.permit.waiter.adapter)
+        adapter = running.permit.waiter.adapter
+        self._uses[adapter] -= 1
         run_s = max(now - running.permit.waiter.arrived_at, 0.0)
         self._mean_run_s += 0.1 * (run_s - self._mean_run_s)
-        # A permit of an earlier incarnation held an adapter that went with it.
-        if held is None or running.permit.incarnation != self._incarnation:
+        held = self._loaded.get(adapter)
+        if held is None:
             return
-        held.uses -= 1
         held.used_at = now
         if abandoned:
             held.abandoned_at = now
 
-    def _restarted(self, report: LoadReport, first: bool, now: float) -> None:
+    def _restarted(self, report: LoadReport, now: float) -> None:
         self._loaded = {adapter: _Loaded(used_at=now) for adapter in report.loaded}
         self._loading.clear()
         self._failed.clear()
-        if not first:
-            self._running.clear()
 
     def _reconcile(self, report: LoadReport, asked_at: float, now: float) -> None:
         for adapter in report.loaded:
@@ -388,7 +390,7 @@
             for adapter, held in self._loaded.items()
             if adapter not in report.loaded
             and held.used_at < asked_at
-            and held.uses == 0
+            and self._uses[adapter] == 0
         ]
         for adapter in gone:
             del self._loaded[adapter]
--- a/src/chiveslip/fleet/fleet.py
+++ b/src/chiveslip/fleet/fleet.py
@@ -21,6 +21,8 @@
 from chiveslip.configuration.source import Document
 from chiveslip.configuration.source import SourceError
 from chiveslip.dispatch.suspects import CrashSuspects
+from chiveslip.fleet.history import PastView
+from chiveslip.fleet.history import ViewHistory
 from chiveslip.fleet.ownership import Ownership
 from chiveslip.fleet.peers import PeerError
 from chiveslip.fleet.peers import Peers
@@ -82,6 +84,7 @@
         times: FleetTimes,
         audit: AuditTrail,
         suspects: CrashSuspects,
+        history: ViewHistory,
     ) -> None:
         self._me = me
         self._data_centre = data_centre
@@ -93,6 +96,7 @@
         self._times = times
         self._audit = audit
         self._suspects = suspects
+        self._history = history
         self._log = logs.get_logger("fleet")
         self._tasks = TaskSet("fleet")
         self._started_at = clock.now()
@@ -165,6 +169,43 @@
             crash_suspects=self._known_suspects(),
         )
 
+    def answer_history(self) -> wire.HistoryReply:
+        """Answer an instance that joins with the views of the last while."""
+        now = self._clock.now()
+        return wire.HistoryReply(
+            views=[
+                wire.PastView(
+                    revision=view.revision,
+                    members=view.members,
+                    ended_seconds_ago=now - view.ended_at,
+                )
+                for view in self._history.views(now)
+            ]
+        )
+
+    async def learn_history(self) -> bool:
+        """Ask the witnesses for earlier views; return whether one answered."""
+        request = wire.HistoryRequest(instance=self._me)
+        answered = not self._ownership.witnesses
+        for witness in self._ownership.witnesses:
+            try:
+                reply = await self._peers.history(witness, request)
+            except PeerError:
+                continue
+            answered = True
+            now = self._clock.now()
+            for view in reply.views:
+                ended_at = now - view.ended_seconds_ago
+                self._history.add(
+                    PastView(
+                        revision=view.revision,
+                        members=tuple(view.members),
+                        ended_at=ended_at,
+                    ),
+                    now,
+                )
+        return answered
+
     def document(self, name: str) -> bytes:
         """Return a published list as it was read; empty if there is none yet."""
         return self._contents.get(name, b"")
@@ -231,6 +272,7 @@
             return view.revision
         if self.on_view is not None:
             self.on_view(view)
+        self._remember_view()
         self._ownership.adopt(view, self._clock.now())
         self._contents[documents.INSTANCES] = content
         self._heard = {k: v for k, v in self._heard.items() if k in view.instances}
@@ -242,6 +284,15 @@
         )
         return view.revision
 
+    def _remember_view(self) -> None:
+        now = self._clock.now()
+        members = self._ownership.members
+        if members:
+            view = PastView(
+                revision=self._ownership.view.revision, members=members, ended_at=now
+            )
+            self._history.add(view, now)
+
     def _take_endpoints(self, content: bytes) -> int | None:
         if content == self._contents.get(documents.ENDPOINTS):
             return self._endpoints.revision
--- a/src/chiveslip/fleet/ownership.py
+++ b/src/chiveslip/fleet/ownership.py
@@ -63,6 +63,11 @@
         """The list of instances believed in."""
         return self._view
 
+    @property
+    def members(self) -> tuple[str, ...]:
+        """The live instances of the view."""
+        return self._members
+
     @property
     def witnesses(self) -> tuple[str, ...]:
         """The peers whose confirmation this instance needs."""
@@ -107,9 +112,11 @@
         Parameters
         ----------
         revision
-            The peer's view revision; a higher one confirms nothing.
+            The peer's view revision. Only the same one confirms: a peer with a
+            higher one knows better, and one with a lower one may still confirm a
+            predecessor.
         """
-        if peer not in self._witnesses or revision > self._view.revision:
+        if peer not in self._witnesses or revision != self._view.revision:
             return
         previous = self._confirmed_at.get(peer, float("-inf"))
         self._confirmed_at[peer] = max(previous, sent_at)
@@ -143,10 +150,6 @@
         self._homes[key] = found
         return found
 
-    def ranked(self, key: str, most: int) -> list[str]:
-        """Return up to `most` instances in the rendezvous order of `key`."""
-        return hashing.rank(key, self._members)[:most]
-
     def holds(self, key: str, now: float) -> bool:
         """Return whether this instance may act as home of `key` now."""
         if not self.has_lease(now) or self.home(key) != self._me:
@@ -160,11 +163,6 @@
         if revision == self._view.revision:
             self._handed_over.add(key)
 
-    def moved(self, key: str) -> str | None:
-        """Return the home of `key` if it is another instance, else None."""
-        home = self.home(key)
-        return home if home != self._me else None
-
     @property
     def _hold_off_s(self) -> float:
         return self._terms.hold_off_s
--- a/src/chiveslip/fleet/peers.py
+++ b/src/chiveslip/fleet/peers.py
@@ -68,6 +68,10 @@
     async def finish(self, to: str, request: wire.FinishRequest) -> None:
         """Note the outcome of a once-only call."""
 
+    @abc.abstractmethod
+    async def history(self, to: str, request: wire.HistoryRequest) -> wire.HistoryReply:
+        """Ask for the views of the last while."""
+
     @abc.abstractmethod
     async def hand_over(self, to: str, request: wire.HandOverRequest) -> bool:
         """Hand over what the peer is home of now; return whether it took it."""
@@ -120,6 +124,10 @@
         """Note the outcome of a once-only call."""
         await self._ask(to, lambda s, t: s.Finish(request, timeout=t))
 
+    async def history(self, to: str, request: wire.HistoryRequest) -> wire.HistoryReply:
+        """Ask for the views of the last while."""
+        return await self._ask(to, lambda s, t: s.History(request, timeout=t))
+
     async def hand_over(self, to: str, request: wire.HandOverRequest) -> bool:
         """Hand over what the peer is home of now; return whether it took it."""
         reply = await self._ask(to, lambda s, t: s.HandOver(request, timeout=t))
--- a/src/chiveslip/fleet/service.py
+++ b/src/chiveslip/fleet/service.py
@@ -82,6 +82,12 @@
         """Take in the outcome of a once-only call."""
         await _answer(stream, self._finish)
 
+    async def History(  # noqa: N802
+        self, stream: Stream[wire.HistoryRequest, wire.HistoryReply]
+    ) -> None:
+        """Answer an instance that joins."""
+        await _answer(stream, lambda _request: self._parts.fleet.answer_history())
+
     async def HandOver(  # noqa: N802
         self, stream: Stream[wire.HandOverRequest, wire.Acknowledgement]
     ) -> None:
--- a/src/chiveslip/idempotency/claim.py
+++ b/src/chiveslip/idempotency/claim.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from collections.abc import Sequence
+
 import attrs
 from returns.result import Failure
 from returns.result import Result
@@ -30,23 +33,28 @@
 ClaimResult = Result[Granted | Replayed, Refusal]
 
 
-def decide(answers: list[RememberAnswer], replicas: int) -> ClaimResult:
+def decide(
+    answers: Mapping[str, RememberAnswer | None],
+    sets: Sequence[tuple[str, ...]],
+) -> ClaimResult:
     """Decide a claim.
 
     Parameters
     ----------
     answers
-        What the reachable replicas said.
-    replicas
-        Number of replicas, reachable or not.
+        What each replica said; None stands for no answer.
+    sets
+        The replicas in the present view and in each earlier one that counts. The
+        claim must hold at most of each set.
     """
-    outcomes = [answer.outcome for answer in answers]
+    known = [answer for answer in answers.values() if answer is not None]
+    outcomes = [answer.outcome for answer in known]
     if RememberOutcome.DIFFERENT_BODY in outcomes:
         return _refuse(
             result_codes.ONCE_BODY_DIFFERS,
             "The idempotency key was used with another body; use a new key.",
         )
-    for answer in answers:
+    for answer in known:
         if answer.finished is not None:
             return Success(Replayed(answer.finished))
     if RememberOutcome.KNOWN in outcomes:
@@ -54,24 +62,33 @@
             result_codes.ONCE_RUNNING,
             "A call with this idempotency key runs now or its outcome is unknown.",
         )
-    needed = replicas // 2 + 1
-    if outcomes.count(RememberOutcome.ACCEPTED) >= needed:
+    if all(_holds(answers, replicas) for replicas in sets):
         return Success(Granted())
     if RememberOutcome.FULL in outcomes:
         return _refuse(
             result_codes.ONCE_TABLE_FULL, "The table of once-only calls is full."
         )
-    if len(answers) < needed:
+    if RememberOutcome.YOUNG in outcomes:
         return _refuse(
-            result_codes.ONCE_UNAVAILABLE,
-            f"{len(answers)} of {replicas} replicas of the record answered; "
-            f"{needed} are needed.",
+            result_codes.ONCE_RUNNING,
+            "Replicas of the record restarted; whether the key was used is unknown.",
         )
     return _refuse(
-        result_codes.ONCE_RUNNING,
-        "The replicas of the record restarted; whether the key was used is unknown.",
+        result_codes.ONCE_UNAVAILABLE,
+        f"{len(known)} of {len(answers)} replicas of the record answered.",
     )
 
 
+def _holds(
+    answers: Mapping[str, RememberAnswer | None], replicas: tuple[str, ...]
+) -> bool:
+    accepted = 0
+    for replica in replicas:
+        answer = answers.get(replica)
+        if answer is not None and answer.outcome is RememberOutcome.ACCEPTED:
+            accepted += 1
+    return accepted > len(replicas) // 2
+
+
 def _refuse(code: ResultCode, detail: str) -> ClaimResult:
     return Failure(Refusal(code=code, detail=detail))
--- a/src/chiveslip/idempotency/claims.py
+++ b/src/chiveslip/idempotency/claims.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from chiveslip.clock import Clock
+from chiveslip.fleet.history import ViewHistory
 from chiveslip.fleet.ownership import Ownership
 from chiveslip.fleet.peers import PeerError
 from chiveslip.fleet.peers import Peers
@@ -48,6 +49,7 @@
         peers: Peers,
         records: Records,
         replicas: int,
+        history: ViewHistory,
     ) -> None:
         self._me = me
         self._clock = clock
@@ -55,6 +57,7 @@
         self._peers = peers
         self._records = records
         self._replicas = replicas
+        self._history = history
         self._tasks = TaskSet("idempotency")
 
     async def close(self) -> None:
@@ -64,7 +67,10 @@
     async def place(self, key: OnceKey, body_hash: str, claim: str) -> Claim:
         """Ask the replicas of `key` for the right to send its call."""
         name = f"once/{key.organisation}/{key.key_hash}"
-        members = tuple(self._ownership.ranked(name, self._replicas))
+        sets = self._history.replica_sets(
+            name, self._ownership.members, self._replicas, self._clock.now()
+        )
+        members = tuple(sorted({member for replicas in sets for member in replicas}))
         request = wire.RememberRequest(
             instance=self._me,
             organisation=key.organisation,
@@ -73,8 +79,8 @@
             claim=claim,
         )
         replies = await asyncio.gather(*(self._ask(m, request) for m in members))
-        answers = [answer for answer in replies if answer is not None]
-        result = claims.decide(answers, max(len(members), 1))
+        answers = dict(zip(members, replies, strict=True))
+        result = claims.decide(answers, sets)
         placed = Claim(key=key, id=claim, asked=members, result=result)
         if not _is_granted(result):
             self.not_run(placed)
--- a/testing/world/faults.py
+++ b/testing/world/faults.py
@@ -80,6 +80,7 @@
     def end(self, world: World) -> None:
         """Bring it back."""
         world.platform.down = False
+        world.platform.readable_since = world.now()
 
 
 @final
--- a/testing/world/node.py
+++ b/testing/world/node.py
@@ -40,7 +40,7 @@
 
     def now(self) -> float:
         """Return the loop's time in seconds."""
-        return asyncio.get_running_loop().time()
+        return asyncio.get_event_loop_policy().get_event_loop().time()
 
 
 @attrs.define(kw_only=True)
@@ -207,9 +207,16 @@
         """Serve a call."""
         task = asyncio.get_running_loop().create_task(self._serve(record, request))
         self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
+        task.add_done_callback(lambda done: self._call_ended(done, record))
         return task
 
+    def _call_ended(self, task: asyncio.Task[None], record: CallRecord) -> None:
+        self._calls.discard(task)
+        if record.ended_at is None:
+            # Killed before it began.
+            record.lost = True
+            record.ended_at = self.node.road.clock.now()
+
     async def _serve(self, record: CallRecord, request: Request) -> None:
         trace = _HookedTrace(request=request.id, started_at=request.arrived_at)
         trace.attach(record, self._hook)
@@ -225,5 +232,5 @@
             record.code = result_codes.CALLER_GONE
             record.tokens = trace.tokens
         finally:
-            record.ended_at = asyncio.get_running_loop().time()
+            record.ended_at = self.node.road.clock.now()
             self.node.admission.left()
--- a/testing/world/peers.py
+++ b/testing/world/peers.py
@@ -87,6 +87,10 @@
         """Note an outcome."""
         await self._ask(to, "Finish", request)
 
+    async def history(self, to: str, request: wire.HistoryRequest) -> wire.HistoryReply:
+        """Ask for earlier views."""
+        return await self._ask(to, "History", request)
+
     async def hand_over(self, to: str, request: wire.HandOverRequest) -> bool:
         """Hand over."""
         self.on_hand_over()
--- a/testing/world/platform.py
+++ b/testing/world/platform.py
@@ -26,6 +26,7 @@
     frozen: dict[str, Document] | None = None
     up_to_date: set[str] = attrs.field(factory=set)
     down: bool = False
+    readable_since: float = 0.0
     reads: int = 0
 
     def publish(self, name: str, content: bytes) -> None:
--- a/testing/world/switches.py
+++ b/testing/world/switches.py
@@ -72,7 +72,7 @@
 
 def no_record(patch: Patch) -> None:
     """Grant every claim on a once-only call."""
-    patch.setattr(claim, "decide", lambda _answers, _replicas: Success(Granted()))
+    patch.setattr(claim, "decide", lambda _answers, _sets: Success(Granted()))
 
 
 def reserve_off(patch: Patch) -> None:
