--- a/local/fleet.py
+++ b/local/fleet.py
@@ -228,7 +228,7 @@
             },
             "fleet": {"confirm": "200 ms", "lease": "1 s", "hold_off": "1600 ms"},
             "allowance": {"credit": "500 ms"},
-            "stop": {"notice": "500 ms"},
+            "stop": {"notice": "500 ms", "leave": "1 s"},
         }
 
 
--- a/src/chiveslip/dispatch/engine_calls.py
+++ b/src/chiveslip/dispatch/engine_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from collections.abc import Callable
 from typing import final
@@ -337,15 +338,26 @@
         headers = {"Content-Type": "text/event-stream", ADAPTER_HEADER: str(version)}
         await self._reply.start(200, headers)
         try:
-            await self._relay.relay(exchange, self._silence_s)
-        except BrokenOffError as error:
-            self._step(Step.MID_STREAM, f"broke off: {error}")
-            await self._resume(engine, version, str(error))
+            async with asyncio.timeout(max(self._left_s, 0.0)):
+                await self._relay_whole(exchange, engine, version)
+        except TimeoutError as error:
+            await self._cancel(engine)
+            detail = "The deadline passed before the stream's end."
+            raise failed(result_codes.DEADLINE_WHILE_RUNNING, detail) from error
         usage = self._relay.usage
         counted = self._completion.prompt_tokens + self._relay.passed
         self._used = float(counted if usage is None else usage)
         await self._reply.finish()
 
+    async def _relay_whole(
+        self, exchange: Exchange, engine: Endpoint, version: AdapterVersion
+    ) -> None:
+        try:
+            await self._relay.relay(exchange, self._silence_s)
+        except BrokenOffError as error:
+            self._step(Step.MID_STREAM, f"broke off: {error}")
+            await self._resume(engine, version, str(error))
+
     async def _resume(
         self, engine: Endpoint, version: AdapterVersion, cause: str
     ) -> None:
--- a/src/chiveslip/http/handlers.py
+++ b/src/chiveslip/http/handlers.py
@@ -16,9 +16,12 @@
 from chiveslip.dispatch.road import Road
 from chiveslip.dispatch.road import RoadTools
 from chiveslip.generated import result_codes
+from chiveslip.http.reply import RESULT_HEADER
 from chiveslip.http.reply import TornadoReply
+from chiveslip.http.reply import refusal_body
 from chiveslip.http.traces import Traces
 from chiveslip.metrics import Metrics
+from chiveslip.results import Refusal
 
 _DRAINED_BODIES = 8
 
@@ -48,6 +51,7 @@
         self._size = 0
         self._running: asyncio.Task[None] | None = None
         self._runs_on = False
+        self._is_counted = False
         self._result = result_codes.INTERNAL_ERROR
 
     def prepare(self) -> None:
@@ -90,12 +94,27 @@
         """Stop a call whose caller left, unless it may not be repeated."""
         if self._running is None:
             # The caller left while it was still sending.
-            self.on_finish()
+            self._count()
         elif not self._runs_on:
             self._running.cancel()
 
-    def on_finish(self) -> None:
-        """Count the answer."""
+    def write_error(self, status_code: int, **_kwargs: Any) -> None:
+        """Answer what Tornado itself refuses, such as an unknown method."""
+        refusal = Refusal(
+            code=result_codes.BAD_METHOD
+            if status_code == 405
+            else result_codes.BAD_HTTP,
+            detail="The request cannot be served in this form.",
+        )
+        self.set_header("Content-Type", "application/json")
+        self.set_header(RESULT_HEADER, str(refusal.code.code))
+        self.finish(refusal_body(refusal, ""))
+
+    def _count(self) -> None:
+        """Count the answer, once, however the connection ended."""
+        if self._is_counted:
+            return
+        self._is_counted = True
         now = self._tools.road.clock.now()
         self._trace.ended(now, self._result)
         self._tools.traces.add(self._trace)
@@ -115,8 +134,7 @@
             self._result = result_codes.CALLER_GONE
             self._reply.abort()
         finally:
-            if not self._reply.finished:
-                self.on_finish()
+            self._count()
 
     def _request(self) -> Request:
         whole = self._size <= self._limits.body
