Ask the home of an allowance at once when the first call waits

Cause: a request to the home that only reported refunds paused up to 100 ms, and a call that found no credit meanwhile waited for the pause to end. Ruled out: delayed acknowledgements (both ends set TCP_NODELAY; the 40 ms were the rest of the pause).

Change: the first call to wait, and a credit that runs low, end the pause.

--- a/src/chiveslip/allowance/desk.py
+++ b/src/chiveslip/allowance/desk.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import contextlib
 from collections.abc import Callable
 from typing import final
 
@@ -61,6 +62,7 @@
     account: Account
     waiting: collections.deque[_Waiting]
     asking: bool = False
+    hurry: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
 @final
@@ -120,6 +122,8 @@
                 return Success(reserve)
         waiting = _Waiting(tokens, deadline, asyncio.Future())
         line.waiting.append(waiting)
+        if len(line.waiting) == 1:
+            line.hurry.set()
         self._start_asking(account, line)
         try:
             return await waiting.done
@@ -170,6 +174,7 @@
         now = self._clock.now()
         horizon_s = self._times.horizon_s * _LOW_WATER
         if line.account.wanted(0.0, horizon_s, now) > 0:
+            line.hurry.set()
             self._start_asking(account, line)
 
     def _start_asking(self, account: str, line: _Line) -> None:
@@ -179,17 +184,16 @@
         self._tasks.start(self._ask_until_served(account, line))
 
     async def _ask_until_served(self, account: str, line: _Line) -> None:
+        pause_s = REPORT_DELAY_S
         try:
-            if not line.waiting:
-                await asyncio.sleep(REPORT_DELAY_S)
             while True:
+                await _pause(line, min(pause_s, LONGEST_PAUSE_S))
                 pause_s = await self._ask_once(account, line)
                 self._refuse_late(line)
                 if not line.waiting and not line.account.has_news:
                     return
                 if not line.waiting:
                     pause_s = max(pause_s, REPORT_DELAY_S)
-                await asyncio.sleep(min(pause_s, LONGEST_PAUSE_S))
         finally:
             line.asking = False
 
@@ -315,6 +319,14 @@
             self.settle(account, result.unwrap(), 0.0)
 
 
+async def _pause(line: _Line, seconds: float) -> None:
+    """Wait before asking again, but not when the first call begins to wait."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await line.hurry.wait()
+    line.hurry.clear()
+
+
 def home_key(account: str) -> str:
     """Return the key whose home keeps the bucket of `account`."""
     return f"allowance/{account}"
