Copy once-only records on at each change of the view

Change: at a new view each holder gives its records to the new replicas and, once most of these have them, says so to all; its answer then counts as given for older views. A replica refuses a claim that was made under an older view than its own, because it has given its records on already; the claim waits for the newer view. A planned stop waits until its records have arrived.

--- a/src/chiveslip/daemon/node.py
+++ b/src/chiveslip/daemon/node.py
@@ -46,6 +46,7 @@
 from chiveslip.fleet.service import PeerParts
 from chiveslip.generated.settings import Settings
 from chiveslip.idempotency.claims import Claims
+from chiveslip.idempotency.copies import RecordCopies
 from chiveslip.idempotency.records import RecordLimits
 from chiveslip.idempotency.records import Records
 from chiveslip.services.dialect import PlainHttpDialect
@@ -96,9 +97,11 @@
         self._desk = self._make_desk()
         self._homes = self._make_homes()
         self._records = self._make_records()
+        self._copies = self._make_copies()
         self._claims = self._make_claims()
         self._hand_overs = self._make_hand_overs()
         self._fleet.on_view = self._hand_overs.before_view
+        self._fleet.on_adopted = self._copies.view_adopted
         self._admission = Admission(lambda: self._keeper.current)
         self._road = self._make_road()
 
@@ -151,6 +154,7 @@
             desk=self._desk,
             homes=self._homes,
             claims=self._claims,
+            copies=self._copies,
             hand_overs=self._hand_overs,
         )
 
@@ -198,12 +202,14 @@
         while self._is_listed() and self._clock.now() < leaves_by:
             await asyncio.sleep(_JOIN_POLL_S)
         await self._hand_overs.delivered()
+        await self._copies.delivered(stop.leave)
 
     async def close(self) -> None:
         """Stop all tasks."""
         await self._homes.close()
         await self._desk.close()
         await self._claims.close()
+        await self._copies.close()
         await self._hand_overs.close()
         await self._keeper.close()
         await self._fleet.close()
@@ -314,6 +320,18 @@
             records=self._records,
             replicas=self._settings.idempotency.replicas,
             history=self._history,
+            copies=self._copies,
+        )
+
+    def _make_copies(self) -> RecordCopies:
+        return RecordCopies(
+            me=self._me,
+            clock=self._clock,
+            ownership=self._ownership,
+            peers=self._around.peers,
+            records=self._records,
+            replicas=self._settings.idempotency.replicas,
+            history=self._history,
         )
 
     def _make_hand_overs(self) -> HandOvers:
--- a/src/chiveslip/dispatch/service_calls.py
+++ b/src/chiveslip/dispatch/service_calls.py
@@ -176,7 +176,9 @@
         key = OnceKey(
             organisation=organisation, key_hash=hashing.content_hash(once_key.encode())
         )
-        claim = await self._tools.claims.place(key, self._body_hash(), uuid.uuid4().hex)
+        claim = await self._tools.claims.place(
+            key, self._body_hash(), uuid.uuid4().hex, self._call.deadline
+        )
         if isinstance(claim.result, Failure):
             raise FailedError(claim.result.failure())
         granted = claim.result.unwrap()
--- a/src/chiveslip/fleet/fleet.py
+++ b/src/chiveslip/fleet/fleet.py
@@ -69,6 +69,8 @@
     ----------
     on_view
         Called before a newer list of instances is believed in, with the list.
+    on_adopted
+        Called when it is believed in.
     """
 
     def __init__(
@@ -110,7 +112,7 @@
         self.stopping = False
         self.configuration: ConfigurationKnowledge | None = None
         self.on_view: Callable[[InstanceList], None] | None = None
-        self.on_endpoints: Callable[[EndpointList], None] | None = None
+        self.on_adopted: Callable[[], None] | None = None
 
     @property
     def ownership(self) -> Ownership:
@@ -275,6 +277,8 @@
         self._remember_view()
         self._ownership.adopt(view, self._clock.now())
         self._contents[documents.INSTANCES] = content
+        if self.on_adopted is not None:
+            self.on_adopted()
         self._heard = {k: v for k, v in self._heard.items() if k in view.instances}
         self._audit.add(
             AuditKind.OWNERSHIP,
@@ -304,8 +308,6 @@
         if endpoints.revision > self._endpoints.revision:
             self._endpoints = endpoints
             self._contents[documents.ENDPOINTS] = content
-            if self.on_endpoints is not None:
-                self.on_endpoints(endpoints)
         return endpoints.revision
 
     async def _beat(self) -> None:
--- a/src/chiveslip/fleet/history.py
+++ b/src/chiveslip/fleet/history.py
@@ -18,6 +18,14 @@
     ended_at: float
 
 
+@attrs.frozen(kw_only=True)
+class ReplicaSet:
+    """The replicas of a key in the latest view that had just these."""
+
+    revision: int
+    members: tuple[str, ...]
+
+
 @final
 class ViewHistory:
     """Views that ended within the retention.
@@ -46,18 +54,20 @@
 
     def replica_sets(
         self, key: str, current: tuple[str, ...], count: int, now: float
-    ) -> tuple[tuple[str, ...], ...]:
+    ) -> list[ReplicaSet]:
         """Return the replicas of `key` in the current view and in each earlier one.
 
         A claim must hold at most of each set: then it meets every claim that was
         placed under an earlier view, and by instances that still have that view.
+        The current view comes first, with revision 0.
         """
-        found = [tuple(sorted(hashing.rank(key, current)[:count]))]
+        present = tuple(sorted(hashing.rank(key, current)[:count]))
+        found = {present: ReplicaSet(revision=0, members=present)}
         for view in self.views(now):
             replicas = tuple(sorted(hashing.rank(key, view.members)[:count]))
-            if replicas and replicas not in found:
-                found.append(replicas)
-        return tuple(found)
+            if replicas and replicas != present:
+                found[replicas] = ReplicaSet(revision=view.revision, members=replicas)
+        return list(found.values())
 
     def _forget(self, now: float) -> None:
         old = [
--- a/src/chiveslip/fleet/peers.py
+++ b/src/chiveslip/fleet/peers.py
@@ -68,6 +68,10 @@
     async def finish(self, to: str, request: wire.FinishRequest) -> None:
         """Note the outcome of a once-only call."""
 
+    @abc.abstractmethod
+    async def copy(self, to: str, request: wire.CopyRequest) -> bool:
+        """Give records on; return whether the peer took them."""
+
     @abc.abstractmethod
     async def history(self, to: str, request: wire.HistoryRequest) -> wire.HistoryReply:
         """Ask for the views of the last while."""
@@ -124,6 +128,11 @@
         """Note the outcome of a once-only call."""
         await self._ask(to, lambda s, t: s.Finish(request, timeout=t))
 
+    async def copy(self, to: str, request: wire.CopyRequest) -> bool:
+        """Give records on; return whether the peer took them."""
+        reply = await self._ask(to, lambda s, t: s.Copy(request, timeout=t))
+        return reply.accepted
+
     async def history(self, to: str, request: wire.HistoryRequest) -> wire.HistoryReply:
         """Ask for the views of the last while."""
         return await self._ask(to, lambda s, t: s.History(request, timeout=t))
--- a/src/chiveslip/fleet/service.py
+++ b/src/chiveslip/fleet/service.py
@@ -19,6 +19,7 @@
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated.peer_grpc import PeerBase
 from chiveslip.idempotency.claims import Claims
+from chiveslip.idempotency.copies import RecordCopies
 
 
 @attrs.frozen(kw_only=True)
@@ -30,6 +31,7 @@
     desk: AllowanceDesk
     homes: EngineHomes
     claims: Claims
+    copies: RecordCopies
     hand_overs: HandOvers
 
 
@@ -82,6 +84,12 @@
         """Take in the outcome of a once-only call."""
         await _answer(stream, self._finish)
 
+    async def Copy(  # noqa: N802
+        self, stream: Stream[wire.CopyRequest, wire.Acknowledgement]
+    ) -> None:
+        """Take in copies of records."""
+        await _answer(stream, self._copy)
+
     async def History(  # noqa: N802
         self, stream: Stream[wire.HistoryRequest, wire.HistoryReply]
     ) -> None:
@@ -107,6 +115,10 @@
         accepted = self._parts.claims.answer_finish(request)
         return wire.Acknowledgement(accepted=accepted)
 
+    def _copy(self, request: wire.CopyRequest) -> wire.Acknowledgement:
+        accepted = self._parts.copies.answer(request)
+        return wire.Acknowledgement(accepted=accepted)
+
     def _hand_over(self, request: wire.HandOverRequest) -> wire.Acknowledgement:
         accepted = self._parts.hand_overs.answer(request)
         return wire.Acknowledgement(accepted=accepted)
--- a/src/chiveslip/idempotency/claim.py
+++ b/src/chiveslip/idempotency/claim.py
@@ -30,12 +30,26 @@
     answer: KeptAnswer
 
 
+@attrs.frozen(kw_only=True)
+class Quorum:
+    """The replicas of a key in one view.
+
+    Attributes
+    ----------
+    moved_on
+        Replicas whose records are known in a later view, which is asked as well.
+    """
+
+    replicas: tuple[str, ...]
+    moved_on: frozenset[str] = frozenset()
+
+
 ClaimResult = Result[Granted | Replayed, Refusal]
 
 
 def decide(
     answers: Mapping[str, RememberAnswer | None],
-    sets: Sequence[tuple[str, ...]],
+    quorums: Sequence[Quorum],
 ) -> ClaimResult:
     """Decide a claim.
 
@@ -43,9 +57,9 @@
     ----------
     answers
         What each replica said; None stands for no answer.
-    sets
+    quorums
         The replicas in the present view and in each earlier one that counts. The
-        claim must hold at most of each set.
+        claim must hold at most of each.
     """
     known = [answer for answer in answers.values() if answer is not None]
     outcomes = [answer.outcome for answer in known]
@@ -62,7 +76,7 @@
             result_codes.ONCE_RUNNING,
             "A call with this idempotency key runs now or its outcome is unknown.",
         )
-    if all(_holds(answers, replicas) for replicas in sets):
+    if all(_holds(answers, quorum) for quorum in quorums):
         return Success(Granted())
     if RememberOutcome.FULL in outcomes:
         return _refuse(
@@ -79,15 +93,16 @@
     )
 
 
-def _holds(
-    answers: Mapping[str, RememberAnswer | None], replicas: tuple[str, ...]
-) -> bool:
-    accepted = 0
-    for replica in replicas:
-        answer = answers.get(replica)
-        if answer is not None and answer.outcome is RememberOutcome.ACCEPTED:
-            accepted += 1
-    return accepted > len(replicas) // 2
+def _holds(answers: Mapping[str, RememberAnswer | None], quorum: Quorum) -> bool:
+    accepted = sum(
+        replica in quorum.moved_on or _accepted(answers.get(replica))
+        for replica in quorum.replicas
+    )
+    return accepted > len(quorum.replicas) // 2
+
+
+def _accepted(answer: RememberAnswer | None) -> bool:
+    return answer is not None and answer.outcome is RememberOutcome.ACCEPTED
 
 
 def _refuse(code: ResultCode, detail: str) -> ClaimResult:
--- a/src/chiveslip/idempotency/claims.py
+++ b/src/chiveslip/idempotency/claims.py
@@ -16,6 +16,8 @@
 from chiveslip.fleet.peers import Peers
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.idempotency import claim as claims
+from chiveslip.idempotency.claim import Quorum
+from chiveslip.idempotency.copies import RecordCopies
 from chiveslip.idempotency.records import KeptAnswer
 from chiveslip.idempotency.records import OnceKey
 from chiveslip.idempotency.records import Records
@@ -24,6 +26,7 @@
 from chiveslip.tasks import TaskSet
 
 _FINISH_TRIES = 3
+_VIEW_WAIT_S = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -50,6 +53,7 @@
         records: Records,
         replicas: int,
         history: ViewHistory,
+        copies: RecordCopies,
     ) -> None:
         self._me = me
         self._clock = clock
@@ -58,33 +62,70 @@
         self._records = records
         self._replicas = replicas
         self._history = history
+        self._copies = copies
         self._tasks = TaskSet("idempotency")
 
     async def close(self) -> None:
         """Stop telling replicas about outcomes."""
         await self._tasks.close()
 
-    async def place(self, key: OnceKey, body_hash: str, claim: str) -> Claim:
-        """Ask the replicas of `key` for the right to send its call."""
-        name = f"once/{key.organisation}/{key.key_hash}"
-        sets = self._history.replica_sets(
-            name, self._ownership.members, self._replicas, self._clock.now()
-        )
-        members = tuple(sorted({member for replicas in sets for member in replicas}))
+    async def place(
+        self, key: OnceKey, body_hash: str, claim: str, deadline: float
+    ) -> Claim:
+        """Ask the replicas of `key` for the right to send its call.
+
+        Replicas that have a newer view refuse, because what they accept after
+        giving their records on would be lost; the claim waits for that view.
+        """
+        while True:
+            placed, newest = await self._place_once(key, body_hash, claim)
+            if newest <= self._ownership.view.revision:
+                break
+            if self._clock.now() + _VIEW_WAIT_S >= deadline:
+                break
+            await asyncio.sleep(_VIEW_WAIT_S)
+        if not _is_granted(placed.result):
+            self.not_run(placed)
+        return placed
+
+    async def _place_once(
+        self, key: OnceKey, body_hash: str, claim: str
+    ) -> tuple[Claim, int]:
+        quorums = self._quorums(key)
+        members = tuple(sorted({r for quorum in quorums for r in quorum.replicas}))
         request = wire.RememberRequest(
             instance=self._me,
             organisation=key.organisation,
             key_hash=key.key_hash,
             body_hash=body_hash,
             claim=claim,
+            view_revision=self._ownership.view.revision,
         )
         replies = await asyncio.gather(*(self._ask(m, request) for m in members))
-        answers = dict(zip(members, replies, strict=True))
-        result = claims.decide(answers, sets)
-        placed = Claim(key=key, id=claim, asked=members, result=result)
-        if not _is_granted(result):
-            self.not_run(placed)
-        return placed
+        answers = {
+            member: _read(reply) if reply is not None else None
+            for member, reply in zip(members, replies, strict=True)
+        }
+        newest = max((r.view_revision for r in replies if r is not None), default=0)
+        result = claims.decide(answers, quorums)
+        return Claim(key=key, id=claim, asked=members, result=result), newest
+
+    def _quorums(self, key: OnceKey) -> list[Quorum]:
+        sets = self._history.replica_sets(
+            key.name, self._ownership.members, self._replicas, self._clock.now()
+        )
+        return [
+            Quorum(
+                replicas=replicas.members,
+                moved_on=frozenset(
+                    member
+                    for member in replicas.members
+                    if replicas.revision
+                    and self._copies.has_moved_on(member, replicas.revision)
+                ),
+            )
+            for replicas in sets
+        ]
 
     def not_run(self, claim: Claim) -> None:
         """Withdraw a claim whose call was surely not sent."""
@@ -105,13 +146,20 @@
 
     def answer_remember(self, request: wire.RememberRequest) -> wire.RememberReply:
         """Answer a claim as replica."""
+        revision = self._ownership.view.revision
+        if request.view_revision < revision:
+            return wire.RememberReply(
+                outcome=wire.RememberReply.REFUSED, view_revision=revision
+            )
         answer = self._records.remember(
             OnceKey(organisation=request.organisation, key_hash=request.key_hash),
             body_hash=request.body_hash,
             claim=request.claim,
             now=self._clock.now(),
         )
-        reply = wire.RememberReply(outcome=_TO_WIRE[answer.outcome])
+        reply = wire.RememberReply(
+            outcome=_TO_WIRE[answer.outcome], view_revision=revision
+        )
         if answer.finished is not None:
             reply.finished = True
             reply.status = answer.finished.status
@@ -133,11 +181,11 @@
 
     async def _ask(
         self, member: str, request: wire.RememberRequest
-    ) -> RememberAnswer | None:
+    ) -> wire.RememberReply | None:
         try:
             if member == self._me:
-                return _read(self.answer_remember(request))
-            return _read(await self._peers.remember(member, request))
+                return self.answer_remember(request)
+            return await self._peers.remember(member, request)
         except PeerError:
             return None
 
--- a/src/chiveslip/idempotency/records.py
+++ b/src/chiveslip/idempotency/records.py
@@ -21,6 +21,11 @@
     organisation: str
     key_hash: str
 
+    @property
+    def name(self) -> str:
+        """The key under which its replicas are chosen."""
+        return f"once/{self.organisation}/{self.key_hash}"
+
 
 @attrs.frozen(kw_only=True)
 class KeptAnswer:
@@ -61,6 +66,17 @@
     finished: KeptAnswer | None = None
 
 
+@attrs.frozen(kw_only=True)
+class KeptRecord:
+    """A record as it is given on; `expires_at` in local seconds."""
+
+    key: OnceKey
+    body_hash: str
+    claim: str
+    expires_at: float
+    finished: KeptAnswer | None
+
+
 @attrs.frozen(kw_only=True)
 class RecordLimits:
     """How long and how many records are held; times in seconds, sizes in bytes."""
@@ -121,6 +137,30 @@
         del self._held[key]
         return True
 
+    def kept(self, now: float) -> list[KeptRecord]:
+        """Return all records, to give them on."""
+        self._expire(now)
+        return [
+            KeptRecord(
+                key=key,
+                body_hash=record.body_hash,
+                claim=record.claim,
+                expires_at=record.expires_at,
+                finished=record.finished,
+            )
+            for key, record in self._held.items()
+        ]
+
+    def restore(self, kept: KeptRecord) -> None:
+        """Take in a record from another replica, unless there is one."""
+        record = self._held.get(kept.key)
+        if record is None:
+            self._held[kept.key] = _Record(
+                kept.claim, kept.body_hash, kept.expires_at, kept.finished
+            )
+        elif record.claim == kept.claim and record.finished is None:
+            record.finished = kept.finished
+
     def _known(self, record: _Record, body_hash: str, claim: str) -> RememberAnswer:
         if record.body_hash != body_hash:
             return RememberAnswer(outcome=RememberOutcome.DIFFERENT_BODY)
@@ -129,6 +169,7 @@
         return RememberAnswer(outcome=RememberOutcome.KNOWN, finished=record.finished)
 
     def _expire(self, now: float) -> None:
+        # Restored records may stand out of order; they are dropped a little late.
         while self._held:
             key, record = next(iter(self._held.items()))
             if record.expires_at > now:
--- a/testing/world/peers.py
+++ b/testing/world/peers.py
@@ -87,6 +87,11 @@
         """Note an outcome."""
         await self._ask(to, "Finish", request)
 
+    async def copy(self, to: str, request: wire.CopyRequest) -> bool:
+        """Give records on."""
+        reply = await self._ask(to, "Copy", request)
+        return bool(reply.accepted)
+
     async def history(self, to: str, request: wire.HistoryRequest) -> wire.HistoryReply:
         """Ask for earlier views."""
         return await self._ask(to, "History", request)
