--- a/src/chiveslip/fleet/ownership.py
+++ b/src/chiveslip/fleet/ownership.py
@@ -96,7 +96,9 @@
         self._members = tuple(
             sorted(i.id for i in view.instances.values() if i.state is State.LIVE)
         )
-        others = [member for member in self._members if member != self._me]
+        # Those that are leaving decide nothing, but they still know the view; without
+        # them a few would be the majority of a list that names many.
+        others = [name for name in view.instances if name != self._me]
         ranked = hashing.rank(f"witness/{self._me}", others)
         self._witnesses = tuple(ranked[: self._terms.witnesses])
         self._confirmed_at.clear()
--- a/testing/world/endpoints.py
+++ b/testing/world/endpoints.py
@@ -264,8 +264,15 @@
 class FakeExchange(Exchange):
     """A connection between an instance and an endpoint."""
 
-    def __init__(self, me: str, endpoint: FakeEndpoint, links: Links) -> None:
+    def __init__(
+        self,
+        me: str,
+        endpoint: FakeEndpoint,
+        links: Links,
+        note: Callable[[str], None],
+    ) -> None:
         self._me = me
+        self._note = note
         self._endpoint = endpoint
         self._links = links
         self._head: asyncio.Future[ResponseHead] = asyncio.Future()
@@ -282,6 +289,11 @@
     async def send(self, outgoing: Outgoing) -> None:
         """Send the request."""
         await self._links.gate(self._me)
+        headers = ", ".join(f"{n}: {v}" for n, v in sorted(outgoing.headers.items()))
+        self._note(
+            f"{self._me} => {self._endpoint.name} {outgoing.method} {outgoing.path} "
+            f"[{headers}] {outgoing.body.decode()}"
+        )
         if not self._endpoint.alive:
             raise BrokenOffError("connection reset")
         if self._links.reaches(self._me, self._endpoint.name):
@@ -335,6 +347,7 @@
     async def answer_chunk(self, chunk: bytes) -> None:
         """Send a part of the body."""
         if not self._lost():
+            self._note(f"{self._endpoint.name} => {self._me} {chunk!r}")
             self._chunks.put_nowait(chunk)
 
     async def answer_end(self) -> None:
@@ -371,8 +384,13 @@
     """Connections of one instance."""
 
     def __init__(
-        self, me: str, links: Links, endpoints: dict[Address, FakeEndpoint]
+        self,
+        me: str,
+        links: Links,
+        endpoints: dict[Address, FakeEndpoint],
+        note: Callable[[str], None],
     ) -> None:
+        self._note = note
         self._me = me
         self._links = links
         self._endpoints = endpoints
@@ -388,4 +406,4 @@
             raise ConnectError(f"{endpoint.name}: no connection in time") from error
         if not endpoint.alive:
             raise ConnectError(f"{endpoint.name}: connection refused")
-        return FakeExchange(self._me, endpoint, self._links)
+        return FakeExchange(self._me, endpoint, self._links, self._note)
--- a/testing/world/node.py
+++ b/testing/world/node.py
@@ -24,6 +24,7 @@
 from chiveslip.generated.settings import Settings
 from chiveslip.results import Refusal
 from chiveslip.results import ResultCode
+from testing.world.endpoints import FakeConnector
 from testing.world.endpoints import FakeEndpoint
 from testing.world.links import Links
 from testing.world.peers import FakePeers
@@ -145,9 +146,8 @@
         record: Callable[[str, bytes], None],
         hook: StepHook,
         number: int,
+        note: Callable[[str], None],
     ) -> None:
-        from testing.world.endpoints import FakeConnector
-
         self.name = settings.instance.id
         self._settings = settings
         self._links = links
@@ -155,7 +155,12 @@
         self._number = number
         self._calls: set[asyncio.Task[None]] = set()
         self.peers = FakePeers(
-            self.name, links, service_of, record, settings.fleet.peer_timeout
+            self.name,
+            links,
+            service_of,
+            record,
+            settings.fleet.peer_timeout,
+            note,
         )
         surroundings = Surroundings(
             clock=LoopClock(),
@@ -164,7 +169,7 @@
             source=FakeSource(platform, links, self.name),
             peers=self.peers,
             connector=FakeConnector(
-                self.name, links, {e.address: e for e in endpoints}
+                self.name, links, {e.address: e for e in endpoints}, note
             ),
         )
         self.node = Node(settings, surroundings, make_ownership(settings))
--- a/testing/world/peers.py
+++ b/testing/world/peers.py
@@ -7,6 +7,8 @@
 from typing import Any
 from typing import final
 
+from google.protobuf import text_format
+
 from chiveslip.fleet.peers import PeerError
 from chiveslip.fleet.peers import Peers
 from chiveslip.fleet.service import PeerService
@@ -47,12 +49,14 @@
         service_of: Callable[[str], PeerService | None],
         record: Callable[[str, bytes], None],
         timeout_s: float,
+        note: Callable[[str], None],
     ) -> None:
         self._me = me
         self._links = links
         self._service_of = service_of
         self._record = record
         self._timeout_s = timeout_s
+        self._note = note
         self.on_hand_over: Callable[[], None] = lambda: None
 
     async def confirm(self, to: str, request: wire.ConfirmRequest) -> wire.ConfirmReply:
@@ -114,6 +118,8 @@
 
     async def _exchange(self, to: str, method: str, request: Any) -> Any:
         content = request.SerializeToString()
+        words = text_format.MessageToString(request, as_one_line=True)
+        self._note(f"{self._me} -> {to} {method} {words}")
         if self._links.is_dead(to):
             raise PeerError(f"{to}: connection refused")
         await self._links.cross(self._me, to)
@@ -124,4 +130,6 @@
         stream = _Stream(type(request).FromString(content))
         await getattr(service, method)(stream)
         await self._links.cross(to, self._me)
+        words = text_format.MessageToString(stream.reply, as_one_line=True)
+        self._note(f"{to} -> {self._me} {method} {words}")
         return type(stream.reply).FromString(stream.reply.SerializeToString())
--- a/testing/world/world.py
+++ b/testing/world/world.py
@@ -99,6 +99,7 @@
         self.revisions: dict[str, list[tuple[float, int]]] = {}
         self.published: list[tuple[float, int]] = []
         self.poisons: list[CallRecord] = []
+        self.transcript: list[str] = []
         self._started = 0
         self._background: set[asyncio.Task[Any]] = set()
 
@@ -173,6 +174,7 @@
             lambda _to, content: self.peer_bytes.append(content),
             self._stepped,
             self._started,
+            self._note,
         )
         node.peers.on_hand_over = self._hand_over_begins
         self.nodes[name] = node
@@ -368,6 +370,9 @@
         self.nodes[node].call(record, request)
         return record
 
+    def _note(self, line: str) -> None:
+        self.transcript.append(f"{self.now():.3f} {line}")
+
     def _service_of(self, name: str) -> PeerService | None:
         node = self.nodes.get(name)
         return node.service if node is not None and node.alive else None
