Move homes within a view when most have not heard of an instance

Change: a peer that has not heard of a member for a lease confirms it no more and says so; when most have said so for a hold-off without a gap, the next instance in rendezvous order acts in its place.

--- a/src/chiveslip/allowance/desk.py
+++ b/src/chiveslip/allowance/desk.py
@@ -163,6 +163,12 @@
             view_revision=revision,
         )
 
+    def drop_moved(self) -> None:
+        """Forget the buckets whose home is another instance now."""
+        for account in self._home.organisations:
+            if self._ownership.home(home_key(account)) != self._me:
+                self._home.release(account, self._clock.now())
+
     def _line(self, account: str) -> _Line:
         line = self._lines.get(account)
         if line is None:
--- a/src/chiveslip/daemon/node.py
+++ b/src/chiveslip/daemon/node.py
@@ -101,6 +101,7 @@
         self._claims = self._make_claims()
         self._hand_overs = self._make_hand_overs()
         self._fleet.on_view = self._hand_overs.before_view
+        self._fleet.on_homes_moved = self._desk.drop_moved
         self._fleet.on_adopted = self._copies.view_adopted
         self._admission = Admission(lambda: self._keeper.current)
         self._road = self._make_road()
--- a/src/chiveslip/fleet/fleet.py
+++ b/src/chiveslip/fleet/fleet.py
@@ -71,6 +71,8 @@
         Called before a newer list of instances is believed in, with the list.
     on_adopted
         Called when it is believed in.
+    on_homes_moved
+        Called when homes moved within a view, because an instance is absent.
     """
 
     def __init__(
@@ -112,6 +114,7 @@
         self.stopping = False
         self.configuration: ConfigurationKnowledge | None = None
         self.on_view: Callable[[InstanceList], None] | None = None
+        self.on_homes_moved: Callable[[], None] | None = None
         self.on_adopted: Callable[[], None] | None = None
 
     @property
@@ -154,6 +157,11 @@
     def answer_confirm(self, request: wire.ConfirmRequest) -> wire.ConfirmReply:
         """Answer a peer's heartbeat."""
         self._hear_suspects(request.crash_suspects)
+        now = self._clock.now()
+        # Whom this instance suspects is read before the question counts as a sign
+        # of life: the one that asks was not confirmed until then.
+        suspected = self._ownership.suspected(now)
+        self._ownership.heard(request.instance, now)
         self._note_revisions(
             request.instance,
             request.view_revision,
@@ -167,6 +175,7 @@
             endpoints_revision=self._endpoints.revision,
             configuration_revision=self._configuration_revision(),
             serving=self.serving,
+            suspected=sorted(suspected),
             uptime_seconds=self._clock.now() - self._started_at,
             crash_suspects=self._known_suspects(),
         )
@@ -320,6 +329,7 @@
                 self._tasks.start(self._beat_one(target))
             await asyncio.sleep(self._times.confirm_s)
             self._note_lease()
+            self._note_absence()
 
     async def _beat_one(self, target: str) -> None:
         sent_at = self._clock.now()
@@ -349,8 +359,9 @@
             serving=reply.serving,
             heard_at=now,
         )
+        self._ownership.heard(target, now)
         if request.view_revision == self._ownership.view.revision:
-            self._ownership.confirmed(target, reply.view_revision, sent_at, now)
+            self._take_confirmation(target, reply, sent_at, now)
         self._note_revisions(
             target,
             reply.view_revision,
@@ -358,6 +369,16 @@
             reply.configuration_revision,
         )
 
+    def _take_confirmation(
+        self, target: str, reply: wire.ConfirmReply, sent_at: float, now: float
+    ) -> None:
+        if reply.view_revision != self._ownership.view.revision:
+            return
+        suspected = frozenset(reply.suspected)
+        self._ownership.reported(target, suspected, sent_at, now)
+        if self._me not in suspected:
+            self._ownership.confirmed(target, reply.view_revision, sent_at, now)
+
     def _note_revisions(
         self, peer: str, view: int, endpoints: int, configuration: int
     ) -> None:
@@ -387,6 +408,19 @@
         finally:
             self._pulling.discard(name)
 
+    def _note_absence(self) -> None:
+        self._ownership.refresh(self._clock.now())
+        if not self._ownership.take_homes_moved():
+            return
+        if self.on_homes_moved is not None:
+            self.on_homes_moved()
+        self._audit.add(
+            AuditKind.OWNERSHIP,
+            revision=self._ownership.view.revision,
+            subject="homes",
+            cause="the instances that count as absent changed",
+        )
+
     def _note_lease(self) -> None:
         held = self._ownership.has_lease(self._clock.now())
         if held == self._was_held:
--- a/src/chiveslip/fleet/ownership.py
+++ b/src/chiveslip/fleet/ownership.py
@@ -20,6 +20,7 @@
 from chiveslip.configuration.model import Instance
 from chiveslip.configuration.model import InstanceList
 from chiveslip.configuration.model import State
+from chiveslip.fleet.absence import Absence
 
 _HOME_CACHE_ENTRIES = 100_000
 
@@ -35,7 +36,7 @@
 
 @attrs.frozen(kw_only=True)
 class _PastView:
-    view: InstanceList
+    members: tuple[str, ...]
     ended_at: float | None
 
 
@@ -57,6 +58,9 @@
         self._term = 0
         self._handed_over: set[str] = set()
         self._homes: dict[str, str] = {}
+        self._absence = Absence(me, lease_s=terms.lease_s, hold_off_s=terms.hold_off_s)
+        self._acting_without: frozenset[str] = frozenset()
+        self._homes_moved = False
 
     @property
     def view(self) -> InstanceList:
@@ -91,7 +95,9 @@
             self._lose_lease()
         self._past = [past for past in self._past if self._is_recent(past, now)]
         if self._view.revision:
-            self._past.append(_PastView(view=self._view, ended_at=None))
+            absent = self._absent(now)
+            acting = tuple(m for m in self._members if m not in absent)
+            self._past.append(_PastView(members=acting, ended_at=None))
         self._view = view
         self._members = tuple(
             sorted(i.id for i in view.instances.values() if i.state is State.LIVE)
@@ -104,6 +110,8 @@
         self._confirmed_at.clear()
         self._handed_over.clear()
         self._homes.clear()
+        self._absence.begin(self._group, now)
+        self._acting_without = frozenset()
         # The new view has to be confirmed anew before anything more is decided;
         # the lease that runs is not prolonged by what was heard of the old one.
         return True
@@ -139,21 +147,54 @@
             self._lose_lease()
         return False
 
+    def heard(self, peer: str, now: float) -> None:
+        """Note a sign of life of `peer`."""
+        self._absence.heard(peer, now)
+
+    def suspected(self, now: float) -> frozenset[str]:
+        """Return the members that this instance confirms no more."""
+        return self._absence.suspected(now)
+
+    def reported(
+        self, peer: str, suspected: frozenset[str], sent_at: float, now: float
+    ) -> None:
+        """Note whom `peer`, which has the same view, suspects."""
+        self._absence.reported(peer, suspected, sent_at, now)
+
+    def refresh(self, now: float) -> None:
+        """Work out who is absent."""
+        absent = self._absent(now)
+        if absent != self._acting_without:
+            self._acting_without = absent
+            self._homes.clear()
+            self._homes_moved = True
+
+    def take_homes_moved(self) -> bool:
+        """Return whether homes moved within the view since this was last asked."""
+        moved = self._homes_moved
+        self._homes_moved = False
+        return moved
+
     def home(self, key: str) -> str | None:
-        """Return the instance that is home of `key` in this view."""
-        if not self._members:
-            return None
+        """Return the instance that is home of `key` in this view.
+
+        Members that most have not heard of for a hold-off are passed over.
+        """
         known = self._homes.get(key)
         if known is not None:
             return known
+        members = tuple(m for m in self._members if m not in self._acting_without)
+        if not members:
+            return None
         if len(self._homes) >= _HOME_CACHE_ENTRIES:
             self._homes.clear()
-        found = _home_in(self._members, key)
+        found = _home_in(members, key)
         self._homes[key] = found
         return found
 
     def holds(self, key: str, now: float) -> bool:
         """Return whether this instance may act as home of `key` now."""
+        self.refresh(now)
         if not self.has_lease(now) or self.home(key) != self._me:
             return False
         if self._held_since is None or now < self._held_since + self._hold_off_s:
@@ -172,8 +213,17 @@
     def _was_mine(self, past: _PastView, key: str, now: float) -> bool:
         if key in self._handed_over or not self._is_recent(past, now):
             return True
-        members = [i.id for i in past.view.instances.values() if i.state is State.LIVE]
-        return bool(members) and _home_in(tuple(sorted(members)), key) == self._me
+        return bool(past.members) and _home_in(past.members, key) == self._me
+
+    @property
+    def _group(self) -> tuple[str, ...]:
+        return (self._me, *self._witnesses)
+
+    def _absent(self, now: float) -> frozenset[str]:
+        # Only where everybody is a witness of everybody do all count the same group.
+        if len(self._group) < len(self._view.instances):
+            return frozenset()
+        return self._absence.absent(now) - {self._me}
 
     def _is_recent(self, past: _PastView, now: float) -> bool:
         return past.ended_at is None or now < past.ended_at + self._hold_off_s
