Never call a call not run whose earlier try was sent

Cause, found by reading and shown by two tests: after a first try that was sent and broke off, a second try could end before its first byte (deadline in the queue of the next engine, key withdrawn meanwhile), and the caller was told that refusal, which says "not run".

Change: a refusal after a try that was sent becomes "endpoint failed", whose outcome is unknown.

--- a/src/chiveslip/dispatch/engine_calls.py
+++ b/src/chiveslip/dispatch/engine_calls.py
@@ -31,6 +31,7 @@
 from chiveslip.dispatch.outcome import Step
 from chiveslip.dispatch.outcome import Trace
 from chiveslip.dispatch.outcome import failed
+from chiveslip.dispatch.outcome import true_after
 from chiveslip.dispatch.reply import Call
 from chiveslip.dispatch.reply import CallerGoneError
 from chiveslip.dispatch.reply import Reply
@@ -183,12 +184,11 @@
                 last = error.refusal
                 sent = sent or error.sent
                 self._refuse_suspect_after(fingerprint)
+            except FailedError as error:
+                raise FailedError(true_after(sent, error.refusal)) from error
             else:
                 return
-        if sent and last.code.run is result_codes.NO_ENDPOINT.run:
-            # An earlier try was sent, so "not run" would not be true.
-            last = Refusal(code=result_codes.ENDPOINT_FAILED, detail=last.detail)
-        raise FailedError(last)
+        raise FailedError(true_after(sent, last))
 
     def _refuse_suspect_after(self, fingerprint: str) -> None:
         if self._tools.suspects.is_blocked(fingerprint, self._tools.clock.now()):
--- a/src/chiveslip/dispatch/outcome.py
+++ b/src/chiveslip/dispatch/outcome.py
@@ -6,8 +6,10 @@
 
 import attrs
 
+from chiveslip.generated import result_codes
 from chiveslip.results import Refusal
 from chiveslip.results import ResultCode
+from chiveslip.results import Run
 
 
 class Step(enum.Enum):
@@ -72,3 +74,10 @@
 ) -> FailedError:
     """Return the error that ends a call with `code`."""
     return FailedError(Refusal(code=code, detail=detail, retry_after_s=retry_after_s))
+
+
+def true_after(sent: bool, refusal: Refusal) -> Refusal:
+    """Return a refusal that is true after an earlier try may have been sent."""
+    if not sent or refusal.code.run is not Run.NOT_RUN:
+        return refusal
+    return Refusal(code=result_codes.ENDPOINT_FAILED, detail=refusal.detail)
--- a/src/chiveslip/dispatch/service_calls.py
+++ b/src/chiveslip/dispatch/service_calls.py
@@ -28,6 +28,7 @@
 from chiveslip.dispatch.outcome import Step
 from chiveslip.dispatch.outcome import Trace
 from chiveslip.dispatch.outcome import failed
+from chiveslip.dispatch.outcome import true_after
 from chiveslip.dispatch.reply import Call
 from chiveslip.dispatch.reply import Reply
 from chiveslip.dispatch.retry_budget import RetryBudget
@@ -153,6 +154,9 @@
                 if error.refusal.code is result_codes.NO_ENDPOINT:
                     error = failed(result_codes.NO_ENDPOINT, str(cause))
                 continue
+            except FailedError as cause:
+                sent = error.refusal.code is result_codes.ENDPOINT_FAILED
+                raise FailedError(true_after(sent, cause.refusal)) from cause
             except BrokenOffError as cause:
                 error = failed(result_codes.ENDPOINT_FAILED, str(cause))
                 if not self._may_retry(tried):
--- a/src/chiveslip/fleet/fleet.py
+++ b/src/chiveslip/fleet/fleet.py
@@ -16,13 +16,12 @@
 from chiveslip.configuration import documents
 from chiveslip.configuration.model import EndpointList
 from chiveslip.configuration.model import InstanceList
-from chiveslip.configuration.reading import FaultyDocumentError
 from chiveslip.configuration.source import ConfigurationSource
-from chiveslip.configuration.source import Document
-from chiveslip.configuration.source import SourceError
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.fleet.history import PastView
 from chiveslip.fleet.history import ViewHistory
+from chiveslip.fleet.lists import ListWaits
+from chiveslip.fleet.lists import PublishedLists
 from chiveslip.fleet.ownership import Ownership
 from chiveslip.fleet.peers import PeerError
 from chiveslip.fleet.peers import Peers
@@ -95,7 +94,6 @@
         self._incarnation = incarnation
         self._ownership = ownership
         self._peers = peers
-        self._source = source
         self._clock = clock
         self._times = times
         self._audit = audit
@@ -104,8 +102,19 @@
         self._log = logs.get_logger("fleet")
         self._tasks = TaskSet("fleet")
         self._started_at = clock.now()
-        self._endpoints = EndpointList(revision=0, endpoints={})
-        self._contents: dict[str, bytes] = {}
+        self._lists = PublishedLists(
+            source=source,
+            clock=clock,
+            waits=ListWaits(
+                instances_s=min(times.watch_s, times.confirm_s),
+                endpoints_s=times.watch_s,
+                retry_s=times.retry_s,
+                idle_s=times.confirm_s,
+            ),
+            reads_itself=self.reads_itself,
+            take_instances=self._adopt,
+            confirmed=self._read_from_service,
+        )
         self._heard: dict[str, PeerStatus] = {}
         self._pulling: set[str] = set()
         self._seen_serving = False
@@ -125,7 +134,7 @@
     @property
     def endpoints(self) -> EndpointList:
         """The list of endpoints believed in."""
-        return self._endpoints
+        return self._lists.endpoints
 
     @property
     def heard(self) -> dict[str, PeerStatus]:
@@ -139,8 +148,8 @@
 
     def start(self) -> None:
         """Start the watches and the heartbeats."""
-        self._tasks.start(self._watch(documents.INSTANCES, self._take_instances))
-        self._tasks.start(self._watch(documents.ENDPOINTS, self._take_endpoints))
+        self._tasks.start(self._lists.watch_instances())
+        self._tasks.start(self._lists.watch_endpoints())
         self._tasks.start(self._beat())
 
     async def close(self) -> None:
@@ -172,7 +181,7 @@
             instance=self._me,
             incarnation=self._incarnation,
             view_revision=self._ownership.view.revision,
-            endpoints_revision=self._endpoints.revision,
+            endpoints_revision=self.endpoints.revision,
             configuration_revision=self._configuration_revision(),
             serving=self.serving,
             suspected=sorted(suspected),
@@ -219,7 +228,7 @@
 
     def document(self, name: str) -> bytes:
         """Return a published list as it was read; empty if there is none yet."""
-        return self._contents.get(name, b"")
+        return self._lists.content(name)
 
     def _known_suspects(self) -> list[wire.CrashSuspect]:
         now = self._clock.now()
@@ -244,48 +253,11 @@
     def _configuration_revision(self) -> int:
         return self.configuration.revision() if self.configuration else 0
 
-    async def _watch(self, name: str, take: Callable[[bytes], int | None]) -> None:
-        index = 0
-        while True:
-            if not self.reads_itself():
-                await asyncio.sleep(self._times.confirm_s)
-                continue
-            asked_at = self._clock.now()
-            # A short watch confirms the view often enough to hold a lease by it.
-            wait_s = min(self._times.watch_s, self._times.confirm_s)
-            if name != documents.INSTANCES:
-                wait_s = self._times.watch_s
-            document = await self._read(name, index, wait_s)
-            if document is None:
-                await asyncio.sleep(self._times.retry_s)
-                continue
-            index = document.index
-            revision = take(document.content)
-            if name == documents.INSTANCES and revision is not None:
-                self._ownership.read_from_service(revision, asked_at, self._clock.now())
-
-    async def _read(self, name: str, index: int, wait_s: float) -> Document | None:
-        try:
-            return await self._source.watch(name, index, wait_s)
-        except SourceError as error:
-            self._log.warning("A list cannot be read.", name=name, cause=str(error))
-            return None
-
-    def _take_instances(self, content: bytes) -> int | None:
-        if content == self._contents.get(documents.INSTANCES):
-            return self._ownership.view.revision
-        try:
-            view = documents.read_instances(content)
-        except FaultyDocumentError as error:
-            self._log.error("The list of instances is refused.", cause=str(error))
-            return None
-        if view.revision <= self._ownership.view.revision:
-            return view.revision
+    def _adopt(self, view: InstanceList) -> None:
         if self.on_view is not None:
             self.on_view(view)
         self._remember_view()
         self._ownership.adopt(view, self._clock.now())
-        self._contents[documents.INSTANCES] = content
         if self.on_adopted is not None:
             self.on_adopted()
         self._heard = {k: v for k, v in self._heard.items() if k in view.instances}
@@ -295,7 +267,9 @@
             subject="instances",
             cause="the list of instances changed",
         )
-        return view.revision
+
+    def _read_from_service(self, revision: int, asked_at: float) -> None:
+        self._ownership.read_from_service(revision, asked_at, self._clock.now())
 
     def _remember_view(self) -> None:
         now = self._clock.now()
@@ -306,19 +280,6 @@
             )
             self._history.add(view, now)
 
-    def _take_endpoints(self, content: bytes) -> int | None:
-        if content == self._contents.get(documents.ENDPOINTS):
-            return self._endpoints.revision
-        try:
-            endpoints = documents.read_endpoints(content)
-        except FaultyDocumentError as error:
-            self._log.error("The list of endpoints is refused.", cause=str(error))
-            return None
-        if endpoints.revision > self._endpoints.revision:
-            self._endpoints = endpoints
-            self._contents[documents.ENDPOINTS] = content
-        return endpoints.revision
-
     async def _beat(self) -> None:
         while True:
             targets = set(self._ownership.witnesses)
@@ -337,7 +298,7 @@
             instance=self._me,
             incarnation=self._incarnation,
             view_revision=self._ownership.view.revision,
-            endpoints_revision=self._endpoints.revision,
+            endpoints_revision=self.endpoints.revision,
             configuration_revision=self._configuration_revision(),
             stopping=self.stopping,
             crash_suspects=self._known_suspects(),
@@ -383,26 +344,24 @@
         self, peer: str, view: int, endpoints: int, configuration: int
     ) -> None:
         if view > self._ownership.view.revision:
-            self._pull(peer, documents.INSTANCES, self._take_instances)
-        if endpoints > self._endpoints.revision:
-            self._pull(peer, documents.ENDPOINTS, self._take_endpoints)
+            self._pull(peer, documents.INSTANCES)
+        if endpoints > self.endpoints.revision:
+            self._pull(peer, documents.ENDPOINTS)
         if self.configuration and configuration > self.configuration.revision():
             self.configuration.heard(configuration, peer)
 
-    def _pull(self, peer: str, name: str, take: Callable[[bytes], int | None]) -> None:
+    def _pull(self, peer: str, name: str) -> None:
         if name in self._pulling:
             return
         self._pulling.add(name)
-        self._tasks.start(self._pull_one(peer, name, take))
+        self._tasks.start(self._pull_one(peer, name))
 
-    async def _pull_one(
-        self, peer: str, name: str, take: Callable[[bytes], int | None]
-    ) -> None:
+    async def _pull_one(self, peer: str, name: str) -> None:
         try:
             request = wire.PullRequest(instance=self._me, kind=name)
             reply = await self._peers.pull(peer, request)
             if reply.document:
-                take(reply.document)
+                self._lists.take(name, reply.document)
         except PeerError as error:
             self._log.warning("A pull failed.", name=name, cause=str(error))
         finally:
--- /dev/null
+++ b/testing/dispatch/test_engine_calls.py
@@ -0,0 +1,52 @@
+"""What a completion call is told when its tries come to nothing."""
+
+from __future__ import annotations
+
+import asyncio
+
+import looptime
+import pytest
+
+from chiveslip.dispatch.outcome import Step
+from chiveslip.results import Run
+from testing.world import endpoints
+from testing.world.checker import violations
+from testing.world.world import NODES
+from testing.world.world import World
+
+MODEL = "north-logs@1"
+
+
+async def _second_try_never_starts(world: World, node: str, deadline_s: float) -> Run:
+    """Let the first engine crash under the call, and the other one load for ever."""
+    await world.start()
+    call = world.complete(node, "north", MODEL, deadline_s=20.0)
+    while call.ended_at is None:
+        await asyncio.sleep(0.1)
+    engine = next(e for e in world.engines if MODEL in e.loaded)
+    world.on_step[Step.DISPATCH].append(
+        lambda _node: world.run_later(0.05, engine.crash)
+    )
+    call = world.complete(node, "north", MODEL, deadline_s=deadline_s)
+    await asyncio.sleep(deadline_s + 2)
+    assert call.code is not None
+    assert violations(world) == []
+    await world.close()
+    return call.code.run
+
+
+@pytest.mark.parametrize("node", NODES)
+def test_call_that_was_sent_once_is_never_called_not_run(
+    node: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    loop = looptime.new_event_loop(noop_cycles=0)
+    asyncio.set_event_loop(loop)
+    # The first load is quick enough for the first call; the second engine has to
+    # load too, and the deadline passes meanwhile.
+    monkeypatch.setattr(endpoints, "LOAD_S", 2.0)
+    try:
+        run = loop.run_until_complete(_second_try_never_starts(World(), node, 1.0))
+    finally:
+        loop.close()
+        asyncio.set_event_loop(None)
+    assert run is Run.UNKNOWN
