--- a/bench/allowance.py
+++ b/bench/allowance.py
@@ -22,7 +22,7 @@
 from chiveslip.allowance.account import Portion
 from chiveslip.allowance.account import Reserve
 from chiveslip.allowance.bucket import Bucket
-from chiveslip.allowance.desk import AllowanceDesk
+from chiveslip.allowance.manager import AllowanceManager
 from chiveslip.generated import result_codes
 from chiveslip.results import Refusal
 from testing.world.world import BULK_TOKENS
@@ -72,8 +72,8 @@
 def _run(split: bool, killed: bool) -> Figures:
     patch = pytest.MonkeyPatch()
     if split:
-        patch.setattr(AllowanceDesk, "charge", _static_charge)
-        patch.setattr(AllowanceDesk, "settle", lambda *_: None)
+        patch.setattr(AllowanceManager, "charge", _static_charge)
+        patch.setattr(AllowanceManager, "settle", lambda *_: None)
     loop = looptime.new_event_loop(noop_cycles=0)
     asyncio.set_event_loop(loop)
     try:
@@ -84,7 +84,7 @@
 
 
 async def _static_charge(
-    self: AllowanceDesk, account: str, tokens: float, deadline: float
+    self: AllowanceManager, account: str, tokens: float, deadline: float
 ) -> Any:
     """Charge a sixth of rate and burst, kept by each instance alone."""
     del deadline
--- a/src/chiveslip/allowance/desk.py
+++ b/src/chiveslip/allowance/manager.py
@@ -43,7 +43,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class DeskTimes:
+class CreditTimes:
     """Life of a credit and the horizon of demand, in seconds."""
 
     credit_s: float
@@ -66,7 +66,7 @@
 
 
 @final
-class AllowanceDesk:
+class AllowanceManager:
     """Charges calls at one instance, and answers others as home.
 
     Parameters
@@ -84,7 +84,7 @@
         peers: Peers,
         ownership: Ownership,
         limits_of: Callable[[str], Limits | None],
-        times: DeskTimes,
+        times: CreditTimes,
     ) -> None:
         self._me = me
         self._incarnation = incarnation
--- a/src/chiveslip/cli/fleet_commands.py
+++ b/src/chiveslip/cli/fleet_commands.py
@@ -98,7 +98,7 @@
 @cappa.command(name="trace")
 @dataclass
 class ShowTrace:
-    """Show the road of one call, wherever it was served."""
+    """Show the steps of one call, wherever it was served."""
 
     call: Annotated[str, cappa.Arg(help="The call's id, from X-Call-Id.")]
     instances: Instances
--- a/src/chiveslip/daemon/instance.py
+++ b/src/chiveslip/daemon/instance.py
@@ -86,7 +86,7 @@
         limits = self._settings.limits
         metrics = self._settings.metrics
         tools = CallerTools(
-            road=self._node.road,
+            pipeline=self._node.pipeline,
             traces=self._traces,
             metrics=Metrics(metrics.statsd, metrics.prefix),
         )
--- a/src/chiveslip/daemon/node.py
+++ b/src/chiveslip/daemon/node.py
@@ -14,9 +14,9 @@
 import attrs
 
 from chiveslip import logs
-from chiveslip.allowance.desk import AllowanceDesk
-from chiveslip.allowance.desk import DeskTimes
 from chiveslip.allowance.home import Limits
+from chiveslip.allowance.manager import AllowanceManager
+from chiveslip.allowance.manager import CreditTimes
 from chiveslip.audit import AuditTrail
 from chiveslip.clock import Clock
 from chiveslip.configuration.keeper import ConfigurationKeeper
@@ -27,8 +27,8 @@
 from chiveslip.dispatch.admission import Admission
 from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.engine_calls import EngineCallTools
+from chiveslip.dispatch.pipeline import PipelineTools
 from chiveslip.dispatch.retry_budget import RetryBudget
-from chiveslip.dispatch.road import RoadTools
 from chiveslip.dispatch.service_calls import ServiceCallTools
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.engines.dialect import OpenAIDialect
@@ -94,22 +94,22 @@
         self._fleet.configuration = ConfigurationKnowledge(
             lambda: self._keeper.store.newest_revision, self._keeper.heard
         )
-        self._desk = self._make_desk()
+        self._allowances = self._make_allowances()
         self._homes = self._make_homes()
         self._records = self._make_records()
         self._copies = self._make_copies()
         self._claims = self._make_claims()
         self._hand_overs = self._make_hand_overs()
         self._fleet.on_view = self._hand_overs.before_view
-        self._fleet.on_homes_moved = self._desk.drop_moved
+        self._fleet.on_homes_moved = self._allowances.drop_moved
         self._fleet.on_adopted = self._copies.view_adopted
         self._admission = Admission(lambda: self._keeper.current)
-        self._road = self._make_road()
+        self._pipeline = self._make_pipeline()
 
     @property
-    def road(self) -> RoadTools:
-        """What the roads of calls need."""
-        return self._road
+    def pipeline(self) -> PipelineTools:
+        """What the pipelines of calls share."""
+        return self._pipeline
 
     @property
     def admission(self) -> Admission:
@@ -132,9 +132,9 @@
         return self._keeper
 
     @property
-    def desk(self) -> AllowanceDesk:
+    def allowances(self) -> AllowanceManager:
         """The allowance part."""
-        return self._desk
+        return self._allowances
 
     @property
     def homes(self) -> EngineHomes:
@@ -152,7 +152,7 @@
         return PeerParts(
             fleet=self._fleet,
             keeper=self._keeper,
-            desk=self._desk,
+            allowances=self._allowances,
             homes=self._homes,
             claims=self._claims,
             copies=self._copies,
@@ -208,7 +208,7 @@
     async def close(self) -> None:
         """Stop all tasks."""
         await self._homes.close()
-        await self._desk.close()
+        await self._allowances.close()
         await self._claims.close()
         await self._copies.close()
         await self._hand_overs.close()
@@ -270,15 +270,15 @@
             reads_itself=self._fleet.reads_itself,
         )
 
-    def _make_desk(self) -> AllowanceDesk:
-        return AllowanceDesk(
+    def _make_allowances(self) -> AllowanceManager:
+        return AllowanceManager(
             me=self._me,
             incarnation=self._around.incarnation,
             clock=self._clock,
             peers=self._around.peers,
             ownership=self._ownership,
             limits_of=self._limits_of,
-            times=DeskTimes(
+            times=CreditTimes(
                 credit_s=self._settings.allowance.credit,
                 horizon_s=self._settings.allowance.horizon,
             ),
@@ -289,7 +289,7 @@
             clock=self._clock,
             pool=self._around.connector,
             dialect=OpenAIDialect(),
-            desk=self._desk,
+            allowances=self._allowances,
             audit=self._audit,
             times=EngineTimes(
                 report_s=self._settings.engines.report,
@@ -341,12 +341,12 @@
             clock=self._clock,
             ownership=self._ownership,
             peers=self._around.peers,
-            home=self._desk.home,
+            home=self._allowances.home,
             limits_of=self._limits_of,
         )
 
-    def _make_road(self) -> RoadTools:
-        return RoadTools(
+    def _make_pipeline(self) -> PipelineTools:
+        return PipelineTools(
             clock=self._clock,
             limits=self._settings.limits,
             admission=self._admission,
@@ -358,7 +358,7 @@
         return EngineCallTools(
             me=self._me,
             clock=self._clock,
-            desk=self._desk,
+            allowances=self._allowances,
             homes=self._homes,
             pool=self._around.connector,
             dialect=OpenAIDialect(),
@@ -373,7 +373,7 @@
         return ServiceCallTools(
             me=self._me,
             clock=self._clock,
-            desk=self._desk,
+            allowances=self._allowances,
             claims=self._claims,
             pool=self._around.connector,
             dialect=PlainHttpDialect(),
--- a/src/chiveslip/daemon/status.py
+++ b/src/chiveslip/daemon/status.py
@@ -9,7 +9,7 @@
 
 def status(me: str, node: Node) -> operators.Status:
     """Return the status of the instance called `me`."""
-    now = node.road.clock.now()
+    now = node.pipeline.clock.now()
     store = node.keeper.store
     refusal = store.refusal
     return operators.Status(
@@ -45,5 +45,5 @@
             )
             for name, home in sorted(node.homes.engines.items())
         ),
-        allowances=node.desk.home.organisations,
+        allowances=node.allowances.home.organisations,
     )
--- a/src/chiveslip/dispatch/engine_calls.py
+++ b/src/chiveslip/dispatch/engine_calls.py
@@ -1,4 +1,4 @@
-"""The road of a completion call: allow, place, dispatch, answer, settle."""
+"""A completion call from start to end: allow, place, dispatch, answer, settle."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 from chiveslip import auth
 from chiveslip import hashing
-from chiveslip.allowance.desk import AllowanceDesk
+from chiveslip.allowance.manager import AllowanceManager
 from chiveslip.auth import Caller
 from chiveslip.clock import Clock
 from chiveslip.configuration.model import Adapter
@@ -64,7 +64,7 @@
 
     me: str
     clock: Clock
-    desk: AllowanceDesk
+    allowances: AllowanceManager
     homes: EngineHomes
     pool: Connector
     dialect: EngineDialect
@@ -86,7 +86,7 @@
 
 @final
 class EngineCall:
-    """One completion call on its road."""
+    """One completion call."""
 
     def __init__(
         self,
@@ -122,7 +122,7 @@
         fingerprint = self._fingerprint()
         self._refuse_suspect(fingerprint)
         account = f"organisation/{self._caller.organisation.name}"
-        charged = await self._tools.desk.charge(
+        charged = await self._tools.allowances.charge(
             account, self._completion.reserve, self._call.deadline
         )
         if isinstance(charged, Failure):
@@ -137,7 +137,7 @@
             used = reserve.tokens if self._used is None else self._used
             self._trace.tokens = used
             self._step(Step.SETTLE, f"used {used:g} tokens")
-            self._tools.desk.settle(account, reserve, used)
+            self._tools.allowances.settle(account, reserve, used)
 
     def _resolve(self) -> tuple[Adapter, AdapterVersion]:
         configuration = self._tools.configuration()
--- a/src/chiveslip/dispatch/outcome.py
+++ b/src/chiveslip/dispatch/outcome.py
@@ -13,7 +13,7 @@
 
 
 class Step(enum.Enum):
-    """The steps of a call's road, in their order."""
+    """The steps of a call, in their order."""
 
     ACCEPT = "accept"
     AUTHENTICATE = "authenticate"
@@ -39,7 +39,7 @@
 
 @attrs.define(kw_only=True)
 class Trace:
-    """The road of one call: what happened, and when."""
+    """The steps of one call: what happened, and when."""
 
     request: str
     started_at: float
--- a/src/chiveslip/dispatch/road.py
+++ b/src/chiveslip/dispatch/pipeline.py
@@ -1,4 +1,4 @@
-"""The road of every call: admit, authenticate, hand on, and answer for it."""
+"""The pipeline of every call: admit, authenticate, hand on, and answer for it."""
 
 from __future__ import annotations
 
@@ -68,8 +68,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class RoadTools:
-    """What all roads of an instance share."""
+class PipelineTools:
+    """What all pipelines of an instance share."""
 
     clock: Clock
     limits: LimitsSettings
@@ -79,7 +79,7 @@
 
 
 @final
-class Road:
+class CallPipeline:
     """One call, from its arrival to its answer.
 
     Parameters
@@ -91,7 +91,7 @@
 
     def __init__(
         self,
-        tools: RoadTools,
+        tools: PipelineTools,
         request: Request,
         reply: Reply,
         trace: Trace,
--- a/src/chiveslip/dispatch/service_calls.py
+++ b/src/chiveslip/dispatch/service_calls.py
@@ -1,4 +1,4 @@
-"""The road of a call to a plain service, repeatable or once-only."""
+"""A call to a plain service from start to end, repeatable or once-only."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from chiveslip import auth
 from chiveslip import hashing
 from chiveslip.allowance.account import Reserve
-from chiveslip.allowance.desk import AllowanceDesk
+from chiveslip.allowance.manager import AllowanceManager
 from chiveslip.auth import Caller
 from chiveslip.clock import Clock
 from chiveslip.configuration.model import Configuration
@@ -52,7 +52,7 @@
 
     me: str
     clock: Clock
-    desk: AllowanceDesk
+    allowances: AllowanceManager
     claims: Claims
     pool: Connector
     dialect: ServiceDialect
@@ -69,7 +69,7 @@
 
 @final
 class ServiceCall:
-    """One call to a plain service on its road.
+    """One call to a plain service.
 
     Parameters
     ----------
@@ -111,7 +111,7 @@
             await self._run_charged()
             return
         account = f"organisation/{self._caller.organisation.name}"
-        charged = await self._tools.desk.charge(
+        charged = await self._tools.allowances.charge(
             account, self._route.tokens, self._call.deadline
         )
         if isinstance(charged, Failure):
@@ -127,7 +127,7 @@
         self, account: str, reserve: Reserve, error: FailedError
     ) -> None:
         if error.refusal.code.run is result_codes.NO_ENDPOINT.run:
-            self._tools.desk.settle(account, reserve, 0.0)
+            self._tools.allowances.settle(account, reserve, 0.0)
 
     async def _run_charged(self) -> None:
         if self._route.idempotent:
--- a/src/chiveslip/engines/task.py
+++ b/src/chiveslip/engines/task.py
@@ -12,7 +12,7 @@
 from returns.result import Success
 
 from chiveslip import logs
-from chiveslip.allowance.desk import AllowanceDesk
+from chiveslip.allowance.manager import AllowanceManager
 from chiveslip.audit import AuditKind
 from chiveslip.audit import AuditTrail
 from chiveslip.clock import Clock
@@ -62,7 +62,7 @@
     clock: Clock
     pool: Connector
     dialect: EngineDialect
-    desk: AllowanceDesk
+    allowances: AllowanceManager
     audit: AuditTrail
     times: EngineTimes
 
@@ -237,7 +237,7 @@
 
     async def _pay_for_load(self) -> None:
         deadline = self._tools.clock.now() + self._tools.times.load_timeout_s
-        charged = await self._tools.desk.charge(STORE_ACCOUNT, 1.0, deadline)
+        charged = await self._tools.allowances.charge(STORE_ACCOUNT, 1.0, deadline)
         if isinstance(charged, Failure):
             raise OrderError(charged.failure().detail)
 
--- a/src/chiveslip/fleet/handover.py
+++ b/src/chiveslip/fleet/handover.py
@@ -8,9 +8,9 @@
 
 from chiveslip import logs
 from chiveslip.allowance.bucket import BucketSnapshot
-from chiveslip.allowance.desk import home_key
 from chiveslip.allowance.home import AllowanceHome
 from chiveslip.allowance.home import Limits
+from chiveslip.allowance.manager import home_key
 from chiveslip.clock import Clock
 from chiveslip.configuration.model import InstanceList
 from chiveslip.configuration.model import State
--- a/src/chiveslip/fleet/service.py
+++ b/src/chiveslip/fleet/service.py
@@ -10,7 +10,7 @@
 import attrs
 from grpclib.server import Stream
 
-from chiveslip.allowance.desk import AllowanceDesk
+from chiveslip.allowance.manager import AllowanceManager
 from chiveslip.configuration import documents
 from chiveslip.configuration.keeper import ConfigurationKeeper
 from chiveslip.engines.homes import EngineHomes
@@ -28,7 +28,7 @@
 
     fleet: Fleet
     keeper: ConfigurationKeeper
-    desk: AllowanceDesk
+    allowances: AllowanceManager
     homes: EngineHomes
     claims: Claims
     copies: RecordCopies
@@ -58,7 +58,7 @@
         self, stream: Stream[wire.CreditRequest, wire.CreditReply]
     ) -> None:
         """Answer a request for credit."""
-        await _answer(stream, self._parts.desk.answer)
+        await _answer(stream, self._parts.allowances.answer)
 
     async def Permit(  # noqa: N802
         self, stream: Stream[wire.PermitRequest, wire.PermitReply]
--- a/src/chiveslip/http/handlers.py
+++ b/src/chiveslip/http/handlers.py
@@ -1,4 +1,4 @@
-"""Handlers of callers' requests: take the request in, let its road answer it."""
+"""Handlers of callers' requests: take the request in, let its pipeline answer it."""
 
 from __future__ import annotations
 
@@ -11,10 +11,10 @@
 from tornado.web import stream_request_body
 
 from chiveslip.dispatch.outcome import Trace
+from chiveslip.dispatch.pipeline import CallPipeline
+from chiveslip.dispatch.pipeline import PipelineTools
+from chiveslip.dispatch.pipeline import Request
 from chiveslip.dispatch.reply import CallerGoneError
-from chiveslip.dispatch.road import Request
-from chiveslip.dispatch.road import Road
-from chiveslip.dispatch.road import RoadTools
 from chiveslip.generated import result_codes
 from chiveslip.http.reply import RESULT_HEADER
 from chiveslip.http.reply import TornadoReply
@@ -30,7 +30,7 @@
 class CallerTools:
     """What the handlers of all callers' requests share."""
 
-    road: RoadTools
+    pipeline: PipelineTools
     traces: Traces
     metrics: Metrics
 
@@ -46,7 +46,7 @@
     def initialize(self, tools: CallerTools) -> None:
         """Take over the shared tools."""
         self._tools = tools
-        self._limits = tools.road.limits
+        self._limits = tools.pipeline.limits
         self._parts: list[bytes] = []
         self._size = 0
         self._running: asyncio.Task[None] | None = None
@@ -57,15 +57,15 @@
     def prepare(self) -> None:
         """Note the arrival before the body comes."""
         call_id = uuid.uuid4().hex
-        self._arrived_at = self._tools.road.clock.now()
+        self._arrived_at = self._tools.pipeline.clock.now()
         self._trace = Trace(request=call_id, started_at=self._arrived_at)
         self._reply = TornadoReply(
             self,
             call_id,
             slow_reader_s=self._limits.slow_reader,
-            closes=lambda: self._tools.road.admission.is_stopping,
+            closes=lambda: self._tools.pipeline.admission.is_stopping,
         )
-        self._tools.road.admission.arrived()
+        self._tools.pipeline.admission.arrived()
         # A body over the limit is drained up to a point, so that the refusal can
         # be read by a caller who is still sending.
         connection = self.request.connection
@@ -115,21 +115,25 @@
         if self._is_counted:
             return
         self._is_counted = True
-        now = self._tools.road.clock.now()
+        now = self._tools.pipeline.clock.now()
         self._trace.ended(now, self._result)
         self._tools.traces.add(self._trace)
         self._tools.metrics.answered(self._result.code, now - self._arrived_at)
-        self._tools.road.admission.left()
+        self._tools.pipeline.admission.left()
 
     def log_exception(self, *_args: Any) -> None:
         """Say nothing here; faults are logged where they are answered."""
 
     async def _serve(self) -> None:
-        road = Road(
-            self._tools.road, self._request(), self._reply, self._trace, self._run_on
+        pipeline = CallPipeline(
+            self._tools.pipeline,
+            self._request(),
+            self._reply,
+            self._trace,
+            self._run_on,
         )
         try:
-            self._result = await road.serve()
+            self._result = await pipeline.serve()
         except (CallerGoneError, asyncio.CancelledError):
             self._result = result_codes.CALLER_GONE
             self._reply.abort()
--- a/testing/world/node.py
+++ b/testing/world/node.py
@@ -15,10 +15,10 @@
 from chiveslip.daemon.node import Surroundings
 from chiveslip.dispatch.outcome import Step
 from chiveslip.dispatch.outcome import Trace
+from chiveslip.dispatch.pipeline import CallPipeline
+from chiveslip.dispatch.pipeline import Request
 from chiveslip.dispatch.reply import CallerGoneError
 from chiveslip.dispatch.reply import Reply
-from chiveslip.dispatch.road import Request
-from chiveslip.dispatch.road import Road
 from chiveslip.fleet.service import PeerService
 from chiveslip.generated import result_codes
 from chiveslip.generated.settings import Settings
@@ -220,22 +220,22 @@
         if record.ended_at is None:
             # Killed before it began.
             record.lost = True
-            record.ended_at = self.node.road.clock.now()
+            record.ended_at = self.node.pipeline.clock.now()
 
     async def _serve(self, record: CallRecord, request: Request) -> None:
         trace = _HookedTrace(request=request.id, started_at=request.arrived_at)
         trace.attach(record, self._hook)
         reply = _Reply(record, self._links, self._hook)
         self.node.admission.arrived()
-        road = Road(self.node.road, request, reply, trace, lambda: None)
+        pipeline = CallPipeline(self.node.pipeline, request, reply, trace, lambda: None)
         try:
             await self._links.gate(self.name)
-            record.code = await road.serve()
+            record.code = await pipeline.serve()
             record.tokens = trace.tokens
         except (asyncio.CancelledError, CallerGoneError):
             record.lost = True
             record.code = result_codes.CALLER_GONE
             record.tokens = trace.tokens
         finally:
-            record.ended_at = self.node.road.clock.now()
+            record.ended_at = self.node.pipeline.clock.now()
             self.node.admission.left()
--- a/testing/world/world.py
+++ b/testing/world/world.py
@@ -15,7 +15,7 @@
 from chiveslip.configuration.documents import INSTANCES
 from chiveslip.configuration.documents import MANIFEST
 from chiveslip.dispatch.outcome import Step
-from chiveslip.dispatch.road import Request
+from chiveslip.dispatch.pipeline import Request
 from chiveslip.fleet.service import PeerService
 from chiveslip.settings.check import check_settings
 from chiveslip.settings.fields import Address
