--- a/bench/allowance.py
+++ b/bench/allowance.py
@@ -25,6 +25,7 @@
 from chiveslip.allowance.manager import AllowanceManager
 from chiveslip.generated import result_codes
 from chiveslip.results import Refusal
+from testing.world.checker import windows
 from testing.world.world import BULK_TOKENS
 from testing.world.world import World
 
@@ -155,21 +156,11 @@
 
 
 def _worst_window(world: World) -> float:
-    worst = 0.0
-    for organisation in world.organisations.values():
-        charged = sorted(
-            (call.charged_at, call.tokens)
-            for call in world.calls
-            if call.organisation == organisation.name and call.charged_at is not None
-        )
-        for first in range(len(charged)):
-            total = 0.0
-            for at, tokens in charged[first:]:
-                total += tokens
-                window_s = at - charged[first][0]
-                allowed = organisation.rate * window_s + organisation.burst
-                worst = max(worst, total / allowed)
-    return worst
+    return max(
+        used / allowed
+        for organisation in world.organisations.values()
+        for _, used, allowed in windows(world, organisation)
+    )
 
 
 if __name__ == "__main__":
--- a/testing/world/checker.py
+++ b/testing/world/checker.py
@@ -11,6 +11,7 @@
 from chiveslip.generated import result_codes
 from chiveslip.results import Run
 from testing.world.node import CallRecord
+from testing.world.world import Organisation
 from testing.world.world import World
 
 IN_FORCE_S = 5.0
@@ -96,25 +97,32 @@
     return max(published_at, world.platform.readable_since)
 
 
+def windows(
+    world: World, organisation: Organisation
+) -> Iterator[tuple[float, float, float]]:
+    """Yield time in seconds, tokens used and tokens allowed of every window."""
+    charged = sorted(
+        (call.charged_at, call.tokens)
+        for call in world.calls
+        if call.organisation == organisation.name and call.charged_at is not None
+    )
+    for first in range(len(charged)):
+        total = 0.0
+        for at, tokens in charged[first:]:
+            total += tokens
+            window_s = at - charged[first][0]
+            yield window_s, total, organisation.rate * window_s + organisation.burst
+
+
 def _allowance_holds(world: World) -> Iterator[str]:
     for organisation in world.organisations.values():
-        charged = sorted(
-            (call.charged_at, call.tokens)
-            for call in world.calls
-            if call.organisation == organisation.name and call.charged_at is not None
-        )
-        for first in range(len(charged)):
-            total = 0.0
-            for at, tokens in charged[first:]:
-                total += tokens
-                window_s = at - charged[first][0]
-                allowed = organisation.rate * window_s + organisation.burst
-                if total > allowed + _TOLERANCE_TOKENS:
-                    yield (
-                        f"{organisation.name} used {total:.0f} tokens in "
-                        f"{window_s:.2f} s; allowed are {allowed:.0f}"
-                    )
-                    return
+        for window_s, used, allowed in windows(world, organisation):
+            if used > allowed + _TOLERANCE_TOKENS:
+                yield (
+                    f"{organisation.name} used {used:.0f} tokens in "
+                    f"{window_s:.2f} s; allowed are {allowed:.0f}"
+                )
+                break
 
 
 def _answers_whole(world: World) -> Iterator[str]:
