Send heartbeats in a fixed order, so that a run can be repeated exactly

Cause: heartbeats went out in the order of a set of names, which differs from process to process.

Change: heartbeats in sorted order, tasks held in the order of their start.

--- a/src/chiveslip/fleet/fleet.py
+++ b/src/chiveslip/fleet/fleet.py
@@ -286,7 +286,7 @@
             if not self.reads_itself():
                 targets.update(relays(self._ownership.view, self._data_centre))
             targets.discard(self._me)
-            for target in targets:
+            for target in sorted(targets):
                 self._tasks.start(self._beat_one(target))
             await asyncio.sleep(self._times.confirm_s)
             self._note_lease()
--- a/src/chiveslip/tasks.py
+++ b/src/chiveslip/tasks.py
@@ -16,12 +16,13 @@
 
     def __init__(self, part: str) -> None:
         self._log = logs.get_logger(part)
-        self._tasks: set[asyncio.Task[Any]] = set()
+        # In the order of their start, so that a run can be repeated exactly.
+        self._tasks: dict[asyncio.Task[Any], None] = {}
 
     def start(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run `work` in the background."""
         task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
+        self._tasks[task] = None
         task.add_done_callback(self._ended)
         return task
 
@@ -37,7 +38,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _ended(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
+        self._tasks.pop(task, None)
         if task.cancelled():
             return
         error = task.exception()
--- a/testing/world/endpoints.py
+++ b/testing/world/endpoints.py
@@ -52,7 +52,7 @@
         self.crossing = 0
         self.alive = True
         self.incarnation = 1
-        self._serving: set[asyncio.Task[None]] = set()
+        self._serving: dict[asyncio.Task[None], None] = {}
 
     def now(self) -> float:
         """Return the world's time."""
@@ -76,8 +76,8 @@
         """Take a request in."""
         self.received.append(repr(outgoing).encode())
         task = asyncio.get_running_loop().create_task(self._guarded(exchange, outgoing))
-        self._serving.add(task)
-        task.add_done_callback(self._serving.discard)
+        self._serving[task] = None
+        task.add_done_callback(lambda done: self._serving.pop(done, None))
 
     async def _guarded(self, exchange: FakeExchange, outgoing: Outgoing) -> None:
         try:
--- a/testing/world/node.py
+++ b/testing/world/node.py
@@ -153,7 +153,7 @@
         self._links = links
         self._hook = hook
         self._number = number
-        self._calls: set[asyncio.Task[None]] = set()
+        self._calls: dict[asyncio.Task[None], None] = {}
         self.peers = FakePeers(
             self.name,
             links,
@@ -211,12 +211,12 @@
     def call(self, record: CallRecord, request: Request) -> asyncio.Task[None]:
         """Serve a call."""
         task = asyncio.get_running_loop().create_task(self._serve(record, request))
-        self._calls.add(task)
+        self._calls[task] = None
         task.add_done_callback(lambda done: self._call_ended(done, record))
         return task
 
     def _call_ended(self, task: asyncio.Task[None], record: CallRecord) -> None:
-        self._calls.discard(task)
+        self._calls.pop(task, None)
         if record.ended_at is None:
             # Killed before it began.
             record.lost = True
