Take ports of the small fleet from below the outgoing range

Cause: one run of the checks in three failed because a stand-in was not ready in 30 s. Its port, 59667, lay in the range for outgoing connections, from which another connection had taken it between the search and the start.

Change: ports from 12000 to 31999, searched from a place that differs by process.

Conclusion: the cause is inferred from the port and the log of the failed run; the clash itself was not brought about.

--- a/local/processes.py
+++ b/local/processes.py
@@ -17,6 +17,9 @@
 
 _TERM_WAIT_S = 10.0
 _READY_POLL_S = 0.05
+_FIRST_PORT = 12000
+_LAST_PORT = 32000
+_PORT_STRIDE = 101
 
 
 class NotReadyError(Exception):
@@ -82,15 +85,31 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now on the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Return ports that are free now on the loopback address.
+
+    They lie below the range from which the system takes ports for outgoing
+    connections, which could otherwise take one before its server starts.
+    """
+    found: list[int] = []
+    span = _LAST_PORT - _FIRST_PORT
+    # Fleets that start at the same time begin their search in different places.
+    offset = os.getpid() * _PORT_STRIDE % span
+    for step in range(span):
+        port = _FIRST_PORT + (offset + step) % span
+        if _is_free(port):
+            found.append(port)
+        if len(found) == count:
+            return found
+    raise NotReadyError(f"no {count} free ports")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 async def until_ready(url: str, timeout_s: float) -> None:
