--- /dev/null
+++ b/src/chiveslip/daemon/gateway.py
@@ -0,0 +1,266 @@
+"""One gateway: its parts, wired, with its sockets and loops."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import random
+import time
+from typing import final
+
+from grpclib.server import Server
+from tornado.httputil import HTTPHeaders
+
+from chiveslip import logs
+from chiveslip.audit import AuditTrail
+from chiveslip.clock import Clock
+from chiveslip.dispatch.connection import ConnectionPool
+from chiveslip.dispatch.connection import Connector
+from chiveslip.dispatch.suspects import CrashSuspects
+from chiveslip.fleet.gateway_peers import GatewayPeers
+from chiveslip.fleet.gossip import GatewayPeerService
+from chiveslip.fleet.gossip import Gossip
+from chiveslip.fleet.gossip import GossipMessages
+from chiveslip.fleet.gossip import GossipParts
+from chiveslip.fleet.membership import Membership
+from chiveslip.gateway.allowances import SharedAllowances
+from chiveslip.gateway.catalogue import Catalogue
+from chiveslip.gateway.dialect import GatewayDialect
+from chiveslip.gateway.endpoints import EndpointDirectory
+from chiveslip.gateway.engine_control import EngineControl
+from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.engine_way import EngineWay
+from chiveslip.gateway.forwarding import Gateway
+from chiveslip.gateway.forwarding import GatewayParts
+from chiveslip.gateway.health import EndpointHealth
+from chiveslip.gateway.ingress import Ingress
+from chiveslip.gateway.ingress import IngressReply
+from chiveslip.gateway.ingress import IngressRequest
+from chiveslip.gateway.load_requests import LoadRequests
+from chiveslip.gateway.loads import LoadTimes
+from chiveslip.gateway.ordering import Orderer
+from chiveslip.gateway.placement import Placement
+from chiveslip.gateway.retries import WindowedRetryBudget
+from chiveslip.gateway.sending import Sender
+from chiveslip.gateway.service_way import ServiceWay
+from chiveslip.generated.settings import Settings
+from chiveslip.store.client import KeyValueStore
+from chiveslip.store.mirror import Listener
+from chiveslip.store.mirror import StoreMirror
+from chiveslip.store.reader import StoreReader
+from chiveslip.tasks import TaskSet
+
+# Time before the kill that follows a stop, for the last bytes to leave.
+_STOP_MARGIN_S = 0.5
+# Ends of running requests are looked for this often while stopping.
+_STOP_LOOK_S = 0.05
+_HEAD_BYTES = 64 << 10
+
+
+class Surroundings(abc.ABC):
+    """What a gateway meets outside, in the words of one deployment."""
+
+    @abc.abstractmethod
+    def dialect(self) -> GatewayDialect:
+        """Return the words of callers and endpoints."""
+
+    @abc.abstractmethod
+    def store(self, connector: Connector, settings: Settings) -> KeyValueStore:
+        """Return the store that is read."""
+
+    @abc.abstractmethod
+    def engine_control(self, connector: Connector, clock: Clock) -> EngineControl:
+        """Return the way to speak with engines about themselves."""
+
+    @abc.abstractmethod
+    def listener(self, catalogue: Catalogue) -> Listener:
+        """Return what brings the store's entries into the catalogue."""
+
+
+@final
+class GatewayInstance:
+    """A running gateway."""
+
+    def __init__(
+        self, settings: Settings, surroundings: Surroundings, clock: Clock
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._random = random.Random()
+        self._log = logs.get_logger("daemon")
+        self._tasks = TaskSet("daemon")
+        self._is_stopping = False
+        connector = ConnectionPool(clock, settings.services.connect)
+        dialect = surroundings.dialect()
+        self._membership = Membership(
+            instance=settings.instance.id,
+            address=settings.listen.peers,
+            # Peers need only that a later start has a larger number.
+            incarnation=int(time.time() * 1000),
+            silence_s=settings.fleet.silence,
+        )
+        directory = EndpointDirectory()
+        self._health = EndpointHealth()
+        self._directory = directory
+        view = EngineView()
+        load_times = LoadTimes(
+            fetch_s=settings.gateway.adapter_load,
+            reload_s=settings.gateway.adapter_reload,
+            most_fetches=settings.gateway.adapter_loads,
+        )
+        self._mirror = StoreMirror()
+        self._reader = StoreReader(
+            surroundings.store(connector, settings),
+            self._mirror,
+            clock,
+            self._random,
+            watch_s=settings.store.watch,
+            pause_s=settings.store.pause,
+        )
+        self._catalogue = Catalogue(
+            directory=directory,
+            view=view,
+            audit=AuditTrail(settings.instance.id, settings.audit.lines),
+            clock=clock,
+            regained_at=lambda: self._reader.regained_at,
+        )
+        self._mirror.listen(surroundings.listener(self._catalogue))
+        self._orderer = Orderer(
+            instance=settings.instance.id,
+            lease_s=settings.gateway.order_lease,
+            control=surroundings.engine_control(connector, clock),
+            view=view,
+            load_times=load_times,
+            alive=lambda: self._membership.alive(clock.now()),
+            clock=clock,
+        )
+        allowances = SharedAllowances(starts_full=settings.fleet.first_start)
+        suspects = CrashSuspects()
+        parts = GossipParts(
+            membership=self._membership,
+            allowances=allowances,
+            view=view,
+            orderer=self._orderer,
+            suspects=suspects,
+            mirror=self._mirror,
+            clock=clock,
+        )
+        messages = GossipMessages(parts, self._random)
+        self._peers = GatewayPeers(
+            self._membership.address_of, settings.fleet.peer_timeout
+        )
+        self._gossip = Gossip(
+            messages=messages,
+            parts=parts,
+            peers=self._peers,
+            seeds=settings.fleet.seeds,
+            fan_out=settings.fleet.fan_out,
+            generator=self._random,
+        )
+        service = GatewayPeerService(messages, parts, self._mirror.changes_after)
+        self._peer_server = Server([service])
+        load_requests = LoadRequests(
+            instance=settings.instance.id,
+            orderer=self._orderer,
+            peers=self._peers,
+            view=view,
+            clock=clock,
+        )
+        gateway = Gateway(
+            GatewayParts(
+                clock=clock,
+                dialect=dialect,
+                sender=Sender(connector, dialect, clock),
+                allowances=allowances,
+                budget=WindowedRetryBudget(
+                    share=settings.gateway.retry_share,
+                    slack=settings.gateway.retry_slack,
+                    window_s=settings.gateway.retry_window,
+                ),
+                health=self._health,
+                suspects=suspects,
+                engines=EngineWay(
+                    directory=directory,
+                    view=view,
+                    placement=Placement(view, self._health, load_times),
+                    load_requests=load_requests,
+                    load_times=load_times,
+                    versions=self._catalogue.version_of,
+                    clock=clock,
+                ),
+                services=ServiceWay(
+                    directory=directory,
+                    health=self._health,
+                    data_centre=settings.instance.data_centre,
+                    generator=self._random,
+                    clock=clock,
+                ),
+                generator=self._random,
+                table=lambda: self._catalogue.table,
+                instances=lambda: len(self._membership.alive(clock.now())),
+            )
+        )
+        self._ingress = Ingress(
+            gateway.handle, body_bytes=settings.limits.body, head_bytes=_HEAD_BYTES
+        )
+        self._readiness = Ingress(
+            self._say_ready, body_bytes=1 << 10, head_bytes=_HEAD_BYTES
+        )
+
+    async def start(self) -> None:
+        """Listen, and start reading the store and speaking with peers.
+
+        Raises
+        ------
+        OSError
+            If an address cannot be listened on.
+        """
+        listen = self._settings.listen
+        await self._peer_server.start(listen.peers.host, listen.peers.port)
+        self._readiness.listen(listen.readiness.host, listen.readiness.port)
+        self._ingress.listen(listen.callers.host, listen.callers.port)
+        self._tasks.start(self._reader.run())
+        self._tasks.start(self._every(self._settings.fleet.gossip, self._gossip.round))
+        self._tasks.start(self._every(self._settings.fleet.gossip, self._look))
+        self._log.info("Started.", instance=self._settings.instance.id)
+
+    def reload(self, settings: Settings) -> None:
+        """Take over changed settings that can change while running: the seeds."""
+        self._gossip.use_seeds(settings.fleet.seeds)
+        self._log.info("Reloaded.", seeds=[str(s) for s in settings.fleet.seeds])
+
+    async def stop(self) -> None:
+        """Stop gracefully: take no new connections, answer what runs, and end."""
+        began = self._clock.now()
+        self._is_stopping = True
+        self._membership.stopping = True
+        self._ingress.closing = True
+        self._log.info("Stopping.", running=self._ingress.running)
+        ends_at = began + self._settings.gateway.stop_grace - _STOP_MARGIN_S
+        noticed_at = began + self._settings.stop.notice
+        while self._clock.now() < ends_at:
+            if self._clock.now() >= noticed_at and self._ingress.running == 0:
+                break
+            await asyncio.sleep(_STOP_LOOK_S)
+        self._log.info("Stopped.", cut=self._ingress.running)
+        await self._ingress.close()
+        await self._readiness.close()
+        await self._tasks.close()
+        self._peer_server.close()
+        self._peers.close()
+
+    async def _every(self, interval_s: float, work: object) -> None:
+        assert callable(work)
+        while True:
+            self._tasks.start(work())
+            await asyncio.sleep(interval_s)
+
+    async def _look(self) -> None:
+        self._catalogue.look()
+        self._orderer.look(self._catalogue.engines())
+        self._health.forget_others(self._directory.by_id)
+        await self._orderer.read_reports()
+
+    async def _say_ready(self, request: IngressRequest, reply: IngressReply) -> None:
+        is_ready = self._catalogue.table is not None and not self._is_stopping
+        await reply.respond(200 if is_ready else 503, HTTPHeaders(), b"")
--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 from typing import final
 
@@ -23,17 +24,29 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
-from tornado.tcpclient import TCPClient
 
 from chiveslip.clock import Clock
+from chiveslip.engines.dialect import REQUEST_ID_HEADER
 from chiveslip.engines.dialect import Outgoing
 from chiveslip.settings.fields import Address
 
 _CHUNK_BYTES = 64 * 1024
 _HEAD_BYTES = 64 * 1024
 _BODY_BYTES = 64 * 1024 * 1024
+# Idle connections end sooner than the shortest idle timeout that endpoints are
+# known to have without saying so (5 s).
 _IDLE_KEPT_S = 4.0
 _IDLE_KEPT_PER_ADDRESS = 32
+# An idle timeout that an endpoint names is undercut by the time that a request may
+# be on its way to it.
+_IDLE_MARGIN_S = 1.0
+# A connection that went silent shows within three seconds: one idle second, then
+# two probes a second apart.
+_PROBE_IDLE_S = 1
+_PROBE_INTERVAL_S = 1
+_PROBES = 2
+_UNACKNOWLEDGED_MS = 2000
+_MOST_CROSSED_ANSWERS = 2
 
 
 class ConnectError(Exception):
@@ -147,11 +160,14 @@
 class _Receiver(HTTPMessageDelegate):
     """Passes an answer on as it comes; a slow consumer holds the sender back."""
 
-    def __init__(self) -> None:
+    def __init__(self, request_id: str) -> None:
         self.head: asyncio.Future[ResponseHead] = asyncio.Future()
         self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue(maxsize=16)
         self.complete = False
         self.proves_length = False
+        self.crossed = False
+        self.kept_s: float | None = _IDLE_KEPT_S
+        self._request_id = request_id
 
     def headers_received(
         self,
@@ -161,16 +177,41 @@
         status = start_line.code if isinstance(start_line, ResponseStartLine) else 0
         if 100 <= status < 200 or self.head.done():
             return
+        self.crossed = not self._is_ours(status, headers)
+        if self.crossed:
+            return
+        self.kept_s = _kept_s(headers)
         chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
         no_body = status in (204, 304)
         self.proves_length = chunked or "Content-Length" in headers or no_body
         self.head.set_result(ResponseHead(status=status, headers=headers))
 
     async def data_received(self, chunk: bytes) -> None:
-        await self.chunks.put(chunk)
+        if not self.crossed:
+            await self.chunks.put(chunk)
 
     def finish(self) -> None:
-        self.complete = self.proves_length
+        self.complete = True
+
+    def _is_ours(self, status: int, headers: HTTPHeaders) -> bool:
+        if not self._request_id:
+            return True
+        echoed = headers.get(REQUEST_ID_HEADER)
+        if echoed is None:
+            # A refusal may come from before the endpoint read the id.
+            return status >= 400
+        return echoed == self._request_id
+
+
+def _kept_s(headers: HTTPHeaders) -> float | None:
+    """Return how long the connection may stay idle, or None to close it."""
+    if "close" in headers.get("Connection", "").lower():
+        return None
+    for part in headers.get("Keep-Alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return min(max(int(value) - _IDLE_MARGIN_S, 0.0), _IDLE_KEPT_S)
+    return _IDLE_KEPT_S
 
 
 @final
@@ -184,7 +225,7 @@
         self._stream = stream
         self._pool = pool
         self._address = address
-        self._receiver = _Receiver()
+        self._receiver = _Receiver("")
         self._reader: asyncio.Task[None] | None = None
         self._proven = False
 
@@ -195,12 +236,8 @@
 
     async def send(self, outgoing: Outgoing) -> None:
         """Send the request; from here on it may run."""
-        parameters = HTTP1ConnectionParameters(
-            chunk_size=_CHUNK_BYTES,
-            max_header_size=_HEAD_BYTES,
-            max_body_size=_BODY_BYTES,
-        )
-        connection = HTTP1Connection(self._stream, True, parameters)
+        self._receiver = _Receiver(outgoing.request_id)
+        connection = HTTP1Connection(self._stream, True, _PARAMETERS)
         headers = HTTPHeaders({"Host": str(self._address)})
         headers.update(outgoing.headers)
         if outgoing.body or outgoing.method not in ("GET", "HEAD", "DELETE"):
@@ -239,7 +276,7 @@
     def close(self) -> None:
         """End the exchange; only a connection that is surely idle is kept."""
         if self._proven and self._reader is not None and self._reader.done():
-            self._pool.give_back(self._address, self._stream)
+            self._pool.give_back(self._address, self._stream, self._receiver.kept_s)
             return
         self._stream.close()
         if self._reader is not None:
@@ -249,7 +286,18 @@
         receiver = self._receiver
         try:
             await connection.read_response(receiver)
-        except (StreamClosedError, HTTPInputError, ValueError):
+            for _ in range(_MOST_CROSSED_ANSWERS):
+                if not receiver.crossed or self._stream.closed():
+                    break
+                # The late answer to an earlier request stood before ours.
+                again = HTTP1Connection(self._stream, True, _PARAMETERS)
+                again.finish()
+                await again.read_response(receiver)
+            if not receiver.proves_length:
+                # Such a body ends with its connection; a reset cuts it short.
+                receiver.complete = receiver.complete and self._stream.error is None
+            receiver.complete = receiver.complete and not receiver.crossed
+        except (StreamClosedError, HTTPInputError, ValueError, AssertionError):
             receiver.complete = False
         finally:
             if not receiver.head.done():
@@ -266,7 +314,14 @@
 @attrs.frozen
 class _Idle:
     stream: IOStream
-    since: float
+    until: float
+
+
+_PARAMETERS = HTTP1ConnectionParameters(
+    chunk_size=_CHUNK_BYTES,
+    max_header_size=_HEAD_BYTES,
+    max_body_size=_BODY_BYTES,
+)
 
 
 @final
@@ -276,7 +331,6 @@
     def __init__(self, clock: Clock, connect_timeout_s: float) -> None:
         self._clock = clock
         self._connect_timeout_s = connect_timeout_s
-        self._client = TCPClient()
         self._idle: dict[Address, collections.deque[_Idle]] = {}
 
     async def open(self, address: Address, *, fresh: bool) -> Exchange:
@@ -284,26 +338,35 @@
         kept = None if fresh else self._take(address)
         if kept is not None:
             return HttpExchange(kept, self, address, reused=True)
+        connection = _new_socket()
+        stream = IOStream(connection)
         try:
-            stream = await self._client.connect(
-                address.host, address.port, timeout=self._connect_timeout_s
-            )
+            async with asyncio.timeout(self._connect_timeout_s):
+                await stream.connect((address.host, address.port))
         except (OSError, StreamClosedError, TimeoutError) as error:
-            raise ConnectError(f"{address}: {error}") from error
-        stream.set_nodelay(True)
+            stream.close()
+            raise ConnectError(f"{address}: {error!r}") from error
+        except asyncio.CancelledError:
+            stream.close()
+            raise
         return HttpExchange(stream, self, address, reused=False)
 
-    def give_back(self, address: Address, stream: IOStream) -> None:
-        """Keep a connection whose last exchange ended whole."""
+    def give_back(
+        self, address: Address, stream: IOStream, kept_s: float | None
+    ) -> None:
+        """Keep a connection whose last exchange ended whole for `kept_s` seconds."""
         if stream.closed():
             return
+        if kept_s is None or _has_unread(stream):
+            stream.close()
+            return
         idle = self._idle.setdefault(address, collections.deque())
         if len(idle) >= _IDLE_KEPT_PER_ADDRESS:
             stream.close()
             return
         # With a callback the stream notices that the far end closed it.
         stream.set_close_callback(_ignore)
-        idle.append(_Idle(stream, self._clock.now()))
+        idle.append(_Idle(stream, self._clock.now() + kept_s))
 
     def close(self) -> None:
         """Close the kept connections."""
@@ -311,7 +374,6 @@
             for kept in idle:
                 kept.stream.close()
         self._idle.clear()
-        self._client.close()
 
     def _take(self, address: Address) -> IOStream | None:
         idle = self._idle.get(address)
@@ -319,11 +381,31 @@
             kept = idle.pop()
             if kept.stream.closed():
                 continue
-            if self._clock.now() - kept.since < _IDLE_KEPT_S:
+            if self._clock.now() < kept.until and not _has_unread(kept.stream):
                 return kept.stream
             kept.stream.close()
         return None
 
 
+def _new_socket() -> socket.socket:
+    """Return a socket on which a path that went silent shows by itself."""
+    made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_IDLE_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+    return made
+
+
+def _has_unread(stream: IOStream) -> bool:
+    """Return whether bytes came that belong to no request.
+
+    Tornado has no public way to see bytes that it read ahead.
+    """
+    return bool(stream._read_buffer_size)
+
+
 def _ignore() -> None:
     """Do nothing; a closed stream is passed over when it is taken."""
--- a/src/chiveslip/engines/dialect.py
+++ b/src/chiveslip/engines/dialect.py
@@ -26,12 +26,20 @@
 
 @attrs.frozen(kw_only=True)
 class Outgoing:
-    """A request to an endpoint, ready to be sent."""
+    """A request to an endpoint, ready to be sent.
+
+    Attributes
+    ----------
+    request_id
+        Id that the endpoint echoes in its answer; an answer with another id is
+        passed over. Empty where the endpoint echoes none.
+    """
 
     method: str
     path: str
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes = b""
+    request_id: str = ""
 
 
 class BadReportError(Exception):
--- /dev/null
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -0,0 +1,133 @@
+"""Calls from one gateway to another, over gRPC."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TypeVar
+from typing import final
+
+from grpclib.client import Channel
+from grpclib.config import Configuration as ChannelConfiguration
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import ProtocolError
+from grpclib.exceptions import StreamTerminatedError
+
+from chiveslip.gateway.ordering import Loaded
+from chiveslip.gateway.ordering import LoadOutcome
+from chiveslip.generated import peer_pb2 as wire
+from chiveslip.generated.peer_grpc import GatewayPeerStub
+from chiveslip.settings.fields import Address
+
+# A load answers when its order was accepted, which may wait for other loads.
+_LOAD_TIMEOUT_S = 2.0
+_KEEPALIVE_S = 2.0
+_KEEPALIVE_TIMEOUT_S = 1.0
+
+Reply = TypeVar("Reply")
+
+OUTCOMES = {
+    LoadOutcome.USABLE: wire.LoadReply.READY,
+    LoadOutcome.NO_ROOM: wire.LoadReply.NO_ROOM,
+    LoadOutcome.NOT_HOME: wire.LoadReply.NOT_HOME,
+    LoadOutcome.FAILED: wire.LoadReply.REFUSED,
+}
+_OUTCOMES_READ = {value: outcome for outcome, value in OUTCOMES.items()}
+
+
+class GatewayPeerError(Exception):
+    """The peer did not answer; what it did is unknown."""
+
+
+@final
+class GatewayPeers:
+    """Channels to peers, opened on first use.
+
+    Parameters
+    ----------
+    timeout_s
+        Time in seconds for one exchange.
+    """
+
+    def __init__(
+        self, address_of: Callable[[str], Address | None], timeout_s: float
+    ) -> None:
+        self._address_of = address_of
+        self._timeout_s = timeout_s
+        self._channels: dict[Address, Channel] = {}
+
+    async def exchange(self, address: Address, gossip: wire.Gossip) -> wire.Gossip:
+        """Tell a peer what is known here and hear what it knows."""
+        return await self._ask(
+            address, self._timeout_s, lambda stub, t: stub.Exchange(gossip, timeout=t)
+        )
+
+    async def load(self, peer: str, engine: str, adapter: tuple[str, int]) -> Loaded:
+        """Ask an engine's orderer for an adapter."""
+        address = self._address_of(peer)
+        if address is None:
+            raise GatewayPeerError(f"the address of {peer} is unknown")
+        request = wire.LoadRequest(
+            endpoint=engine, adapter=adapter[0], version=adapter[1]
+        )
+        reply = await self._ask(
+            address, _LOAD_TIMEOUT_S, lambda stub, t: stub.Load(request, timeout=t)
+        )
+        outcome = _OUTCOMES_READ.get(reply.outcome, LoadOutcome.FAILED)
+        return Loaded(outcome=outcome, after_s=reply.ready_after_seconds)
+
+    async def changes(self, address: Address, after: int) -> wire.ChangesReply:
+        """Ask for changes of the store that this instance lacks."""
+        request = wire.ChangesRequest(after_revision=after)
+        return await self._ask(
+            address, self._timeout_s, lambda stub, t: stub.Changes(request, timeout=t)
+        )
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    async def _ask(
+        self,
+        address: Address,
+        timeout_s: float,
+        send: Callable[[GatewayPeerStub, float], Awaitable[Reply]],
+    ) -> Reply:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._channels[address] = _open(address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await send(GatewayPeerStub(channel), timeout_s)
+        except (
+            GRPCError,
+            ProtocolError,
+            StreamTerminatedError,
+            OSError,
+            TimeoutError,
+        ) as error:
+            if self._channels.get(address) is channel:
+                del self._channels[address]
+                # Other calls may still run on the channel; they end by their own
+                # timeouts.
+                asyncio.get_running_loop().call_later(
+                    2 * _LOAD_TIMEOUT_S, channel.close
+                )
+            raise GatewayPeerError(f"{address}: {error!r}") from error
+
+
+def _open(address: Address) -> Channel:
+    return Channel(
+        address.host,
+        address.port,
+        config=ChannelConfiguration(
+            _keepalive_time=_KEEPALIVE_S,
+            _keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
+            _keepalive_permit_without_calls=True,
+            _http2_max_pings_without_data=0,
+            _http2_min_sent_ping_interval_without_data=_KEEPALIVE_S,
+        ),
+    )
--- /dev/null
+++ b/src/chiveslip/fleet/gossip_news.py
@@ -0,0 +1,37 @@
+"""What gateways tell each other, as types."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class EngineUseNews:
+    """What one instance has under way at an engine."""
+
+    engine: str
+    requests: int
+    unread_tokens: float
+    adapters: frozenset[tuple[str, int]]
+
+
+@attrs.frozen(kw_only=True)
+class EngineStateNews:
+    """What the orderer of an engine knows of it.
+
+    Attributes
+    ----------
+    started
+        The engine's own number of its start.
+    fence
+        Highest fencing number that was used there.
+    """
+
+    engine: str
+    started: int
+    adapters: frozenset[tuple[str, int]]
+    running: int
+    waiting: int
+    cache_used: int
+    age_s: float
+    fence: int
--- /dev/null
+++ b/src/chiveslip/gateway/allowances.py
@@ -0,0 +1,116 @@
+"""Rate and burst of organisations, counted over all instances without a home.
+
+Each instance counts what it admits itself and tells its peers the sums. A request is
+decided at once, from the own bucket less all that peers have told; what they used
+since their last message is charged when it is told, so a bucket may fall below
+zero and then recovers. Answers the load of one organisation that sends many times
+its rate through several instances.
+"""
+
+from __future__ import annotations
+
+from typing import final
+
+import attrs
+
+from chiveslip.gateway.routing import Organisation
+
+# A request is worth waiting for this much of the bucket at most: a caller that
+# waits longer is better told when to come back.
+_SHORTEST_PAUSE_S = 0.1
+
+
+@attrs.define
+class _Bucket:
+    rate: float
+    burst: float
+    level: float
+    at: float
+
+
+@final
+class SharedAllowances:
+    """Buckets of all organisations as this instance knows them.
+
+    Parameters
+    ----------
+    starts_full
+        Whether buckets start with their burst; after a restart in the middle of
+        traffic they start empty, since what was used before is not known.
+    """
+
+    def __init__(self, *, starts_full: bool) -> None:
+        self._starts_full = starts_full
+        self._buckets: dict[str, _Bucket] = {}
+        self._used: dict[str, float] = {}
+        self._told: dict[tuple[str, int, str], float] = {}
+
+    @property
+    def used(self) -> dict[str, float]:
+        """Units that this instance admitted since its start, by organisation."""
+        return self._used
+
+    def admit(self, organisation: Organisation, units: float, now: float) -> float:
+        """Charge a request, or say when it would fit.
+
+        Returns
+        -------
+        float
+            0 if the request was charged, else seconds until the bucket is likely
+            to cover it.
+        """
+        name = organisation.name
+        if organisation.rate > 0:
+            bucket = self._bucket(organisation, now)
+            # A request larger than the burst passes when the bucket is full.
+            needed = min(units, bucket.burst)
+            if bucket.level < needed:
+                missing = (needed - bucket.level) / bucket.rate
+                return max(missing, _SHORTEST_PAUSE_S)
+            bucket.level -= units
+        self._used[name] = self._used.get(name, 0.0) + units
+        return 0.0
+
+    def give_back(self, organisation: Organisation, units: float, now: float) -> None:
+        """Take back the charge of a request that was not run."""
+        name = organisation.name
+        self._used[name] = self._used.get(name, 0.0) - units
+        if organisation.rate > 0:
+            bucket = self._bucket(organisation, now)
+            bucket.level = min(bucket.level + units, bucket.burst)
+
+    def heard(self, peer: str, incarnation: int, name: str, units: float) -> None:
+        """Charge what a peer used since it last told.
+
+        Parameters
+        ----------
+        units
+            Sum since the peer's start; the first one heard of a peer is a base only
+            if it was running before this instance.
+        """
+        key = (peer, incarnation, name)
+        before = self._told.get(key)
+        self._told[key] = units
+        bucket = self._buckets.get(name)
+        if before is None or bucket is None:
+            return
+        bucket.level = min(bucket.level - (units - before), bucket.burst)
+
+    def forget_peer(self, peer: str) -> None:
+        """Drop the sums of a peer that is gone."""
+        for key in [key for key in self._told if key[0] == peer]:
+            del self._told[key]
+
+    def _bucket(self, organisation: Organisation, now: float) -> _Bucket:
+        rate, burst = organisation.rate, max(organisation.burst, organisation.rate / 10)
+        bucket = self._buckets.get(organisation.name)
+        if bucket is None:
+            level = burst if self._starts_full else 0.0
+            bucket = _Bucket(rate, burst, level, now)
+            self._buckets[organisation.name] = bucket
+        bucket.level = min(bucket.level + bucket.rate * (now - bucket.at), bucket.burst)
+        bucket.at = now
+        if (bucket.rate, bucket.burst) != (rate, burst):
+            bucket.rate, bucket.burst = rate, burst
+            bucket.level = min(bucket.level, burst)
+        return bucket
--- /dev/null
+++ b/src/chiveslip/gateway/engine_view.py
@@ -0,0 +1,183 @@
+"""What this instance believes of each engine: adapters present, work under way.
+
+Three sources of different age are joined: the store's list (seconds), reports that
+the engine's orderer reads and tells (some hundred milliseconds), and what this
+instance and its peers have under way (own at once, others within a gossip interval).
+"""
+
+from __future__ import annotations
+
+from typing import final
+
+import attrs
+
+from chiveslip.fleet.gossip_news import EngineStateNews
+from chiveslip.fleet.gossip_news import EngineUseNews
+
+Adapter = tuple[str, int]
+"""MODEL/NAME and version."""
+
+# Adapters that were told to be present are not believed for longer than this
+# without news, and what peers have under way neither.
+_BELIEVED_S = 5.0
+
+
+@attrs.define
+class _Held:
+    """Adapters at one engine, with when each was last used here."""
+
+    started: int = 0
+    present: set[Adapter] = attrs.field(factory=set)
+    ready_at: dict[Adapter, float] = attrs.field(factory=dict)
+
+
+@attrs.define
+class _Work:
+    requests: int = 0
+    unread_tokens: float = 0.0
+    adapters: dict[Adapter, int] = attrs.field(factory=dict)
+
+
+@final
+class EngineView:
+    """Adapters and load of all engines, as believed here."""
+
+    def __init__(self) -> None:
+        self._held: dict[str, _Held] = {}
+        self._own: dict[str, _Work] = {}
+        self._peers: dict[str, tuple[float, dict[str, EngineUseNews]]] = {}
+        self._reports: dict[str, tuple[float, EngineStateNews]] = {}
+
+    def seen(
+        self, engine: str, started: int, adapters: frozenset[Adapter], now: float
+    ) -> None:
+        """Take over a list of adapters that the engine gave of itself."""
+        held = self._held.setdefault(engine, _Held())
+        if started != held.started:
+            self._held[engine] = held = _Held(started=started)
+        # What was ordered just now is not in a list that lags.
+        recent = {a for a, at in held.ready_at.items() if now < at + _BELIEVED_S / 2}
+        held.present = set(adapters) | recent
+
+    def told(self, peer: str, news: EngineStateNews, now: float) -> None:
+        """Take over what the engine's orderer tells."""
+        at = now - news.age_s
+        known = self._reports.get(news.engine)
+        if known is not None and known[0] > at:
+            return
+        self._reports[news.engine] = (at, news)
+        self.seen(news.engine, news.started, news.adapters, now)
+
+    def peer_works(self, peer: str, uses: list[EngineUseNews], now: float) -> None:
+        """Take over what a peer has under way."""
+        self._peers[peer] = (now, {use.engine: use for use in uses})
+
+    def forget_peer(self, peer: str) -> None:
+        """Drop what a peer had under way."""
+        self._peers.pop(peer, None)
+
+    def forget_engine(self, engine: str) -> None:
+        """Drop all of an engine that is gone."""
+        self._held.pop(engine, None)
+        self._reports.pop(engine, None)
+
+    def ready_at(self, engine: str, adapter: Adapter) -> float | None:
+        """Return when an adapter is or was usable, or None if it is not there.
+
+        Returns
+        -------
+        float or None
+            Local time in seconds; minus infinity if it has been there for long.
+        """
+        held = self._held.get(engine)
+        if held is None:
+            return None
+        if adapter in held.ready_at:
+            return held.ready_at[adapter]
+        return float("-inf") if adapter in held.present else None
+
+    def becomes_ready(self, engine: str, adapter: Adapter, at: float) -> None:
+        """Note that an adapter is on its way and usable from `at`."""
+        held = self._held.setdefault(engine, _Held())
+        held.ready_at[adapter] = at
+
+    def missing(self, engine: str, adapter: Adapter) -> None:
+        """Note that the engine said that it does not hold an adapter."""
+        held = self._held.get(engine)
+        if held is None:
+            return
+        held.present.discard(adapter)
+        held.ready_at.pop(adapter, None)
+
+    def holders(self, adapter: Adapter) -> set[str]:
+        """Return the engines at which an adapter is present or on its way."""
+        return {
+            name
+            for name, held in self._held.items()
+            if adapter in held.present or adapter in held.ready_at
+        }
+
+    def begins(self, engine: str, adapter: Adapter | None, unread: float) -> None:
+        """Note a request sent from here, with its prompt tokens to be read."""
+        work = self._own.setdefault(engine, _Work())
+        work.requests += 1
+        work.unread_tokens += unread
+        if adapter is not None:
+            work.adapters[adapter] = work.adapters.get(adapter, 0) + 1
+
+    def has_read(self, engine: str, unread: float) -> None:
+        """Note that the first event came, so that the prompt has been read."""
+        work = self._own.setdefault(engine, _Work())
+        work.unread_tokens = max(work.unread_tokens - unread, 0.0)
+
+    def ends(self, engine: str, adapter: Adapter | None) -> None:
+        """Note that a request sent from here has ended."""
+        work = self._own.setdefault(engine, _Work())
+        work.requests = max(work.requests - 1, 0)
+        if adapter is None:
+            return
+        left = work.adapters.get(adapter, 0) - 1
+        if left > 0:
+            work.adapters[adapter] = left
+        else:
+            work.adapters.pop(adapter, None)
+
+    def own_uses(self) -> list[EngineUseNews]:
+        """Return what this instance has under way, for peers."""
+        return [
+            EngineUseNews(
+                engine=name,
+                requests=work.requests,
+                unread_tokens=work.unread_tokens,
+                adapters=frozenset(work.adapters),
+            )
+            for name, work in self._own.items()
+            if work.requests > 0
+        ]
+
+    def requests(self, engine: str, now: float) -> int:
+        """Return the requests under way at an engine, from all instances."""
+        own = self._own.get(engine)
+        count = 0 if own is None else own.requests
+        return count + sum(use.requests for use in self._peer_uses(engine, now))
+
+    def unread_tokens(self, engine: str, now: float) -> float:
+        """Return the prompt tokens still to be read there, from all instances."""
+        own = self._own.get(engine)
+        tokens = 0.0 if own is None else own.unread_tokens
+        return tokens + sum(use.unread_tokens for use in self._peer_uses(engine, now))
+
+    def adapters_in_use(self, engine: str, now: float) -> set[Adapter]:
+        """Return the adapters that any instance has requests for there."""
+        own = self._own.get(engine)
+        found = set() if own is None else set(own.adapters)
+        for use in self._peer_uses(engine, now):
+            found |= use.adapters
+        return found
+
+    def _peer_uses(self, engine: str, now: float) -> list[EngineUseNews]:
+        return [
+            uses[engine]
+            for at, uses in self._peers.values()
+            if engine in uses and now - at <= _BELIEVED_S
+        ]
--- /dev/null
+++ b/src/chiveslip/gateway/engine_way.py
@@ -0,0 +1,167 @@
+"""Engines: places requests where their adapter is, or has it fetched there."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import final
+
+import attrs
+
+from chiveslip.clock import Clock
+from chiveslip.gateway.call import Call
+from chiveslip.gateway.endpoints import EndpointDirectory
+from chiveslip.gateway.engine_view import Adapter
+from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.forwarding import Target
+from chiveslip.gateway.forwarding import Way
+from chiveslip.gateway.load_requests import LoadRequests
+from chiveslip.gateway.loads import LoadTimes
+from chiveslip.gateway.placement import Placement
+from chiveslip.gateway.routing import EngineLimits
+from chiveslip.gateway.sending import TryResult
+from chiveslip.generated import result_codes
+from chiveslip.results import Refusal
+
+_DEFAULT_PROMPT_TOKENS = 500
+# Engines at which a request may ask for its adapter before it is refused.
+_MOST_LOAD_REQUESTS = 3
+_RETRY_AFTER_S = 0.3
+# An adapter that was not there when it was due is expected this much later.
+_LATE_LOAD_S = 0.06
+
+
+@attrs.define
+class _Placed:
+    adapter: Adapter | None
+    unread: float
+    waited_for_load: bool
+
+
+@final
+class EngineWay(Way):
+    """Chooses engines by their adapters and their load."""
+
+    def __init__(
+        self,
+        *,
+        directory: EndpointDirectory,
+        view: EngineView,
+        placement: Placement,
+        load_requests: LoadRequests,
+        load_times: LoadTimes,
+        versions: Callable[[str], int],
+        clock: Clock,
+    ) -> None:
+        self._directory = directory
+        self._view = view
+        self._placement = placement
+        self._load_requests = load_requests
+        self._load_times = load_times
+        self._versions = versions
+        self._clock = clock
+        self._placed: dict[Call, _Placed] = {}
+        self._same_again: dict[Call, str] = {}
+
+    async def choose(self, call: Call) -> Target | Refusal:
+        """Return the engine that answers soonest, its adapter being there."""
+        limits = call.table.services[call.service].engine
+        assert limits is not None
+        adapter = self._adapter(call)
+        prompt = float(call.facts.prompt_tokens or _DEFAULT_PROMPT_TOKENS)
+        excluded = self._excluded(call)
+        for _ in range(_MOST_LOAD_REQUESTS):
+            now = self._clock.now()
+            choice = self._placement.choose(
+                self._directory.ready(call.service),
+                limits,
+                adapter,
+                prompt,
+                excluded,
+                now,
+            )
+            if choice is None:
+                break
+            waited = await self._have_adapter(call, choice.engine.id, adapter, limits)
+            if waited is None:
+                excluded.add(choice.engine.id)
+                continue
+            self._placed[call] = _Placed(adapter, prompt, waited)
+            version = adapter[1] if adapter is not None and adapter[1] else None
+            return Target(endpoint=choice.engine, version=version)
+        return Refusal(
+            code=result_codes.LOAD_FAILED if excluded else result_codes.NO_ENDPOINT,
+            detail="No engine can take the request now.",
+            retry_after_s=_RETRY_AFTER_S,
+        )
+
+    def begins(self, call: Call, target: Target) -> None:
+        """Count the request and its prompt at the engine."""
+        placed = self._placed[call]
+        self._view.begins(target.endpoint.id, placed.adapter, placed.unread)
+
+    def first_event(self, call: Call, target: Target) -> None:
+        """Note that the prompt has been read."""
+        placed = self._placed[call]
+        self._view.has_read(target.endpoint.id, placed.unread)
+        placed.unread = 0.0
+        if placed.waited_for_load:
+            self._load_times.came_in_time()
+
+    def ends(self, call: Call, target: Target, result: TryResult | None) -> None:
+        """Count the request no more, and learn from what the engine said."""
+        placed = self._placed.pop(call)
+        engine = target.endpoint.id
+        self._view.has_read(engine, placed.unread)
+        self._view.ends(engine, placed.adapter)
+        if placed.adapter is None:
+            return
+        lacks = result is TryResult.LACKS_ADAPTER
+        if lacks and not placed.waited_for_load:
+            self._view.missing(engine, placed.adapter)
+        elif placed.waited_for_load and (lacks or result is TryResult.NOT_RUN):
+            self._load_times.came_late()
+            again = self._clock.now() + _LATE_LOAD_S
+            self._view.becomes_ready(engine, placed.adapter, again)
+            self._same_again[call] = engine
+
+    def _excluded(self, call: Call) -> set[str]:
+        excluded = set(call.tried)
+        # An engine that was only not ready yet may be asked again.
+        excluded.discard(self._same_again.pop(call, ""))
+        return excluded
+
+    def _adapter(self, call: Call) -> Adapter | None:
+        if not call.facts.adapter:
+            return None
+        name = f"{call.facts.model}/{call.facts.adapter}"
+        return (name, self._versions(name))
+
+    async def _have_adapter(
+        self,
+        call: Call,
+        engine: str,
+        adapter: Adapter | None,
+        limits: EngineLimits,
+    ) -> bool | None:
+        """Wait until the adapter is at the engine.
+
+        Returns
+        -------
+        bool or None
+            Whether it had to be waited for; None if it cannot be had there.
+        """
+        if adapter is None:
+            return False
+        ready_at = self._view.ready_at(engine, adapter)
+        if ready_at is None:
+            ready_at = await self._load_requests.ask(engine, adapter, limits)
+            if ready_at is None:
+                return None
+        wait_s = ready_at - self._clock.now()
+        if wait_s <= 0:
+            return False
+        if ready_at >= call.deadline:
+            return None
+        await asyncio.sleep(wait_s)
+        return True
--- /dev/null
+++ b/src/chiveslip/gateway/ordering.py
@@ -0,0 +1,392 @@
+"""Who orders loads at which engine, and the orders themselves.
+
+Each engine has one orderer: the first live instance in its rendezvous order. An
+instance that becomes orderer holds off until the one before has surely stopped, and
+sends every order with a fencing number that no other instance can have and with the
+number of orders the engine must have accepted. Without an orderer, engines go on
+serving what they hold.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import math
+import time
+from collections.abc import Callable
+from typing import final
+
+import attrs
+
+from chiveslip import hashing
+from chiveslip import logs
+from chiveslip.clock import Clock
+from chiveslip.fleet.gossip_news import EngineStateNews
+from chiveslip.gateway.endpoints import ListedEndpoint
+from chiveslip.gateway.engine_control import EngineControl
+from chiveslip.gateway.engine_control import EngineControlError
+from chiveslip.gateway.engine_control import EngineOrder
+from chiveslip.gateway.engine_control import Operation
+from chiveslip.gateway.engine_control import OrderAnswer
+from chiveslip.gateway.engine_view import Adapter
+from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.loads import LoadTimes
+from chiveslip.gateway.places import MOST_COMING
+from chiveslip.gateway.places import AdapterPlaces
+from chiveslip.gateway.routing import EngineLimits
+
+# Added to the lease: the time that members need to agree on who is alive.
+_AGREEMENT_S = 0.8
+# An own pause longer than this may have cost the orderer's role.
+_LONGEST_PAUSE_S = 1.0
+_REPORT_INTERVAL_S = 1.0
+_MOST_WAIT_S = 1.5
+# An engine that has enough adapters on their way refuses more with a conflict.
+_MOST_CONFLICTS = 4
+_CONFLICT_PAUSE_S = 0.06
+# A fencing number is a term above and a part of its own for each instance below.
+_INSTANCE_BITS = 20
+# Terms follow the time of day in tenths of a second, so that they rise over a
+# restart of all instances; a lower one only costs a refusal.
+_TERM_S = 0.1
+_TERM_JUMP = 50
+
+
+class LoadOutcome(enum.Enum):
+    """What became of a request for an adapter."""
+
+    USABLE = "usable"
+    NO_ROOM = "no room"
+    NOT_HOME = "not home"
+    FAILED = "failed"
+
+
+@attrs.frozen(kw_only=True)
+class Loaded:
+    """The outcome, and in how many seconds the adapter is usable."""
+
+    outcome: LoadOutcome
+    after_s: float = 0.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Engine:
+    listed: ListedEndpoint
+    limits: EngineLimits
+    since: float
+    fence: int = 0
+    started: int = 0
+    orders: int | None = None
+    places: AdapterPlaces = attrs.field(factory=AdapterPlaces)
+    running: int = 0
+    waiting: int = 0
+    cache_used: int = 0
+    reported_at: float = float("-inf")
+    lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+
+
+@final
+class Orderer:
+    """Gives orders to the engines that this instance is responsible for.
+
+    Parameters
+    ----------
+    lease_s
+        Time in seconds that must pass between the orders of two instances.
+    alive
+        Names of the live instances, this one included.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        lease_s: float,
+        control: EngineControl,
+        view: EngineView,
+        load_times: LoadTimes,
+        alive: Callable[[], list[str]],
+        clock: Clock,
+    ) -> None:
+        self._instance = instance
+        self._hold_off_s = lease_s + _AGREEMENT_S
+        self._control = control
+        self._view = view
+        self._load_times = load_times
+        self._alive = alive
+        self._clock = clock
+        self._engines: dict[str, _Engine] = {}
+        self._fences: dict[str, int] = {}
+        self._looked_at = clock.now()
+        self._log = logs.get_logger("orders")
+
+    def orderer_of(self, engine: str) -> str:
+        """Return the instance that orders loads at an engine."""
+        alive = self._alive()
+        return hashing.rank(engine, alive)[0] if alive else self._instance
+
+    def heard_fence(self, engine: str, fence: int) -> None:
+        """Note a fencing number that another instance used."""
+        self._fences[engine] = max(self._fences.get(engine, 0), fence)
+
+    def look(self, engines: list[tuple[ListedEndpoint, EngineLimits]]) -> None:
+        """Take up and lay down engines, by who is alive now."""
+        now = self._clock.now()
+        if now - self._looked_at > _LONGEST_PAUSE_S:
+            self._engines.clear()
+        self._looked_at = now
+        alive = self._alive()
+        mine = {
+            engine.id: (engine, limits)
+            for engine, limits in engines
+            if alive and hashing.rank(engine.id, alive)[0] == self._instance
+        }
+        for name in [name for name in self._engines if name not in mine]:
+            del self._engines[name]
+            self._log.info("No longer orderer.", engine=name, alive=len(alive))
+        for name, (listed, limits) in mine.items():
+            held = self._engines.get(name)
+            if held is None:
+                self._engines[name] = _Engine(listed=listed, limits=limits, since=now)
+                self._log.info("Orderer from now on.", engine=name, alive=len(alive))
+                continue
+            held.listed, held.limits = listed, limits
+
+    async def read_reports(self) -> None:
+        """Read the reports that are due."""
+        now = self._clock.now()
+        due = [
+            engine
+            for engine in self._engines.values()
+            if now - engine.reported_at >= _REPORT_INTERVAL_S
+        ]
+        await asyncio.gather(*(self._read_report(engine) for engine in due))
+
+    def states(self) -> list[EngineStateNews]:
+        """Return what this instance knows of its engines, for peers."""
+        now = self._clock.now()
+        return [
+            EngineStateNews(
+                engine=name,
+                started=engine.started,
+                adapters=engine.places.adapters,
+                running=engine.running,
+                waiting=engine.waiting,
+                cache_used=engine.cache_used,
+                age_s=0.0,
+                fence=engine.fence,
+            )
+            for name, engine in self._engines.items()
+            if engine.reported_at > now - 5 * _REPORT_INTERVAL_S
+        ]
+
+    async def load(self, engine: str, adapter: Adapter) -> Loaded:
+        """Have an adapter usable at an engine."""
+        held = self._engines.get(engine)
+        if held is None or self._clock.now() < held.since + self._hold_off_s:
+            return Loaded(outcome=LoadOutcome.NOT_HOME)
+        known = self._known(held, adapter)
+        if known is not None:
+            return known
+        async with held.lock:
+            known = self._known(held, adapter)
+            if known is not None:
+                return known
+            return await self._load(held, adapter)
+
+    def _known(self, held: _Engine, adapter: Adapter) -> Loaded | None:
+        ready_at = held.places.ready_at(adapter)
+        if ready_at is None:
+            return None
+        after_s = max(ready_at - self._clock.now(), 0.0)
+        return Loaded(outcome=LoadOutcome.USABLE, after_s=after_s)
+
+    async def _load(self, held: _Engine, adapter: Adapter) -> Loaded:
+        if held.orders is None:
+            await self._read_report(held)
+        if held.orders is None:
+            return Loaded(outcome=LoadOutcome.FAILED)
+        if not await self._wait_for_transit(held, adapter):
+            return Loaded(outcome=LoadOutcome.FAILED)
+        if len(held.places) >= held.limits.adapter_places:
+            freed = await self._free_place(held)
+            if not freed:
+                return Loaded(outcome=LoadOutcome.NO_ROOM)
+        now = self._clock.now()
+        ready_at = self._load_times.ordered(held.listed.id, adapter, now)
+        held.places.ordered(adapter, now, ready_at)
+        answer = await self._order_patiently(held, adapter)
+        if answer in (OrderAnswer.UNDER_WAY, OrderAnswer.HOLDS_ALREADY):
+            self._view.becomes_ready(held.listed.id, adapter, ready_at)
+            after_s = max(ready_at - self._clock.now(), 0.0)
+            return Loaded(outcome=LoadOutcome.USABLE, after_s=after_s)
+        if answer is not None:
+            held.places.refused(adapter)
+        return Loaded(outcome=LoadOutcome.FAILED)
+
+    async def _order_patiently(
+        self, held: _Engine, adapter: Adapter
+    ) -> OrderAnswer | None:
+        """Order a load; where others are still on their way, again a little later."""
+        answer = None
+        for _ in range(_MOST_CONFLICTS):
+            answer = await self._order(held, Operation.LOAD, adapter)
+            if answer is not OrderAnswer.CONFLICT:
+                return answer
+            self._load_times.came_late()
+            await asyncio.sleep(_CONFLICT_PAUSE_S)
+            # A report is old, so it can only tell of too few orders.
+            report_orders = await self._reported_orders(held)
+            if held.orders is not None:
+                held.orders = max(held.orders, report_orders)
+        return answer
+
+    async def _reported_orders(self, held: _Engine) -> int:
+        try:
+            report = await self._control.report(held.listed)
+        except EngineControlError as error:
+            self._log.info("No report.", engine=held.listed.id, cause=str(error))
+            return 0
+        return report.orders if report.started == held.started else 0
+
+    async def _wait_for_transit(self, held: _Engine, adapter: Adapter) -> bool:
+        """Wait until another fetch may begin, at this engine and from here."""
+        ends_at = self._clock.now() + _MOST_WAIT_S
+        while True:
+            now = self._clock.now()
+            coming = held.places.coming(now)
+            free_at = now
+            if len(coming) >= MOST_COMING:
+                free_at = coming[len(coming) - MOST_COMING]
+            free_at = max(free_at, self._fetch_free_at(held.listed.id, adapter, now))
+            if free_at <= now:
+                return True
+            if free_at > ends_at:
+                return False
+            await asyncio.sleep(free_at - now)
+
+    def _fetch_free_at(self, engine: str, adapter: Adapter, now: float) -> float:
+        """Return when this instance may fetch another adapter from the store.
+
+        Fetches beyond what the store serves at full speed make all of them slow, so
+        each instance takes its part of them.
+        """
+        if self._load_times.has_copy(engine, adapter):
+            return now
+        part = self._load_times.most_fetches / max(len(self._alive()), 1)
+        return self._load_times.free_at(max(math.ceil(part), 1), now)
+
+    async def _free_place(self, held: _Engine) -> bool:
+        now = self._clock.now()
+        in_use = self._view.adapters_in_use(held.listed.id, now)
+        held.places.used(in_use, now)
+        victim = held.places.victim(in_use, now)
+        if victim is None:
+            return False
+        answer = await self._order(held, Operation.UNLOAD, victim)
+        if answer is not OrderAnswer.HOLDS_ALREADY:
+            return False
+        held.places.unloaded(victim, self._clock.now())
+        self._view.missing(held.listed.id, victim)
+        return True
+
+    async def _order(
+        self, held: _Engine, operation: Operation, adapter: Adapter
+    ) -> OrderAnswer | None:
+        if held.fence == 0:
+            held.fence = self._new_fence(held.listed.id)
+        order = EngineOrder(
+            operation=operation,
+            adapter=adapter,
+            holder=self._instance,
+            fence=held.fence,
+            after_orders=held.orders,
+        )
+        try:
+            answer = await self._control.order(held.listed, order)
+        except EngineControlError as error:
+            self._log.warning(
+                "No answer to an order.",
+                engine=held.listed.id,
+                operation=operation.value,
+                adapter=adapter[0],
+                cause=str(error),
+            )
+            held.orders = None
+            return None
+        self._note(held, operation, adapter, answer)
+        return answer
+
+    def _note(
+        self,
+        held: _Engine,
+        operation: Operation,
+        adapter: Adapter,
+        answer: OrderAnswer,
+    ) -> None:
+        if answer in (OrderAnswer.UNDER_WAY, OrderAnswer.HOLDS_ALREADY):
+            self._log.info(
+                "Order accepted.",
+                engine=held.listed.id,
+                operation=operation.value,
+                adapter=adapter[0],
+                version=adapter[1],
+                answer=answer.value,
+                after_orders=held.orders,
+                places=len(held.places),
+            )
+            if held.orders is not None:
+                held.orders += 1
+            return
+        self._log.info(
+            "Order not accepted.",
+            engine=held.listed.id,
+            operation=operation.value,
+            adapter=adapter[0],
+            version=adapter[1],
+            answer=answer.value,
+            after_orders=held.orders,
+            fence=held.fence,
+        )
+        if answer is not OrderAnswer.CONFLICT:
+            held.orders = None
+        if answer is OrderAnswer.FENCED:
+            # Another instance gave orders: wait its lease out again.
+            held.since = self._clock.now()
+            self._fences[held.listed.id] = held.fence + (_TERM_JUMP << _INSTANCE_BITS)
+            held.fence = 0
+        if answer is OrderAnswer.OTHER_ENGINE:
+            self._engines.pop(held.listed.id, None)
+
+    def _new_fence(self, engine: str) -> int:
+        known_term = self._fences.get(engine, 0) >> _INSTANCE_BITS
+        term = max(known_term + 1, int(time.time() / _TERM_S))
+        own = hashing.score("fence", self._instance) % (1 << _INSTANCE_BITS)
+        fence = (term << _INSTANCE_BITS) + own
+        self._fences[engine] = fence
+        return fence
+
+    async def _read_report(self, held: _Engine) -> None:
+        asked_at = self._clock.now()
+        held.reported_at = asked_at
+        try:
+            report = await self._control.report(held.listed)
+        except EngineControlError as error:
+            held.orders = None
+            self._log.info("No report.", engine=held.listed.id, cause=str(error))
+            return
+        if report.started != held.started:
+            held.started = report.started
+            held.places = AdapterPlaces()
+            self._load_times.restarted(held.listed.id)
+        held.places.reported(report, asked_at)
+        if held.orders is None:
+            held.orders = report.orders
+        held.running = report.running
+        held.waiting = report.waiting
+        held.cache_used = report.cache_used
+        in_use = self._view.adapters_in_use(held.listed.id, asked_at)
+        held.places.used(in_use, asked_at)
+        for adapter in report.adapters:
+            self._load_times.held(held.listed.id, adapter)
+        self._view.seen(held.listed.id, held.started, held.places.adapters, asked_at)
--- /dev/null
+++ b/src/chiveslip/gateway/placement.py
@@ -0,0 +1,142 @@
+"""Which engine a request goes to.
+
+Answers the load of thousands of adapters with skewed demand over engines with few
+places: every instance ranks the engines for an adapter the same way (rendezvous
+hashing), so a rare adapter is fetched once and a frequent one spreads over more
+engines only as far as its queue is worth it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection
+from typing import final
+
+import attrs
+
+from chiveslip import hashing
+from chiveslip.gateway.endpoints import ListedEndpoint
+from chiveslip.gateway.engine_view import Adapter
+from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.health import EndpointHealth
+from chiveslip.gateway.loads import LoadTimes
+from chiveslip.gateway.routing import EngineLimits
+
+# Prompt tokens that an engine reads in a second, until its own pace is known.
+READ_TOKENS_PER_S = 19_000.0
+# Each request in the batch makes a step longer by this share of a step, and the
+# first token waits for a step.
+_STEP_S = 0.009
+_STEP_PER_REQUEST_S = 0.0004
+# Cost of leaving the order of an adapter's engines by one place; a sixth of a fetch.
+_RANK_COST_S = 0.04
+# An engine whose places are all in use cannot take another adapter.
+_NO_PLACE_COST_S = 3.0
+# From this share of its slots on, an engine's pauses grow.
+_FULL_SHARE = 0.9
+_FULL_COST_S = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class Choice:
+    """An engine for a request.
+
+    Attributes
+    ----------
+    wait_s
+        Estimated time in seconds to the first event.
+    is_present
+        Whether the adapter is there or on its way.
+    """
+
+    engine: ListedEndpoint
+    wait_s: float
+    is_present: bool
+
+
+@final
+class Placement:
+    """Ranks engines by the estimated time to a request's first event."""
+
+    def __init__(
+        self, view: EngineView, health: EndpointHealth, loads: LoadTimes
+    ) -> None:
+        self._view = view
+        self._health = health
+        self._loads = loads
+
+    def choose(
+        self,
+        engines: list[ListedEndpoint],
+        limits: EngineLimits,
+        adapter: Adapter | None,
+        prompt_tokens: float,
+        tried: Collection[str],
+        now: float,
+    ) -> Choice | None:
+        """Return the best engine that was not tried, or None if there is none."""
+        left = [engine for engine in engines if engine.id not in tried]
+        sound = [e for e in left if self._health.is_sound(e.id, now)] or left
+        if not sound:
+            return None
+        ranks = _ranks(adapter, sound)
+        choices = [
+            self._judge(engine, limits, adapter, prompt_tokens, rank, now)
+            for rank, engine in enumerate(ranks)
+        ]
+        best = min(choices, key=lambda pair: pair[0])
+        return best[1]
+
+    def _judge(
+        self,
+        engine: ListedEndpoint,
+        limits: EngineLimits,
+        adapter: Adapter | None,
+        prompt_tokens: float,
+        rank: int,
+        now: float,
+    ) -> tuple[float, Choice]:
+        wait = self.wait_s(engine.id, limits, prompt_tokens, now)
+        is_present = True
+        load = 0.0
+        crowded = 0.0
+        if adapter is not None:
+            ready_at = self._view.ready_at(engine.id, adapter)
+            is_present = ready_at is not None
+            if ready_at is None:
+                load = self._loads.expected_s(engine.id, adapter, now)
+                in_use = self._view.adapters_in_use(engine.id, now)
+                if len(in_use) >= limits.adapter_places:
+                    crowded = _NO_PLACE_COST_S
+            else:
+                load = max(ready_at - now, 0.0)
+        estimate = max(wait, load) + load / 10
+        failing = self._health.failing_share(engine.id)
+        cost = estimate + crowded + rank * _RANK_COST_S + failing
+        choice = Choice(engine=engine, wait_s=estimate, is_present=is_present)
+        return cost, choice
+
+    def wait_s(
+        self, engine: str, limits: EngineLimits, prompt_tokens: float, now: float
+    ) -> float:
+        """Return the estimated time in seconds to read a prompt and make a token."""
+        requests = self._view.requests(engine, now)
+        unread = self._view.unread_tokens(engine, now) + prompt_tokens
+        step = _STEP_S + _STEP_PER_REQUEST_S * requests
+        wait = unread / READ_TOKENS_PER_S + step
+        over = requests / limits.slots - _FULL_SHARE if limits.slots else 0.0
+        return wait + (_FULL_COST_S * (1 + over * 10) if over > 0 else 0.0)
+
+
+def _ranks(
+    adapter: Adapter | None, engines: list[ListedEndpoint]
+) -> list[ListedEndpoint]:
+    if adapter is None:
+        return engines
+    by_id = {engine.id: engine for engine in engines}
+    return [by_id[name] for name in hashing.rank(adapter[0], by_id)]
+
+
+def is_finite(value: float) -> bool:
+    """Return whether a time is known."""
+    return math.isfinite(value)
--- a/src/chiveslip/hashing.py
+++ b/src/chiveslip/hashing.py
@@ -26,3 +26,8 @@
 def key_hash(key: str) -> str:
     """Return the hash under which a caller's key stands in the configuration."""
     return content_hash(key.encode())
+
+
+def fast_hash(content: bytes) -> str:
+    """Return a 128-bit hash of `content` that tells requests apart."""
+    return xxhash.xxh3_128_hexdigest(content)
--- a/src/chiveslip/settings/check.py
+++ b/src/chiveslip/settings/check.py
@@ -107,7 +107,7 @@
 
     def _value(
         self, key: str, field: Field, node: yaml.Node | None
-    ) -> Value | Address | None:
+    ) -> Value | Address | tuple[Address, ...] | None:
         if node is None and field.default is None:
             self._faults.append(_fault(self._file, 0, key, "no value", field.allowed))
             return None
--- a/src/chiveslip/settings/fields.py
+++ b/src/chiveslip/settings/fields.py
@@ -47,7 +47,7 @@
         return _EXAMPLES[self.type]
 
 
-def parse_value(field: Field, text: str) -> Value | Address:
+def parse_value(field: Field, text: str) -> Value | Address | tuple[Address, ...]:
     """Read `text` as a value of `field`.
 
     Raises
@@ -58,7 +58,11 @@
     value = _PARSERS[field.type](text)
     if field.choices and value not in field.choices:
         raise ValueError("not an allowed value")
-    if field.min is None or field.max is None or isinstance(value, (str, Address)):
+    if (
+        field.min is None
+        or field.max is None
+        or isinstance(value, (str, Address, tuple))
+    ):
         return value
     low = _PARSERS[field.type](field.min)
     high = _PARSERS[field.type](field.max)
@@ -130,13 +134,31 @@
     return text
 
 
+def _parse_addresses(text: str) -> tuple[Address, ...]:
+    parts = [part.strip() for part in text.split(",")]
+    return tuple(parse_address(part) for part in parts if part)
+
+
+def _parse_fraction(text: str) -> float:
+    number, unit = _quantity(text)
+    if unit:
+        raise ValueError("not a plain number")
+    return number
+
+
+def _parse_flag(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError("neither true nor false")
+    return text == "true"
+
+
 def _parse_path(text: str) -> str:
     if not text:
         raise ValueError("empty path")
     return text
 
 
-_PARSERS: dict[str, Callable[[str], Value | Address]] = {
+_PARSERS: dict[str, Callable[[str], Value | Address | tuple[Address, ...]]] = {
     "name": _parse_name,
     "address": parse_address,
     "path": _parse_path,
@@ -145,10 +167,15 @@
     "size": parse_size,
     "count": _parse_count,
     "percent": _parse_percent,
+    "addresses": _parse_addresses,
+    "fraction": _parse_fraction,
+    "flag": _parse_flag,
 }
 
 _EXAMPLES = {
     "name": "a name of up to 63 letters, digits, dots, dashes and underscores",
     "address": "an address such as 127.0.0.1:8080",
     "path": "a path",
+    "addresses": "addresses separated by commas, such as 127.0.0.1:8080",
+    "flag": "true or false",
 }
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -25,6 +25,9 @@
     "size": "int",
     "count": "int",
     "percent": "float",
+    "addresses": "tuple[Address, ...]",
+    "fraction": "float",
+    "flag": "bool",
 }
 
 
