--- /dev/null
+++ b/testing/gateway/test_forwarding.py
@@ -0,0 +1,191 @@
+"""Each failure at each step, and what the caller is told of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from testing.gateway.conftest import DOWN
+from testing.gateway.conftest import FAILS
+from testing.gateway.conftest import KEY
+from testing.gateway.conftest import MISDIRECTED
+from testing.gateway.conftest import RESETS
+from testing.gateway.conftest import SHEDS
+from testing.gateway.conftest import Behaviour
+from testing.gateway.conftest import Scene
+
+GOOD = Behaviour()
+SILENT = Behaviour(is_silent=True)
+CUT = Behaviour(breaks_off=True)
+UNSIGNED = Behaviour(is_signed=False)
+ENCODED = Behaviour(headers={"Content-Encoding": "gzip"})
+FALSE_PROMISE = Behaviour(status=503)
+EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n")
+
+SceneOf = Callable[..., Scene]
+
+
+@pytest.mark.parametrize(
+    ("path", "script", "status", "sent"),
+    [
+        pytest.param("/once/x", [GOOD], 200, 1, id="once-answered"),
+        pytest.param("/once/x", [DOWN, GOOD], 200, 1, id="once-not-sent-elsewhere"),
+        pytest.param("/once/x", [SHEDS, GOOD], 200, 2, id="once-not-run-elsewhere"),
+        pytest.param("/once/x", [MISDIRECTED, GOOD], 200, 2, id="once-other-endpoint"),
+        pytest.param("/once/x", [RESETS], 502, 1, id="once-reset-is-unknown"),
+        pytest.param("/once/x", [CUT], 502, 1, id="once-cut-is-unknown"),
+        pytest.param("/once/x", [UNSIGNED], 502, 1, id="once-unsigned-is-unknown"),
+        pytest.param("/once/x", [ENCODED], 502, 1, id="once-encoded-is-unknown"),
+        pytest.param("/once/x", [FALSE_PROMISE], 502, 1, id="503-that-ran-is-unknown"),
+        pytest.param("/once/x", [FAILS], 500, 1, id="once-failure-is-passed-on"),
+        pytest.param("/once/x", [SHEDS] * 4, 503, 4, id="once-never-run"),
+        pytest.param("/once/x", [DOWN] * 4, 503, 0, id="once-never-sent"),
+        pytest.param("/once/x", [SHEDS, RESETS], 502, 2, id="once-unknown-in-the-end"),
+        pytest.param("/freely/x", [RESETS, GOOD], 200, 2, id="freely-again"),
+        pytest.param("/freely/x", [FAILS, GOOD], 200, 2, id="freely-after-a-failure"),
+        pytest.param("/freely/x", [FAILS, FAILS], 500, 2, id="freely-two-failures"),
+        pytest.param("/freely/x", [FAILS, RESETS], 500, 2, id="freely-kept-failure"),
+        pytest.param("/freely/x", [RESETS, RESETS], 502, 2, id="freely-most-tries"),
+        pytest.param("/stream/x", [RESETS], 502, 1, id="stream-reset-is-unknown"),
+        pytest.param("/resumable/x", [RESETS, GOOD], 200, 2, id="resumable-again"),
+        pytest.param("/nowhere/x", [], 404, 0, id="no-route"),
+    ],
+)
+def test_caller_is_told_what_became_of_it(
+    scene_of: SceneOf, path: str, script: list[Behaviour], status: int, sent: int
+) -> None:
+    scene = scene_of(*script)
+    reply = scene.ask(path)
+    assert (reply.status, len(scene.connector.sent)) == (status, sent)
+    assert reply.whole
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/freely/x", "/stream/x"])
+def test_refusal_names_a_time_to_come_back(scene_of: SceneOf, path: str) -> None:
+    reply = scene_of(*[SHEDS] * 4).ask(path)
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) > 0
+
+
+@pytest.mark.parametrize(
+    ("path", "first", "second", "body", "whole"),
+    [
+        pytest.param("/stream/x", EVENTS, None, b"".join(EVENTS), True, id="whole"),
+        pytest.param(
+            "/stream/x", EVENTS[:2], (), EVENTS[0] + EVENTS[1], False, id="cut"
+        ),
+        pytest.param(
+            "/resumable/x", EVENTS[:1], EVENTS[1:], b"".join(EVENTS), True, id="resumed"
+        ),
+        pytest.param(
+            "/resumable/x",
+            (EVENTS[0], EVENTS[1][:6]),
+            EVENTS[1:],
+            b"".join(EVENTS),
+            True,
+            id="resumed-after-a-part-of-an-event",
+        ),
+        pytest.param(
+            "/resumable/x", EVENTS[:1], None, EVENTS[0], False, id="resumed-and-cut"
+        ),
+    ],
+)
+def test_stream_is_whole_or_broken_off(
+    scene_of: SceneOf,
+    path: str,
+    first: tuple[bytes, ...],
+    second: tuple[bytes, ...] | None,
+    body: bytes,
+    whole: bool,
+) -> None:
+    cut_first = Behaviour(chunks=first, breaks_off=first != EVENTS)
+    then = CUT if second is None else Behaviour(chunks=second)
+    if second is None and first != EVENTS:
+        then = Behaviour(chunks=(), breaks_off=True)
+    scene = scene_of(cut_first, then)
+    reply = scene.ask(path)
+    assert (reply.body, reply.whole, reply.broken) == (body, whole, not whole)
+
+
+def test_resumption_names_the_last_whole_event(scene_of: SceneOf) -> None:
+    cut = Behaviour(chunks=(EVENTS[0], EVENTS[1], EVENTS[2][:4]), breaks_off=True)
+    scene = scene_of(cut, Behaviour(chunks=EVENTS[2:]))
+    scene.ask("/resumable/x")
+    first, second = scene.connector.sent
+    assert "Last-Event-Id" not in first.headers
+    assert second.headers["Last-Event-Id"] == "2"
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        pytest.param({"Authorization": ""}, 401, id="no-key"),
+        pytest.param({"Authorization": "Bearer other"}, 401, id="unknown-key"),
+        pytest.param({"Authorization": f"Basic {KEY}"}, 401, id="other-scheme"),
+        pytest.param({"Host": "other.example"}, 404, id="other-host"),
+        pytest.param({"Host": "KIOSK.example:80"}, 200, id="host-with-a-port"),
+    ],
+)
+def test_request_without_right_is_refused(
+    scene_of: SceneOf, headers: dict[str, str], status: int
+) -> None:
+    scene = scene_of(GOOD)
+    assert scene.ask("/once/x", **headers).status == status
+    assert len(scene.connector.sent) == (1 if status == 200 else 0)
+
+
+def test_key_and_the_systems_headers_do_not_pass(scene_of: SceneOf) -> None:
+    scene = scene_of(GOOD)
+    scene.ask(
+        "/once/x?q=1",
+        X_Tenant="other",
+        X_Hold="h",
+        X_Expected_Instance="other",
+        Kv_From="10.0.0.9:1/x",
+        Connection="X-Private",
+        X_Private="1",
+        X_Model="m/a",
+    )
+    sent = scene.connector.sent[0]
+    assert (sent.method, sent.path, sent.body) == ("POST", "/once/x?q=1", b"body")
+    assert KEY not in str(sent)
+    assert sent.headers["X-Tenant"] == "trust"
+    assert sent.headers["X-Expected-Instance"].startswith("i-")
+    assert sent.headers["X-Model"] == "m/a"
+    assert not {"X-Hold", "Kv-From", "X-Private", "Connection"} & set(sent.headers)
+    assert 0 < int(sent.headers["X-Deadline-Remaining"]) <= 600
+
+
+def test_instance_without_configuration_says_not_run(scene_of: SceneOf) -> None:
+    reply = scene_of(table=None).ask("/once/x")
+    assert reply.status == 503
+
+
+def test_stopping_instance_sends_callers_elsewhere(scene_of: SceneOf) -> None:
+    scene = scene_of(takes_requests=False)
+    reply = scene.ask("/once/x")
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) < 0.1
+    assert not scene.connector.sent
+
+
+def test_request_that_crashed_two_endpoints_is_not_run_again(scene_of: SceneOf) -> None:
+    scene = scene_of(RESETS, RESETS, GOOD)
+    assert scene.ask("/freely/x").status == 502
+    reply = scene.ask("/freely/x")
+    assert reply.status == 503
+    assert len(scene.connector.sent) == 2
+
+
+def test_silence_past_the_deadline_is_late(scene_of: SceneOf) -> None:
+    scene = scene_of(SILENT)
+    scene.clock.advance(0.0)
+    reply = scene.ask("/once/x", X_Deadline_Remaining="0")
+    assert reply.status == 504
+
+
+def test_exchanges_are_closed_whatever_happens(scene_of: SceneOf) -> None:
+    scene = scene_of(SHEDS, CUT)
+    scene.ask("/once/x")
+    assert all(exchange.closed for exchange in scene.connector.exchanges)
