Order base models onto engines that started empty

Change: reports and gossip carry the models present; the orderer has a missing model loaded within the store's rate; requests go only where their model is.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -267,6 +267,7 @@
         self._orderer.look(self._catalogue.engines())
         self._health.forget_others(self._directory.by_id)
         await self._orderer.read_reports()
+        await self._orderer.load_models()
 
     async def _say_ready(self, request: IngressRequest, reply: IngressReply) -> None:
         is_ready = self._catalogue.table is not None and not self._is_stopping
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -74,6 +74,7 @@
             message.engine_states.add(
                 endpoint=state.engine,
                 started=state.started,
+                models=sorted(state.models),
                 adapters=[_join(adapter) for adapter in state.adapters],
                 running=state.running,
                 waiting=state.waiting,
@@ -257,6 +258,7 @@
     return EngineStateNews(
         engine=state.endpoint,
         started=state.started,
+        models=frozenset(state.models),
         adapters=frozenset(_split(adapter) for adapter in state.adapters),
         running=state.running,
         waiting=state.waiting,
--- a/src/chiveslip/fleet/gossip_news.py
+++ b/src/chiveslip/fleet/gossip_news.py
@@ -29,6 +29,7 @@
 
     engine: str
     started: int
+    models: frozenset[str]
     adapters: frozenset[tuple[str, int]]
     running: int
     waiting: int
--- a/src/chiveslip/gateway/catalogue.py
+++ b/src/chiveslip/gateway/catalogue.py
@@ -101,10 +101,16 @@
                 state=endpoint.state.value,
             )
         self._directory.put(endpoint)
-        if endpoint.models:
-            now = self._clock.now()
-            if known is None or known.started != endpoint.started:
-                self._view.seen(endpoint.id, endpoint.started, endpoint.adapters, now)
+        # Later changes come sooner from the engine's orderer.
+        is_new = known is None or known.started != endpoint.started
+        if is_new or (known is not None and known.models != endpoint.models):
+            self._view.seen(
+                endpoint.id,
+                endpoint.started,
+                frozenset(endpoint.models),
+                endpoint.adapters,
+                self._clock.now(),
+            )
 
     def remove_endpoint(self, endpoint: str) -> None:
         """Drop an endpoint whose entry is gone or cannot be read."""
--- a/src/chiveslip/gateway/engine_control.py
+++ b/src/chiveslip/gateway/engine_control.py
@@ -24,12 +24,15 @@
         The engine's own number of its start; 0 where it gives none.
     orders
         Orders that it accepted since its start.
+    models
+        Base models present.
     adapters, coming
         Adapters present, and those on their way, with their versions.
     """
 
     started: int
     orders: int
+    models: frozenset[str]
     adapters: frozenset[tuple[str, int]]
     coming: frozenset[tuple[str, int]]
     running: int
@@ -50,6 +53,10 @@
 
     Attributes
     ----------
+    target
+        MODEL, or MODEL/NAME for an adapter of a model that is present.
+    version
+        Version of the adapter.
     fence
         Number that engines compare: a lower one than before is refused.
     after_orders
@@ -57,7 +64,8 @@
     """
 
     operation: Operation
-    adapter: tuple[str, int]
+    target: str
+    version: int
     holder: str
     fence: int
     after_orders: int | None
--- a/src/chiveslip/gateway/engine_view.py
+++ b/src/chiveslip/gateway/engine_view.py
@@ -27,6 +27,7 @@
     """Adapters at one engine, with when each was last used here."""
 
     started: int = 0
+    models: frozenset[str] = frozenset()
     present: set[Adapter] = attrs.field(factory=set)
     ready_at: dict[Adapter, float] = attrs.field(factory=dict)
 
@@ -49,12 +50,18 @@
         self._reports: dict[str, tuple[float, EngineStateNews]] = {}
 
     def seen(
-        self, engine: str, started: int, adapters: frozenset[Adapter], now: float
+        self,
+        engine: str,
+        started: int,
+        models: frozenset[str],
+        adapters: frozenset[Adapter],
+        now: float,
     ) -> None:
-        """Take over a list of adapters that the engine gave of itself."""
+        """Take over what the engine gave of itself as held."""
         held = self._held.setdefault(engine, _Held())
         if started != held.started:
             self._held[engine] = held = _Held(started=started)
+        held.models = models
         # What was ordered just now is not in a list that lags.
         recent = {a for a, at in held.ready_at.items() if now < at + _BELIEVED_S / 2}
         held.present = set(adapters) | recent
@@ -66,7 +73,7 @@
         if known is not None and known[0] > at:
             return
         self._reports[news.engine] = (at, news)
-        self.seen(news.engine, news.started, news.adapters, now)
+        self.seen(news.engine, news.started, news.models, news.adapters, now)
 
     def peer_works(self, peer: str, uses: list[EngineUseNews], now: float) -> None:
         """Take over what a peer has under way."""
@@ -81,6 +88,15 @@
         self._held.pop(engine, None)
         self._reports.pop(engine, None)
 
+    def has_model(self, engine: str, model: str) -> bool:
+        """Return whether a base model is present."""
+        held = self._held.get(engine)
+        return held is not None and model in held.models
+
+    def model_holders(self, model: str) -> int:
+        """Return how many engines hold a base model."""
+        return sum(model in held.models for held in self._held.values())
+
     def ready_at(self, engine: str, adapter: Adapter) -> float | None:
         """Return when an adapter is or was usable, or None if it is not there.
 
--- a/src/chiveslip/gateway/engine_way.py
+++ b/src/chiveslip/gateway/engine_way.py
@@ -75,6 +75,7 @@
             choice = self._placement.choose(
                 self._directory.ready(call.service),
                 limits,
+                call.facts.model,
                 adapter,
                 prompt,
                 excluded,
--- a/src/chiveslip/gateway/ordering.py
+++ b/src/chiveslip/gateway/ordering.py
@@ -41,6 +41,12 @@
 _LONGEST_PAUSE_S = 1.0
 _REPORT_INTERVAL_S = 1.0
 _MOST_WAIT_S = 1.5
+# An order for a model is repeated after this long if its load did not begin.
+_MODEL_LOAD_LOOK_S = 2.0
+# Window of the store's bound on loads of models, and the part of its rate that is
+# used beside one window's burst.
+_MODEL_WINDOW_S = 5.0
+_MODEL_RATE_PART = 0.7
 # An engine that has enough adapters on their way refuses more with a conflict.
 _MOST_CONFLICTS = 4
 _CONFLICT_PAUSE_S = 0.06
@@ -77,6 +83,8 @@
     fence: int = 0
     started: int = 0
     orders: int | None = None
+    models: frozenset[str] = frozenset()
+    model_ordered_at: float = float("-inf")
     places: AdapterPlaces = attrs.field(factory=AdapterPlaces)
     running: int = 0
     waiting: int = 0
@@ -118,6 +126,8 @@
         self._engines: dict[str, _Engine] = {}
         self._fences: dict[str, int] = {}
         self._looked_at = clock.now()
+        self._model_loads = 0.0
+        self._model_loads_at: float | None = None
         self._log = logs.get_logger("orders")
 
     def orderer_of(self, engine: str) -> str:
@@ -162,6 +172,48 @@
         ]
         await asyncio.gather(*(self._read_report(engine) for engine in due))
 
+    async def load_models(self) -> None:
+        """Have engines that lack base models load them, within the store's rate."""
+        now = self._clock.now()
+        for held in list(self._engines.values()):
+            model = self._missing_model(held)
+            if model is None or now < held.since + self._hold_off_s:
+                continue
+            if held.lock.locked() or now < held.model_ordered_at + _MODEL_LOAD_LOOK_S:
+                continue
+            if held.orders is None or not self._may_load_model(held.limits, now):
+                continue
+            held.model_ordered_at = now
+            async with held.lock:
+                await self._order(held, Operation.LOAD, model)
+
+    def _missing_model(self, held: _Engine) -> str | None:
+        """Return the model that the engine has room for and the fewest others hold."""
+        taken = sum(held.limits.models.get(model, 0.0) for model in held.models)
+        room = held.limits.memory_mb - taken
+        missing = [
+            (self._view.model_holders(model), model)
+            for model, size in held.limits.models.items()
+            if model not in held.models and size <= room
+        ]
+        return min(missing)[1] if missing else None
+
+    def _may_load_model(self, limits: EngineLimits, now: float) -> bool:
+        """Take one load out of this instance's part of the store's rate."""
+        alive = max(len(self._alive()), 1)
+        burst = max(int(limits.model_loads_per_s * _MODEL_WINDOW_S / alive), 1)
+        rate = limits.model_loads_per_s * _MODEL_RATE_PART / alive
+        if self._model_loads_at is None:
+            self._model_loads = float(burst)
+        else:
+            elapsed_s = now - self._model_loads_at
+            self._model_loads = min(self._model_loads + elapsed_s * rate, burst)
+        self._model_loads_at = now
+        if self._model_loads < 1:
+            return False
+        self._model_loads -= 1
+        return True
+
     def states(self) -> list[EngineStateNews]:
         """Return what this instance knows of its engines, for peers."""
         now = self._clock.now()
@@ -169,6 +221,7 @@
             EngineStateNews(
                 engine=name,
                 started=engine.started,
+                models=engine.models,
                 adapters=engine.places.adapters,
                 running=engine.running,
                 waiting=engine.waiting,
@@ -230,7 +283,7 @@
         """Order a load; where others are still on their way, again a little later."""
         answer = None
         for _ in range(_MOST_CONFLICTS):
-            answer = await self._order(held, Operation.LOAD, adapter)
+            answer = await self._order(held, Operation.LOAD, adapter[0], adapter[1])
             if answer is not OrderAnswer.CONFLICT:
                 return answer
             self._load_times.came_late()
@@ -283,7 +336,7 @@
         victim = held.places.victim(in_use, now)
         if victim is None:
             return False
-        answer = await self._order(held, Operation.UNLOAD, victim)
+        answer = await self._order(held, Operation.UNLOAD, victim[0])
         if answer is not OrderAnswer.HOLDS_ALREADY:
             return False
         held.places.unloaded(victim, self._clock.now())
@@ -291,13 +344,14 @@
         return True
 
     async def _order(
-        self, held: _Engine, operation: Operation, adapter: Adapter
+        self, held: _Engine, operation: Operation, target: str, version: int = 0
     ) -> OrderAnswer | None:
         if held.fence == 0:
             held.fence = self._new_fence(held.listed.id)
         order = EngineOrder(
             operation=operation,
-            adapter=adapter,
+            target=target,
+            version=version,
             holder=self._instance,
             fence=held.fence,
             after_orders=held.orders,
@@ -309,28 +363,27 @@
                 "No answer to an order.",
                 engine=held.listed.id,
                 operation=operation.value,
-                adapter=adapter[0],
+                target=target,
                 cause=str(error),
             )
             held.orders = None
             return None
-        self._note(held, operation, adapter, answer)
+        self._note(held, order, answer)
         return answer
 
     def _note(
         self,
         held: _Engine,
-        operation: Operation,
-        adapter: Adapter,
+        order: EngineOrder,
         answer: OrderAnswer,
     ) -> None:
         if answer in (OrderAnswer.UNDER_WAY, OrderAnswer.HOLDS_ALREADY):
             self._log.info(
                 "Order accepted.",
                 engine=held.listed.id,
-                operation=operation.value,
-                adapter=adapter[0],
-                version=adapter[1],
+                operation=order.operation.value,
+                target=order.target,
+                version=order.version,
                 answer=answer.value,
                 after_orders=held.orders,
                 places=len(held.places),
@@ -341,9 +394,9 @@
         self._log.info(
             "Order not accepted.",
             engine=held.listed.id,
-            operation=operation.value,
-            adapter=adapter[0],
-            version=adapter[1],
+            operation=order.operation.value,
+            target=order.target,
+            version=order.version,
             answer=answer.value,
             after_orders=held.orders,
             fence=held.fence,
@@ -379,6 +432,7 @@
             held.started = report.started
             held.places = AdapterPlaces()
             self._load_times.restarted(held.listed.id)
+        held.models = report.models
         held.places.reported(report, asked_at)
         if held.orders is None:
             held.orders = report.orders
@@ -389,4 +443,10 @@
         held.places.used(in_use, asked_at)
         for adapter in report.adapters:
             self._load_times.held(held.listed.id, adapter)
-        self._view.seen(held.listed.id, held.started, held.places.adapters, asked_at)
+        self._view.seen(
+            held.listed.id,
+            held.started,
+            held.models,
+            held.places.adapters,
+            asked_at,
+        )
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -69,13 +69,19 @@
         self,
         engines: list[ListedEndpoint],
         limits: EngineLimits,
+        model: str,
         adapter: Adapter | None,
         prompt_tokens: float,
         tried: Collection[str],
         now: float,
     ) -> Choice | None:
         """Return the best engine that was not tried, or None if there is none."""
-        left = [engine for engine in engines if engine.id not in tried]
+        left = [
+            engine
+            for engine in engines
+            if engine.id not in tried
+            and (not model or self._view.has_model(engine.id, model))
+        ]
         sound = [e for e in left if self._health.is_sound(e.id, now)] or left
         if not sound:
             return None
--- a/src/chiveslip/gateway/routing.py
+++ b/src/chiveslip/gateway/routing.py
@@ -73,14 +73,20 @@
         Memory in tokens.
     adapter_places
         Adapters that are present or on their way at once.
-    adapters
-        Names of adapters by model are not listed; the number is, by model.
+    models
+        Base models with the memory in MB that each takes.
+    memory_mb
+        Memory in MB for base models and adapters.
+    model_loads_per_s
+        Loads of base models from the store that all engines together may begin.
     """
 
     slots: int
     cache_tokens: int
     adapter_places: int
-    adapters: Mapping[str, int]
+    models: Mapping[str, float]
+    memory_mb: float
+    model_loads_per_s: float
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chiveslip/platform/configuration.py
+++ b/src/chiveslip/platform/configuration.py
@@ -128,11 +128,13 @@
         slots=int(fields.number(engine, "slots", 1)),
         cache_tokens=int(fields.number(engine, "kv_cache_tokens", 0)),
         adapter_places=places,
-        # The number of a model's adapters, which are named a1, a2 and so on.
-        adapters={
-            fields.text(model, "name"): int(fields.number(model, "adapters", 0))
+        models={
+            fields.text(model, "name"): fields.number(model, "weights_mb", 0.0)
             for model in models
         },
+        memory_mb=fields.number(engine, "weights_mb", 0.0),
+        # Loads of weights from the store a second, over all replicas.
+        model_loads_per_s=fields.number(engine, "loads_per_s", 1.0),
     )
 
 
--- a/src/chiveslip/platform/replicas.py
+++ b/src/chiveslip/platform/replicas.py
@@ -110,12 +110,13 @@
             raise EngineControlError(f"report: status {status}")
         try:
             found = fields.parse_object(body)
-            _, adapters = _models(found)
+            models, adapters = _models(found)
             return EngineReport(
                 # The time of the replica's start, in its own milliseconds.
                 started=int(fields.number(found, "born", 0)),
                 # How many orders the replica accepted since then.
                 orders=int(fields.number(found, "sequence")),
+                models=frozenset(models),
                 adapters=adapters,
                 coming=frozenset(_versioned(t) for t in fields.texts(found, "coming")),
                 running=int(fields.number(found, "running", 0)),
@@ -128,16 +129,17 @@
 
     async def order(self, engine: ListedEndpoint, order: EngineOrder) -> OrderAnswer:
         """Give an order."""
-        model, _, name = order.adapter[0].partition("/")
+        model, _, name = order.target.partition("/")
         body: dict[str, Any] = {
             "operation": order.operation.value,
             "model": model,
-            "adapter": name,
             "holder": order.holder,
             "fencing_token": order.fence,
         }
-        if order.adapter[1] > 1:
-            body["version"] = order.adapter[1]
+        if name:
+            body["adapter"] = name
+        if order.version > 1:
+            body["version"] = order.version
         if order.after_orders is not None:
             body["precondition"] = order.after_orders
         outgoing = Outgoing(
--- a/testing/gateway/test_allowances.py
+++ b/testing/gateway/test_allowances.py
@@ -97,7 +97,6 @@
     is 0.3 s old here.
     """
     rate, burst = 44_000.0, 44_000.0
-    trust = organisation(rate, burst)
     fleet = [shared() for _ in range(6)]
     told: list[list[tuple[float, dict[str, float]]]] = [[] for _ in fleet]
     admitted: list[tuple[float, float]] = []
--- a/testing/gateway/test_places.py
+++ b/testing/gateway/test_places.py
@@ -15,6 +15,7 @@
     return EngineReport(
         started=1,
         orders=0,
+        models=frozenset({"m"}),
         adapters=frozenset(adapters),
         coming=frozenset(coming),
         running=0,
