Refuse at once what cannot be answered while its caller waits

Fetches were allotted evenly to instances, though engines are not.

Change: routes know how long callers wait for an event; the orderer says when an adapter would be usable, and a request that it comes too late for is refused with that time. Each instance's part of the fetches follows the engines that it orders at.

--- a/src/chiveslip/fleet/gateway_peers.py
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -31,6 +31,7 @@
     LoadOutcome.USABLE: wire.LoadReply.READY,
     LoadOutcome.NO_ROOM: wire.LoadReply.NO_ROOM,
     LoadOutcome.NOT_HOME: wire.LoadReply.NOT_HOME,
+    LoadOutcome.TOO_LATE: wire.LoadReply.TOO_LATE,
     LoadOutcome.FAILED: wire.LoadReply.REFUSED,
 }
 _OUTCOMES_READ = {value: outcome for outcome, value in OUTCOMES.items()}
@@ -63,13 +64,18 @@
             address, self._timeout_s, lambda stub, t: stub.Exchange(gossip, timeout=t)
         )
 
-    async def load(self, peer: str, engine: str, adapter: tuple[str, int]) -> Loaded:
+    async def load(
+        self, peer: str, engine: str, adapter: tuple[str, int], patience_s: float
+    ) -> Loaded:
         """Ask an engine's orderer for an adapter."""
         address = self._address_of(peer)
         if address is None:
             raise GatewayPeerError(f"the address of {peer} is unknown")
         request = wire.LoadRequest(
-            endpoint=engine, adapter=adapter[0], version=adapter[1]
+            endpoint=engine,
+            adapter=adapter[0],
+            version=adapter[1],
+            patience_seconds=patience_s,
         )
         reply = await self._ask(
             address, _LOAD_TIMEOUT_S, lambda stub, t: stub.Load(request, timeout=t)
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -212,7 +212,9 @@
         if request is None:
             return
         adapter = (request.adapter, request.version)
-        loaded = await self._parts.orderer.load(request.endpoint, adapter)
+        loaded = await self._parts.orderer.load(
+            request.endpoint, adapter, request.patience_seconds
+        )
         reply = wire.LoadReply(
             outcome=OUTCOMES[loaded.outcome], ready_after_seconds=loaded.after_s
         )
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -43,6 +43,11 @@
     runs: int = 0
     tried: list[str] = attrs.field(factory=list)
 
+    @property
+    def first_event_by(self) -> float:
+        """Local time in seconds at which the caller leaves without an event."""
+        return min(self.arrived_at + self.route.patience_s, self.deadline)
+
     @property
     def urgency(self) -> int:
         """Rank among requests: the organisation's first, then the route's."""
--- a/src/chiveslip/gateway/engine_way.py
+++ b/src/chiveslip/gateway/engine_way.py
@@ -17,8 +17,9 @@
 from chiveslip.gateway.forwarding import Way
 from chiveslip.gateway.load_requests import LoadRequests
 from chiveslip.gateway.loads import LoadTimes
+from chiveslip.gateway.ordering import Loaded
+from chiveslip.gateway.ordering import LoadOutcome
 from chiveslip.gateway.placement import Placement
-from chiveslip.gateway.routing import EngineLimits
 from chiveslip.gateway.sending import TryResult
 from chiveslip.generated import result_codes
 from chiveslip.results import Refusal
@@ -70,6 +71,7 @@
         adapter = self._adapter(call)
         prompt = float(call.facts.prompt_tokens or _DEFAULT_PROMPT_TOKENS)
         excluded = self._excluded(call)
+        soonest_s: float | None = None
         for _ in range(_MOST_LOAD_REQUESTS):
             now = self._clock.now()
             choice = self._placement.choose(
@@ -83,13 +85,24 @@
             )
             if choice is None:
                 break
-            waited = await self._have_adapter(call, choice.engine.id, adapter, limits)
-            if waited is None:
+            left_s = call.first_event_by - now
+            if choice.wait_s > left_s:
+                return _too_late(choice.wait_s - left_s)
+            loaded = await self._have_adapter(choice.engine.id, adapter, left_s)
+            if loaded.outcome is not LoadOutcome.USABLE:
                 excluded.add(choice.engine.id)
+                if loaded.outcome is LoadOutcome.TOO_LATE:
+                    soonest_s = min(soonest_s or loaded.after_s, loaded.after_s)
                 continue
-            self._placed[call] = _Placed(adapter, prompt, waited)
+            if loaded.after_s > left_s:
+                return _too_late(loaded.after_s)
+            if loaded.after_s > 0:
+                await asyncio.sleep(loaded.after_s)
+            self._placed[call] = _Placed(adapter, prompt, loaded.after_s > 0)
             version = adapter[1] if adapter is not None and adapter[1] else None
             return Target(endpoint=choice.engine, version=version)
+        if soonest_s is not None:
+            return _too_late(soonest_s)
         return Refusal(
             code=result_codes.LOAD_FAILED if excluded else result_codes.NO_ENDPOINT,
             detail="No engine can take the request now.",
@@ -139,30 +152,21 @@
         return (name, self._versions(name))
 
     async def _have_adapter(
-        self,
-        call: Call,
-        engine: str,
-        adapter: Adapter | None,
-        limits: EngineLimits,
-    ) -> bool | None:
-        """Wait until the adapter is at the engine.
-
-        Returns
-        -------
-        bool or None
-            Whether it had to be waited for; None if it cannot be had there.
-        """
+        self, engine: str, adapter: Adapter | None, patience_s: float
+    ) -> Loaded:
+        """Return in how many seconds the adapter is at the engine, if it can be."""
         if adapter is None:
-            return False
+            return Loaded(outcome=LoadOutcome.USABLE)
         ready_at = self._view.ready_at(engine, adapter)
         if ready_at is None:
-            ready_at = await self._load_requests.ask(engine, adapter, limits)
-            if ready_at is None:
-                return None
-        wait_s = ready_at - self._clock.now()
-        if wait_s <= 0:
-            return False
-        if ready_at >= call.deadline:
-            return None
-        await asyncio.sleep(wait_s)
-        return True
+            return await self._load_requests.ask(engine, adapter, patience_s)
+        after_s = max(ready_at - self._clock.now(), 0.0)
+        return Loaded(outcome=LoadOutcome.USABLE, after_s=after_s)
+
+
+def _too_late(after_s: float) -> Refusal:
+    return Refusal(
+        code=result_codes.QUEUE_FULL,
+        detail="No engine can answer while the caller waits.",
+        retry_after_s=max(after_s, _RETRY_AFTER_S),
+    )
--- a/src/chiveslip/gateway/load_requests.py
+++ b/src/chiveslip/gateway/load_requests.py
@@ -13,7 +13,6 @@
 from chiveslip.gateway.ordering import Loaded
 from chiveslip.gateway.ordering import LoadOutcome
 from chiveslip.gateway.ordering import Orderer
-from chiveslip.gateway.routing import EngineLimits
 from chiveslip.tasks import TaskSet
 
 
@@ -38,29 +37,28 @@
         self._tasks = TaskSet("loads")
         self._pending: dict[tuple[str, Adapter], asyncio.Task[Loaded]] = {}
 
-    async def ask(
-        self, engine: str, adapter: Adapter, limits: EngineLimits
-    ) -> float | None:
-        """Return when the adapter is usable, or None if it cannot be had there."""
+    async def ask(self, engine: str, adapter: Adapter, patience_s: float) -> Loaded:
+        """Ask for an adapter, and return in how many seconds it is usable."""
         key = (engine, adapter)
         task = self._pending.get(key)
         if task is None:
-            task = self._tasks.start(self._ask(engine, adapter))
+            task = self._tasks.start(self._ask(engine, adapter, patience_s))
             self._pending[key] = task
             task.add_done_callback(lambda _: self._pending.pop(key, None))
         loaded = await asyncio.shield(task)
         if loaded.outcome is not LoadOutcome.USABLE:
-            return None
+            return loaded
         ready_at = self._view.ready_at(engine, adapter)
-        return self._clock.now() if ready_at is None else ready_at
+        after_s = 0.0 if ready_at is None else ready_at - self._clock.now()
+        return Loaded(outcome=LoadOutcome.USABLE, after_s=max(after_s, 0.0))
 
-    async def _ask(self, engine: str, adapter: Adapter) -> Loaded:
+    async def _ask(self, engine: str, adapter: Adapter, patience_s: float) -> Loaded:
         orderer = self._orderer.orderer_of(engine)
         if orderer == self._instance:
-            loaded = await self._orderer.load(engine, adapter)
+            loaded = await self._orderer.load(engine, adapter, patience_s)
         else:
             try:
-                loaded = await self._peers.load(orderer, engine, adapter)
+                loaded = await self._peers.load(orderer, engine, adapter, patience_s)
             except GatewayPeerError:
                 return Loaded(outcome=LoadOutcome.FAILED)
         if loaded.outcome is LoadOutcome.USABLE:
--- a/src/chiveslip/gateway/ordering.py
+++ b/src/chiveslip/gateway/ordering.py
@@ -41,6 +41,7 @@
 _LONGEST_PAUSE_S = 1.0
 _REPORT_INTERVAL_S = 1.0
 _MOST_WAIT_S = 1.5
+_OVERLAP = 1.5
 # An order for a model is repeated after this long if its load did not begin.
 _MODEL_LOAD_LOOK_S = 2.0
 # Window of the store's bound on loads of models, and the part of its rate that is
@@ -64,12 +65,13 @@
     USABLE = "usable"
     NO_ROOM = "no room"
     NOT_HOME = "not home"
+    TOO_LATE = "too late"
     FAILED = "failed"
 
 
 @attrs.frozen(kw_only=True)
 class Loaded:
-    """The outcome, and in how many seconds the adapter is usable."""
+    """The outcome, and in how many seconds the adapter is or would be usable."""
 
     outcome: LoadOutcome
     after_s: float = 0.0
@@ -91,6 +93,7 @@
     cache_used: int = 0
     reported_at: float = float("-inf")
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    queued: int = 0
 
 
 @final
@@ -126,6 +129,7 @@
         self._engines: dict[str, _Engine] = {}
         self._fences: dict[str, int] = {}
         self._looked_at = clock.now()
+        self._all_engines = 0
         self._model_loads = 0.0
         self._model_loads_at: float | None = None
         self._log = logs.get_logger("orders")
@@ -145,6 +149,7 @@
         if now - self._looked_at > _LONGEST_PAUSE_S:
             self._engines.clear()
         self._looked_at = now
+        self._all_engines = len(engines)
         alive = self._alive()
         mine = {
             engine.id: (engine, limits)
@@ -233,19 +238,35 @@
             if engine.reported_at > now - 5 * _REPORT_INTERVAL_S
         ]
 
-    async def load(self, engine: str, adapter: Adapter) -> Loaded:
-        """Have an adapter usable at an engine."""
+    async def load(self, engine: str, adapter: Adapter, patience_s: float) -> Loaded:
+        """Have an adapter usable at an engine, if it comes within `patience_s`."""
         held = self._engines.get(engine)
         if held is None or self._clock.now() < held.since + self._hold_off_s:
             return Loaded(outcome=LoadOutcome.NOT_HOME)
         known = self._known(held, adapter)
         if known is not None:
             return known
-        async with held.lock:
-            known = self._known(held, adapter)
-            if known is not None:
-                return known
-            return await self._load(held, adapter)
+        expected_s = self._expected_s(held, adapter)
+        if expected_s > patience_s:
+            return Loaded(outcome=LoadOutcome.TOO_LATE, after_s=expected_s)
+        held.queued += 1
+        try:
+            async with held.lock:
+                known = self._known(held, adapter)
+                if known is not None:
+                    return known
+                return await self._load(held, adapter)
+        finally:
+            held.queued -= 1
+
+    def _expected_s(self, held: _Engine, adapter: Adapter) -> float:
+        """Return in how many seconds an adapter ordered now would be usable."""
+        now = self._clock.now()
+        load_s = self._load_times.expected_s(held.listed.id, adapter, now)
+        if self._load_times.has_copy(held.listed.id, adapter):
+            return load_s
+        waiting = sum(engine.queued for engine in self._engines.values())
+        return load_s * (1 + waiting / self._fetch_part())
 
     def _known(self, held: _Engine, adapter: Adapter) -> Loaded | None:
         ready_at = held.places.ready_at(adapter)
@@ -326,8 +347,16 @@
         """
         if self._load_times.has_copy(engine, adapter):
             return now
-        part = self._load_times.most_fetches / max(len(self._alive()), 1)
-        return self._load_times.free_at(max(math.ceil(part), 1), now)
+        return self._load_times.free_at(self._fetch_part(), now)
+
+    def _fetch_part(self) -> int:
+        """Return how many fetches this instance may have under way.
+
+        The store serves as many a second when more are under way, so the parts add
+        up to more than it serves at full speed: none of it is left idle.
+        """
+        share = len(self._engines) / max(self._all_engines, 1)
+        return max(math.ceil(self._load_times.most_fetches * _OVERLAP * share), 1)
 
     async def _free_place(self, held: _Engine) -> bool:
         now = self._clock.now()
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -28,8 +28,8 @@
 # first token waits for a step.
 _STEP_S = 0.009
 _STEP_PER_REQUEST_S = 0.0004
-# Cost of leaving the order of an adapter's engines by one place; a sixth of a fetch.
-_RANK_COST_S = 0.04
+# Cost of leaving the order of an adapter's engines by one place; a third of a fetch.
+_RANK_COST_S = 0.08
 # An engine whose places are all in use cannot take another adapter.
 _NO_PLACE_COST_S = 3.0
 # From this share of its slots on, an engine's pauses grow.
--- a/src/chiveslip/gateway/routing.py
+++ b/src/chiveslip/gateway/routing.py
@@ -30,6 +30,9 @@
         Longest time in seconds that a caller is kept waiting.
     target_s
         Time in seconds to the answer, of a stream to its first event.
+    patience_s
+        Time in seconds after which a caller leaves that has seen no event of its
+        stream; the timeout where the answer is no stream.
     priority
         Rank, 0 being the most urgent.
     services
@@ -47,6 +50,7 @@
     repeat: Repeat
     timeout_s: float
     target_s: float
+    patience_s: float
     priority: int
     services: tuple[tuple[str, float], ...]
     most_tries: int
--- a/src/chiveslip/platform/configuration.py
+++ b/src/chiveslip/platform/configuration.py
@@ -22,6 +22,11 @@
 _IDEMPOTENT = "idempotent"
 _ONCE = "non_idempotent"
 _DEFAULT_TIMEOUT_MS = 30_000.0
+# Callers leave a stream after the longest of these without an event: two seconds,
+# four latency objectives, eight of the longest pauses of a good stream.
+_LEAST_PATIENCE_S = 2.0
+_TARGETS_OF_PATIENCE = 4.0
+_PAUSES_OF_PATIENCE = 8.0
 
 
 def read_configuration(value: bytes) -> RoutingTable:
@@ -68,15 +73,20 @@
 
 def _route(route: dict[str, Any]) -> Route:
     kind = fields.text(route, "kind")
+    is_stream = kind == _STREAMING
+    timeout_s = fields.number(route, "timeout_ms", _DEFAULT_TIMEOUT_MS) / 1000
+    target_s = fields.number(route, "target_latency_ms", 1000.0) / 1000
+    pause_s = fields.number(route, "gap_aim_ms", 0.0) / 1000
     return Route(
         name=fields.text(route, "name"),
         host=fields.text(route, "host").lower(),
         prefix=fields.text(route, "prefix"),
-        is_stream=kind == _STREAMING,
+        is_stream=is_stream,
         repeat=_repeat(kind, bool(route.get("resumable"))),
-        timeout_s=fields.number(route, "timeout_ms", _DEFAULT_TIMEOUT_MS) / 1000,
+        timeout_s=timeout_s,
         # The latency objective, of a stream to its first event.
-        target_s=fields.number(route, "target_latency_ms", 1000.0) / 1000,
+        target_s=target_s,
+        patience_s=_patience_s(target_s, pause_s) if is_stream else timeout_s,
         priority=int(fields.number(route, "priority", 5)),
         services=_split(route),
         # Replicas that one request may be sent to, the first one included.
@@ -85,6 +95,15 @@
     )
 
 
+def _patience_s(target_s: float, pause_s: float) -> float:
+    """Return how long callers wait for the first or the next event of a stream."""
+    return max(
+        _LEAST_PATIENCE_S,
+        _TARGETS_OF_PATIENCE * target_s,
+        _PAUSES_OF_PATIENCE * pause_s,
+    )
+
+
 def _repeat(kind: str, is_resumable: bool) -> Repeat:
     if kind == _IDEMPOTENT:
         return Repeat.FREELY
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -195,6 +195,7 @@
         repeat=repeat,
         timeout_s=15.0,
         target_s=0.5,
+        patience_s=2.0,
         priority=1,
         services=(("kiosk", 1.0),),
         most_tries=2,
