Take over orders sooner after a restart, and none when cut off

Cause: after a kill of all, every instance held off for a lease before its first order, though nobody else could have given one; in the seconds after the final fault a quarter of the requests was refused for want of an adapter. A cut-off instance, on the other hand, took over all engines and fenced their orderers off.

Change: peers tell their last orders; a started instance holds off only from those. An instance that lost most of the members it knew gives no orders for ten seconds.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -134,6 +134,7 @@
             view=view,
             load_times=load_times,
             alive=lambda: self._membership.alive(clock.now()),
+            has_quorum=lambda: self._membership.has_quorum(clock.now()),
             clock=clock,
         )
         allowances = SharedAllowances(
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -80,8 +80,9 @@
                 waiting=state.waiting,
                 cache_used=state.cache_used,
                 age_seconds=state.age_s,
-                fence=state.fence,
             )
+        for engine, age_s, fence in parts.orderer.last_orders():
+            message.last_orders.add(endpoint=engine, age_seconds=age_s, fence=fence)
         for fingerprint, crashes in parts.suspects.known(now).items():
             told = message.crash_suspects.add(fingerprint=fingerprint)
             for endpoint, at in crashes.items():
@@ -110,8 +111,9 @@
         ]
         parts.view.peer_works(peer, uses, now)
         for state in message.engine_states:
-            parts.orderer.heard_fence(state.endpoint, state.fence)
             parts.view.told(peer, _state(state), now)
+        for order in message.last_orders:
+            parts.orderer.heard_order(order.endpoint, order.fence, order.age_seconds)
         for suspect in message.crash_suspects:
             for crash in suspect.crashes:
                 at = now - crash.age_seconds
@@ -266,7 +268,6 @@
         waiting=state.waiting,
         cache_used=state.cache_used,
         age_s=state.age_seconds,
-        fence=state.fence,
     )
 
 
--- a/src/chiveslip/fleet/gossip_news.py
+++ b/src/chiveslip/fleet/gossip_news.py
@@ -23,8 +23,6 @@
     ----------
     started
         The engine's own number of its start.
-    fence
-        Highest fencing number that was used there.
     """
 
     engine: str
@@ -35,4 +33,3 @@
     waiting: int
     cache_used: int
     age_s: float
-    fence: int
--- a/src/chiveslip/fleet/membership.py
+++ b/src/chiveslip/fleet/membership.py
@@ -18,6 +18,8 @@
 # A member that is gone is remembered this long, so that an old message does not
 # bring it back.
 _REMEMBERED_S = 60.0
+# Members that fell silent longer ago are taken for dead rather than cut off.
+_MISSED_S = 10.0
 # Members told of in one message: as many as keep a message below one packet.
 _MOST_TOLD = 20
 
@@ -150,6 +152,25 @@
             if not self._is_heard(member, now)
         ]
 
+    def has_quorum(self, now: float) -> bool:
+        """Return whether most of the members of the last while are heard of.
+
+        An instance that lost most others at once is likely cut off itself; after
+        `_MISSED_S` it takes them for dead. Members that stopped as planned are not
+        missed. Of two halves, the one with the first name has the quorum.
+        """
+        alive = self.alive(now)
+        missed = [
+            name
+            for name, member in self._members.items()
+            if not member.news.stopping
+            and not self._is_heard(member, now)
+            and now - member.heard_at <= _MISSED_S
+        ]
+        if len(alive) != len(missed):
+            return len(alive) > len(missed)
+        return bool(alive) and min(alive) < min(missed)
+
     def address_of(self, instance: str) -> Address | None:
         """Return the peer address of a member."""
         member = self._members.get(instance)
--- a/src/chiveslip/gateway/ordering.py
+++ b/src/chiveslip/gateway/ordering.py
@@ -40,6 +40,9 @@
 # An own pause longer than this may have cost the orderer's role.
 _LONGEST_PAUSE_S = 1.0
 _REPORT_INTERVAL_S = 1.0
+# A started instance has heard of the live ones after this long.
+_JOIN_S = 0.8
+_JUST_STARTED_S = 1.0
 _MOST_WAIT_S = 1.5
 _OVERLAP = 1.5
 # An order for a model is repeated after this long if its load did not begin.
@@ -81,7 +84,7 @@
 class _Engine:
     listed: ListedEndpoint
     limits: EngineLimits
-    since: float
+    usable_from: float
     fence: int = 0
     started: int = 0
     orders: int | None = None
@@ -106,6 +109,8 @@
         Time in seconds that must pass between the orders of two instances.
     alive
         Names of the live instances, this one included.
+    has_quorum
+        Whether this instance hears most of the others; without, it gives no orders.
     """
 
     def __init__(
@@ -117,6 +122,7 @@
         view: EngineView,
         load_times: LoadTimes,
         alive: Callable[[], list[str]],
+        has_quorum: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._instance = instance
@@ -125,6 +131,10 @@
         self._view = view
         self._load_times = load_times
         self._alive = alive
+        self._has_quorum = has_quorum
+        self._started_at = clock.now()
+        self._last_orders: dict[str, tuple[float, int]] = {}
+        self._peers_ordered_at: dict[str, float] = {}
         self._clock = clock
         self._engines: dict[str, _Engine] = {}
         self._fences: dict[str, int] = {}
@@ -139,9 +149,24 @@
         alive = self._alive()
         return hashing.rank(engine, alive)[0] if alive else self._instance
 
-    def heard_fence(self, engine: str, fence: int) -> None:
-        """Note a fencing number that another instance used."""
+    def heard_order(self, engine: str, fence: int, age_s: float) -> None:
+        """Note the last order of another instance."""
         self._fences[engine] = max(self._fences.get(engine, 0), fence)
+        at = self._clock.now() - age_s
+        known = self._peers_ordered_at.get(engine, float("-inf"))
+        self._peers_ordered_at[engine] = max(known, at)
+        held = self._engines.get(engine)
+        if held is not None:
+            held.usable_from = max(held.usable_from, at + self._hold_off_s)
+
+    def last_orders(self) -> list[tuple[str, float, int]]:
+        """Return the engines ordered at within a lease: age in seconds and fence."""
+        now = self._clock.now()
+        return [
+            (engine, now - at, fence)
+            for engine, (at, fence) in self._last_orders.items()
+            if now - at <= self._hold_off_s
+        ]
 
     def look(self, engines: list[tuple[ListedEndpoint, EngineLimits]]) -> None:
         """Take up and lay down engines, by who is alive now."""
@@ -154,7 +179,9 @@
         mine = {
             engine.id: (engine, limits)
             for engine, limits in engines
-            if alive and hashing.rank(engine.id, alive)[0] == self._instance
+            if self._may_order(now)
+            and alive
+            and hashing.rank(engine.id, alive)[0] == self._instance
         }
         for name in [name for name in self._engines if name not in mine]:
             del self._engines[name]
@@ -162,11 +189,29 @@
         for name, (listed, limits) in mine.items():
             held = self._engines.get(name)
             if held is None:
-                self._engines[name] = _Engine(listed=listed, limits=limits, since=now)
+                self._engines[name] = _Engine(
+                    listed=listed,
+                    limits=limits,
+                    usable_from=self._usable_from(name, now),
+                )
                 self._log.info("Orderer from now on.", engine=name, alive=len(alive))
                 continue
             held.listed, held.limits = listed, limits
 
+    def _may_order(self, now: float) -> bool:
+        return now >= self._started_at + _JOIN_S and self._has_quorum()
+
+    def _usable_from(self, engine: str, now: float) -> float:
+        """Return when no other instance's orders can come any more.
+
+        An instance that has just started took nothing over from a peer that may
+        still be at work unnoticed: peers have told it of their orders.
+        """
+        if now <= self._started_at + _JOIN_S + _JUST_STARTED_S:
+            told_at = self._peers_ordered_at.get(engine, float("-inf"))
+            return max(now, told_at + self._hold_off_s)
+        return now + self._hold_off_s
+
     async def read_reports(self) -> None:
         """Read the reports that are due."""
         now = self._clock.now()
@@ -182,7 +227,7 @@
         now = self._clock.now()
         for held in list(self._engines.values()):
             model = self._missing_model(held)
-            if model is None or now < held.since + self._hold_off_s:
+            if model is None or now < held.usable_from:
                 continue
             if held.lock.locked() or now < held.model_ordered_at + _MODEL_LOAD_LOOK_S:
                 continue
@@ -232,7 +277,6 @@
                 waiting=engine.waiting,
                 cache_used=engine.cache_used,
                 age_s=0.0,
-                fence=engine.fence,
             )
             for name, engine in self._engines.items()
             if engine.reported_at > now - 5 * _REPORT_INTERVAL_S
@@ -241,7 +285,7 @@
     async def load(self, engine: str, adapter: Adapter, patience_s: float) -> Loaded:
         """Have an adapter usable at an engine, if it comes within `patience_s`."""
         held = self._engines.get(engine)
-        if held is None or self._clock.now() < held.since + self._hold_off_s:
+        if held is None or self._clock.now() < held.usable_from:
             return Loaded(outcome=LoadOutcome.NOT_HOME)
         known = self._known(held, adapter)
         if known is not None:
@@ -385,6 +429,7 @@
             fence=held.fence,
             after_orders=held.orders,
         )
+        self._last_orders[held.listed.id] = (self._clock.now(), held.fence)
         try:
             answer = await self._control.order(held.listed, order)
         except EngineControlError as error:
@@ -434,7 +479,7 @@
             held.orders = None
         if answer is OrderAnswer.FENCED:
             # Another instance gave orders: wait its lease out again.
-            held.since = self._clock.now()
+            held.usable_from = self._clock.now() + self._hold_off_s
             self._fences[held.listed.id] = held.fence + (_TERM_JUMP << _INSTANCE_BITS)
             held.fence = 0
         if answer is OrderAnswer.OTHER_ENGINE:
--- a/testing/fleet/test_membership.py
+++ b/testing/fleet/test_membership.py
@@ -118,3 +118,40 @@
                         two.heard(each, now)
     least = min(len(membership.alive(now)) for membership in fleet.values())
     assert least >= 0.95 * size
+
+
+@pytest.mark.parametrize(
+    ("heard", "silent", "has"),
+    [
+        pytest.param("bcdef", "", True, id="all"),
+        pytest.param("bcdf", "e", True, id="one-fell-silent"),
+        pytest.param("bc", "def", True, id="first-half"),
+        pytest.param("b", "cdef", False, id="minority"),
+        pytest.param("", "bcdef", False, id="alone"),
+        pytest.param("", "", True, id="alone-from-the-start"),
+    ],
+)
+def test_quorum_of_the_members_of_the_last_while(
+    heard: str, silent: str, has: bool
+) -> None:
+    membership = member("a")
+    for name in silent:
+        membership.heard(news(name), 0.0)
+    for name in heard:
+        membership.heard(news(name), 2.0)
+    assert membership.has_quorum(3.0) is has
+
+
+def test_others_are_taken_for_dead_in_the_end() -> None:
+    membership = member("a")
+    for name in "bcdef":
+        membership.heard(news(name), 0.0)
+    assert not membership.has_quorum(5.0)
+    assert membership.has_quorum(11.0)
+
+
+def test_members_that_stopped_as_planned_are_not_missed() -> None:
+    membership = member("a")
+    for name in "bcdef":
+        membership.heard(news(name, stopping=True), 0.0)
+    assert membership.has_quorum(3.0)
