Log one line for each request and serve measures of a gateway

Cause: on-call engineers have only logs and metrics; the gateway said little. Change: structured lines on standard output through a bounded queue that never blocks and drops lines of failures last; counters and histograms by prometheus_client on the metrics address.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -39,6 +39,7 @@
 from chiveslip.gateway.ingress import IngressRequest
 from chiveslip.gateway.load_requests import LoadRequests
 from chiveslip.gateway.loads import LoadTimes
+from chiveslip.gateway.measures import GatewayMeasures
 from chiveslip.gateway.ordering import Orderer
 from chiveslip.gateway.placement import Placement
 from chiveslip.gateway.retries import WindowedRetryBudget
@@ -111,6 +112,7 @@
             most_fetches=settings.gateway.adapter_loads,
         )
         self._mirror = StoreMirror()
+        self._measures = GatewayMeasures()
         self._reader = StoreReader(
             surroundings.store(connector, settings),
             self._mirror,
@@ -136,6 +138,7 @@
             alive=lambda: self._membership.alive(clock.now()),
             has_quorum=lambda: self._membership.has_quorum(clock.now()),
             clock=clock,
+            measures=self._measures,
         )
         allowances = SharedAllowances(
             starts_full=settings.fleet.first_start, news_s=settings.fleet.gossip
@@ -175,6 +178,7 @@
             GatewayParts(
                 clock=clock,
                 dialect=dialect,
+                measures=self._measures,
                 sender=Sender(connector, dialect, clock),
                 allowances=allowances,
                 budget=WindowedRetryBudget(
@@ -209,6 +213,9 @@
         self._ingress = Ingress(
             gateway.handle, body_bytes=settings.limits.body, head_bytes=_HEAD_BYTES
         )
+        self._operators = Ingress(
+            self._say_measures, body_bytes=1 << 10, head_bytes=_HEAD_BYTES
+        )
         self._readiness = Ingress(
             self._say_ready, body_bytes=1 << 10, head_bytes=_HEAD_BYTES
         )
@@ -223,6 +230,7 @@
         """
         listen = self._settings.listen
         await self._peer_server.start(listen.peers.host, listen.peers.port)
+        self._operators.listen(listen.metrics.host, listen.metrics.port)
         self._readiness.listen(listen.readiness.host, listen.readiness.port)
         self._ingress.listen(listen.callers.host, listen.callers.port)
         self._tasks.start(self._reader.run())
@@ -253,6 +261,7 @@
         self._log.info("Stopped.", cut=self._ingress.running)
         await self._ingress.close()
         await self._readiness.close()
+        await self._operators.close()
         await self._tasks.close()
         self._peer_server.close()
         self._peers.close()
@@ -264,12 +273,30 @@
             await asyncio.sleep(interval_s)
 
     async def _look(self) -> None:
+        logs.flush()
         self._catalogue.look()
         self._orderer.look(self._catalogue.engines())
         self._health.forget_others(self._directory.by_id)
         await self._orderer.read_reports()
         await self._orderer.load_models()
 
+    async def _say_measures(self, request: IngressRequest, reply: IngressReply) -> None:
+        measures = self._measures
+        measures.members.set(len(self._membership.alive(self._clock.now())))
+        measures.engines_ordered.set(self._orderer.engines)
+        measures.store_lost.set(self._reader.lost_for_s)
+        measures.running.set(self._ingress.running)
+        table = self._catalogue.table
+        if table is not None:
+            measures.configuration_version.set(table.version)
+            for service in table.services:
+                ready = len(self._directory.ready(service))
+                measures.endpoints.labels(service).set(ready)
+        for level, dropped in logs.dropped().items():
+            measures.log_dropped.labels(level).set(dropped)
+        headers = HTTPHeaders({"Content-Type": "text/plain; version=0.0.4"})
+        await reply.respond(200, headers, measures.text())
+
     async def _say_ready(self, request: IngressRequest, reply: IngressReply) -> None:
         is_ready = self._catalogue.table is not None and not self._is_stopping
         await reply.respond(200 if is_ready else 503, HTTPHeaders(), b"")
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -42,6 +42,10 @@
     tries: int = 0
     runs: int = 0
     tried: list[str] = attrs.field(factory=list)
+    results: list[str] = attrs.field(factory=list)
+    estimate_s: float | None = None
+    load_wait_s: float = 0.0
+    first_event_at: float | None = None
 
     @property
     def first_event_by(self) -> float:
--- a/src/chiveslip/gateway/engine_way.py
+++ b/src/chiveslip/gateway/engine_way.py
@@ -96,8 +96,10 @@
                 continue
             if loaded.after_s > left_s:
                 return _too_late(loaded.after_s)
+            call.estimate_s = max(choice.wait_s, loaded.after_s)
             if loaded.after_s > 0:
                 await asyncio.sleep(loaded.after_s)
+            call.load_wait_s += self._clock.now() - now
             self._placed[call] = _Placed(adapter, prompt, loaded.after_s > 0)
             version = adapter[1] if adapter is not None and adapter[1] else None
             return Target(endpoint=choice.engine, version=version)
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -14,7 +14,6 @@
 import attrs
 
 from chiveslip import hashing
-from chiveslip import logs
 from chiveslip.clock import Clock
 from chiveslip.dispatch.suspects import CrashedEndpoint
 from chiveslip.dispatch.suspects import CrashSuspects
@@ -26,6 +25,8 @@
 from chiveslip.gateway.health import EndpointHealth
 from chiveslip.gateway.ingress import IngressReply
 from chiveslip.gateway.ingress import IngressRequest
+from chiveslip.gateway.measures import GatewayMeasures
+from chiveslip.gateway.record import RequestRecord
 from chiveslip.gateway.refusals import Refuser
 from chiveslip.gateway.retries import WindowedRetryBudget
 from chiveslip.gateway.routing import Organisation
@@ -90,6 +91,7 @@
 
     clock: Clock
     dialect: GatewayDialect
+    measures: GatewayMeasures
     sender: Sender
     allowances: SharedAllowances
     budget: WindowedRetryBudget
@@ -110,7 +112,7 @@
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
         self._refuser = Refuser(parts.dialect)
-        self._log = logs.get_logger("gateway")
+        self._record = RequestRecord(parts.measures, parts.clock)
 
     async def handle(self, request: IngressRequest, reply: IngressReply) -> None:
         """Answer one request."""
@@ -118,23 +120,34 @@
         admitted = self._admit(request, reply, now)
         if isinstance(admitted, Refusal):
             request_id = self._parts.dialect.read_request(request.headers).request_id
-            self._log_refusal(request_id, admitted, "")
+            self._record.refused_at_once(request_id, admitted)
             await self._refuser.refuse(reply, request_id, admitted)
             return
         call = admitted
+        refusal: Refusal | None = None
+        left = True
+        try:
+            refusal = await self._serve(call)
+            left = False
+        finally:
+            self._record.ended(call, refusal, left=left)
+
+    async def _serve(self, call: Call) -> Refusal | None:
+        """Answer an admitted request; return the refusal that was its answer."""
+        now = call.arrived_at
         service = call.table.services.get(call.service)
         is_engine = service is not None and service.engine is not None
         way = self._parts.engines if is_engine else self._parts.services
         self._parts.budget.requested(call.service, now)
         refusal = await self._run(call, way)
         if refusal is None:
-            return
+            return None
         if not call.was_sent and call.organisation is not None:
             self._parts.allowances.give_back(
                 call.organisation, call.units, self._parts.clock.now()
             )
-        self._log_refusal(call.facts.request_id, refusal, ",".join(call.tried))
-        await self._refuser.refuse(reply, call.facts.request_id, refusal)
+        await self._refuser.refuse(call.reply, call.facts.request_id, refusal)
+        return refusal
 
     def _admit(
         self, request: IngressRequest, reply: IngressReply, now: float
@@ -206,6 +219,7 @@
                 break
             tried = await self._try(call, way, target, stream)
             call.tried.append(target.endpoint.id)
+            call.results.append(tried.result.value)
             if tried.result is TryResult.ANSWERED:
                 return None
             if tried.result is TryResult.FAILED:
@@ -245,7 +259,7 @@
                 passing,
                 stream,
                 holds_back_failure=holds_back,
-                on_first_event=lambda: way.first_event(call, target),
+                on_first_event=lambda: self._first_event(call, way, target),
             )
             result = tried.result
         finally:
@@ -253,6 +267,11 @@
         self._judge(call, target.endpoint, tried)
         return tried
 
+    def _first_event(self, call: Call, way: Way, target: Target) -> None:
+        if call.first_event_at is None:
+            call.first_event_at = self._parts.clock.now()
+        way.first_event(call, target)
+
     def _judge(self, call: Call, endpoint: ListedEndpoint, tried: Tried) -> None:
         now = self._parts.clock.now()
         result = tried.result
@@ -270,13 +289,7 @@
         if result in (TryResult.UNKNOWN, TryResult.BROKE_OFF):
             crashed = CrashedEndpoint(endpoint.id, str(endpoint.started))
             self._parts.suspects.crashed(call.fingerprint, crashed, now)
-        self._log.info(
-            "A try failed.",
-            request=call.facts.request_id,
-            endpoint=endpoint.id,
-            result=result.value,
-            detail=tried.detail,
-        )
+        self._record.try_failed(call, endpoint.id, tried)
 
     def _may_go_on(self, call: Call, tried: Tried, stream: StreamState) -> bool:
         now = self._parts.clock.now()
@@ -296,17 +309,6 @@
             stream.splitter.restart()
         return self._parts.budget.may_retry(call.service, self._parts.instances(), now)
 
-    def _log_refusal(self, request_id: str, refusal: Refusal, tried: str) -> None:
-        self._log.info(
-            "Refused.",
-            request=request_id,
-            code=refusal.code.code,
-            name=refusal.code.name,
-            detail=refusal.detail,
-            tried=tried,
-            come_back_s=refusal.come_back_after_s,
-        )
-
 
 def _refusal(
     code: ResultCode, detail: str, retry_after_s: float | None = None
--- a/src/chiveslip/gateway/ingress.py
+++ b/src/chiveslip/gateway/ingress.py
@@ -59,6 +59,12 @@
         self._closes = closes
         self._started = False
         self._ended = False
+        self._status = 0
+
+    @property
+    def status(self) -> int:
+        """Status that was written, or 0."""
+        return self._status
 
     @property
     def started(self) -> bool:
@@ -99,6 +105,7 @@
 
     def _start(self, status: int, headers: HTTPHeaders, body: bytes | None) -> None:
         self._started = True
+        self._status = status
         if self._closes:
             headers["Connection"] = "close"
         try:
--- /dev/null
+++ b/src/chiveslip/gateway/measures.py
@@ -0,0 +1,110 @@
+"""Counters and histograms of a gateway, by prometheus_client.
+
+Their meaning, unit and what to do about each stand in docs/operators/METRICS.md.
+"""
+
+from __future__ import annotations
+
+from typing import final
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+from prometheus_client import generate_latest
+
+# Upper bounds in seconds around the objectives of streams and short calls.
+_LATENCY_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0)
+_SHORT_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8)
+
+
+@final
+class GatewayMeasures:
+    """All measures of one gateway."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        registry = self._registry
+        self.answers = Counter(
+            "chiveslip_answers",
+            "Answers by route, status and result code; code 0 is an endpoint's own.",
+            ("route", "status", "code"),
+            registry=registry,
+        )
+        self.total = Histogram(
+            "chiveslip_answer_seconds",
+            "Time from a request's arrival to the end of its answer.",
+            ("route",),
+            buckets=_LATENCY_S,
+            registry=registry,
+        )
+        self.first_event = Histogram(
+            "chiveslip_first_event_seconds",
+            "Time from a request's arrival to the first part of its answer.",
+            ("route",),
+            buckets=_LATENCY_S,
+            registry=registry,
+        )
+        self.tries = Counter(
+            "chiveslip_tries",
+            "Tries at endpoints by service and result.",
+            ("service", "result"),
+            registry=registry,
+        )
+        self.load_wait = Histogram(
+            "chiveslip_load_wait_seconds",
+            "Time that requests waited for their adapter.",
+            buckets=_SHORT_S,
+            registry=registry,
+        )
+        self.estimate_error = Histogram(
+            "chiveslip_estimate_error_seconds",
+            "First event later than estimated, in seconds; earlier ones count as 0.",
+            buckets=_SHORT_S,
+            registry=registry,
+        )
+        self.orders = Counter(
+            "chiveslip_orders",
+            "Orders to engines by operation and answer.",
+            ("operation", "answer"),
+            registry=registry,
+        )
+        self.members = Gauge(
+            "chiveslip_members",
+            "Instances alive, this one included.",
+            registry=registry,
+        )
+        self.engines_ordered = Gauge(
+            "chiveslip_engines_ordered",
+            "Engines that this instance orders at.",
+            registry=registry,
+        )
+        self.configuration_version = Gauge(
+            "chiveslip_configuration_version",
+            "Version of the configuration in force; 0 before the first.",
+            registry=registry,
+        )
+        self.store_lost = Gauge(
+            "chiveslip_store_lost_seconds",
+            "Time since the store stopped answering; 0 while it answers.",
+            registry=registry,
+        )
+        self.endpoints = Gauge(
+            "chiveslip_endpoints",
+            "Endpoints that take new work, by service.",
+            ("service",),
+            registry=registry,
+        )
+        self.running = Gauge(
+            "chiveslip_requests_running", "Requests under way.", registry=registry
+        )
+        self.log_dropped = Gauge(
+            "chiveslip_log_lines_dropped",
+            "Log lines dropped since the start, by level.",
+            ("level",),
+            registry=registry,
+        )
+
+    def text(self) -> bytes:
+        """Return all measures in the text form."""
+        return generate_latest(self._registry)
--- a/src/chiveslip/gateway/ordering.py
+++ b/src/chiveslip/gateway/ordering.py
@@ -31,6 +31,7 @@
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.loads import LoadTimes
+from chiveslip.gateway.measures import GatewayMeasures
 from chiveslip.gateway.places import MOST_COMING
 from chiveslip.gateway.places import AdapterPlaces
 from chiveslip.gateway.routing import EngineLimits
@@ -124,7 +125,9 @@
         alive: Callable[[], list[str]],
         has_quorum: Callable[[], bool],
         clock: Clock,
+        measures: GatewayMeasures,
     ) -> None:
+        self._measures = measures
         self._instance = instance
         self._hold_off_s = lease_s + _AGREEMENT_S
         self._control = control
@@ -159,6 +162,11 @@
         if held is not None:
             held.usable_from = max(held.usable_from, at + self._hold_off_s)
 
+    @property
+    def engines(self) -> int:
+        """Number of engines that this instance orders at."""
+        return len(self._engines)
+
     def last_orders(self) -> list[tuple[str, float, int]]:
         """Return the engines ordered at within a lease: age in seconds and fence."""
         now = self._clock.now()
@@ -451,6 +459,8 @@
         order: EngineOrder,
         answer: OrderAnswer,
     ) -> None:
+        labels = (order.operation.value, answer.value)
+        self._measures.orders.labels(*labels).inc()
         if answer in (OrderAnswer.UNDER_WAY, OrderAnswer.HOLDS_ALREADY):
             self._log.info(
                 "Order accepted.",
--- a/src/chiveslip/platform/main.py
+++ b/src/chiveslip/platform/main.py
@@ -68,7 +68,7 @@
             print(fault, file=sys.stderr)
         sys.exit(_EXIT_FAULTY_SETTINGS)
     settings = loaded.unwrap()
-    logs.configure(settings.logs.form, settings.logs.level)
+    logs.configure(settings.logs.form, settings.logs.level, to_standard_output=True)
     sys.exit(asyncio.run(_run(settings, path)))
 
 
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -29,6 +29,7 @@
 from chiveslip.gateway.forwarding import GatewayParts
 from chiveslip.gateway.health import EndpointHealth
 from chiveslip.gateway.ingress import IngressRequest
+from chiveslip.gateway.measures import GatewayMeasures
 from chiveslip.gateway.retries import WindowedRetryBudget
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import Repeat
@@ -258,6 +259,7 @@
             GatewayParts(
                 clock=clock,
                 dialect=dialect,
+                measures=GatewayMeasures(),
                 sender=Sender(connector, dialect, clock),
                 allowances=SharedAllowances(starts_full=True, news_s=0.25),
                 budget=WindowedRetryBudget(share=0.2, slack=50, window_s=10.0),
--- a/testing/gateway/test_ordering.py
+++ b/testing/gateway/test_ordering.py
@@ -20,6 +20,7 @@
 from chiveslip.gateway.engine_control import OrderAnswer
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.loads import LoadTimes
+from chiveslip.gateway.measures import GatewayMeasures
 from chiveslip.gateway.ordering import LoadOutcome
 from chiveslip.gateway.ordering import Orderer
 from chiveslip.gateway.routing import EngineLimits
@@ -138,6 +139,7 @@
             alive=lambda: alive,
             has_quorum=lambda: quorum[0],
             clock=clock,
+            measures=GatewayMeasures(),
         )
         return Fleet(orderer, engine, clock, alive, quorum, view)
 
