Hold off from orders only where another instance may still give them

Change: the estimate grows with the fetches under way and little with lateness; an instance waits from the last order that peers told, or from the loss of a peer that said nothing. Without a quorum an instance says that it is not ready.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -120,6 +120,7 @@
             self._random,
             watch_s=settings.store.watch,
             pause_s=settings.store.pause,
+            gather_s=settings.store.gather,
         )
         self._catalogue = Catalogue(
             directory=directory,
@@ -136,7 +137,7 @@
             view=view,
             load_times=load_times,
             alive=lambda: self._membership.alive(clock.now()),
-            has_quorum=lambda: self._membership.has_quorum(clock.now()),
+            has_quorum=self._has_quorum,
             clock=clock,
             measures=self._measures,
         )
@@ -248,6 +249,7 @@
         began = self._clock.now()
         self._is_stopping = True
         self._membership.stopping = True
+        self._tasks.start(self._gossip.round())
         self._ingress.closing = True
         self._log.info("Stopping.", running=self._ingress.running)
         ends_at = began + self._settings.gateway.stop_grace - _STOP_MARGIN_S
@@ -272,8 +274,13 @@
             self._tasks.start(work())
             await asyncio.sleep(interval_s)
 
+    def _has_quorum(self) -> bool:
+        return self._membership.has_quorum(self._clock.now())
+
     async def _look(self) -> None:
         logs.flush()
+        # Callers of an instance that was cut off are better served by others.
+        self._ingress.closing = self._is_stopping or not self._has_quorum()
         self._catalogue.look()
         self._orderer.look(self._catalogue.engines())
         self._health.forget_others(self._directory.by_id)
@@ -298,5 +305,6 @@
         await reply.respond(200, headers, measures.text())
 
     async def _say_ready(self, request: IngressRequest, reply: IngressReply) -> None:
-        is_ready = self._catalogue.table is not None and not self._is_stopping
+        has_table = self._catalogue.table is not None
+        is_ready = has_table and not self._is_stopping and self._has_quorum()
         await reply.respond(200 if is_ready else 503, HTTPHeaders(), b"")
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -98,6 +98,8 @@
             news = _news(told)
             if news is not None:
                 parts.membership.heard(news, now)
+        if message.sender.stopping:
+            parts.orderer.heard_stop(peer)
         used = {use.organisation: use.tokens for use in message.allowance_uses}
         parts.allowances.heard(peer, message.sender.incarnation, used)
         uses = [
--- a/src/chiveslip/gateway/loads.py
+++ b/src/chiveslip/gateway/loads.py
@@ -14,9 +14,11 @@
 
 # Adapters whose copies an engine surely still has; engines keep more.
 _COPIES = 80
-_RAISE = 1.25
-_LOWER = 0.98
-_MOST_FACTOR = 4.0
+# An adapter that was not there in time makes the next estimates longer, by less than
+# what a crowded store costs, which is estimated by itself.
+_RAISE = 1.1
+_LOWER = 0.97
+_MOST_FACTOR = 1.6
 
 
 @final
@@ -40,12 +42,20 @@
         self._copies: dict[str, collections.OrderedDict[Adapter, None]] = {}
         self._fetches: list[float] = []
         self._factor = 1.0
+        self._share = 1.0
 
     @property
     def most_fetches(self) -> int:
         """Fetches over all engines that go at full speed."""
         return self._most_fetches
 
+    def orders_share(self, share: float) -> None:
+        """Note the part of all engines that this instance orders at.
+
+        Others fetch as much in proportion; the store's speed is shared by all.
+        """
+        self._share = share
+
     def has_copy(self, engine: str, adapter: Adapter) -> bool:
         """Return whether the engine surely has a copy of an adapter."""
         return adapter in self._copies.get(engine, ())
@@ -59,7 +69,9 @@
         """Return the time in seconds until an adapter ordered now is usable."""
         if adapter in self._copies.get(engine, ()):
             return self._reload_s * self._factor
-        return self._fetch_s * self._factor
+        under_way = sum(end > now for end in self._fetches) + 1
+        crowding = under_way / max(self._share * self._most_fetches, 1.0)
+        return self._fetch_s * max(crowding, 1.0) * self._factor
 
     def ordered(self, engine: str, adapter: Adapter, now: float) -> float:
         """Note an order, and return when the adapter is usable."""
--- a/src/chiveslip/gateway/ordering.py
+++ b/src/chiveslip/gateway/ordering.py
@@ -43,7 +43,6 @@
 _REPORT_INTERVAL_S = 1.0
 # A started instance has heard of the live ones after this long.
 _JOIN_S = 0.8
-_JUST_STARTED_S = 1.0
 _MOST_WAIT_S = 1.5
 _OVERLAP = 1.5
 # An order for a model is repeated after this long if its load did not begin.
@@ -138,6 +137,9 @@
         self._started_at = clock.now()
         self._last_orders: dict[str, tuple[float, int]] = {}
         self._peers_ordered_at: dict[str, float] = {}
+        self._was_alive: set[str] = set()
+        self._announced: set[str] = set()
+        self._lost_at = float("-inf")
         self._clock = clock
         self._engines: dict[str, _Engine] = {}
         self._fences: dict[str, int] = {}
@@ -181,9 +183,11 @@
         now = self._clock.now()
         if now - self._looked_at > _LONGEST_PAUSE_S:
             self._engines.clear()
+            self._lost_at = now
         self._looked_at = now
         self._all_engines = len(engines)
         alive = self._alive()
+        self._note_lost(alive, now)
         mine = {
             engine.id: (engine, limits)
             for engine, limits in engines
@@ -205,6 +209,19 @@
                 self._log.info("Orderer from now on.", engine=name, alive=len(alive))
                 continue
             held.listed, held.limits = listed, limits
+        self._load_times.orders_share(self._share())
+
+    def heard_stop(self, instance: str) -> None:
+        """Note that an instance said itself that it stops, and so gives no orders."""
+        self._announced.add(instance)
+
+    def _note_lost(self, alive: list[str], now: float) -> None:
+        """Note when an instance was lost that may still give orders unnoticed."""
+        present = set(alive)
+        if self._was_alive - present - self._announced:
+            self._lost_at = now
+        self._announced -= present
+        self._was_alive = present
 
     def _may_order(self, now: float) -> bool:
         return now >= self._started_at + _JOIN_S and self._has_quorum()
@@ -212,13 +229,10 @@
     def _usable_from(self, engine: str, now: float) -> float:
         """Return when no other instance's orders can come any more.
 
-        An instance that has just started took nothing over from a peer that may
-        still be at work unnoticed: peers have told it of their orders.
+        Peers tell their orders; only one that was lost since may have given more.
         """
-        if now <= self._started_at + _JOIN_S + _JUST_STARTED_S:
-            told_at = self._peers_ordered_at.get(engine, float("-inf"))
-            return max(now, told_at + self._hold_off_s)
-        return now + self._hold_off_s
+        told_at = self._peers_ordered_at.get(engine, float("-inf"))
+        return max(now, max(told_at, self._lost_at) + self._hold_off_s)
 
     async def read_reports(self) -> None:
         """Read the reports that are due."""
@@ -235,7 +249,7 @@
         now = self._clock.now()
         for held in list(self._engines.values()):
             model = self._missing_model(held)
-            if model is None or now < held.usable_from:
+            if model is None or not self._may_order_at(held):
                 continue
             if held.lock.locked() or now < held.model_ordered_at + _MODEL_LOAD_LOOK_S:
                 continue
@@ -293,7 +307,7 @@
     async def load(self, engine: str, adapter: Adapter, patience_s: float) -> Loaded:
         """Have an adapter usable at an engine, if it comes within `patience_s`."""
         held = self._engines.get(engine)
-        if held is None or self._clock.now() < held.usable_from:
+        if held is None or not self._may_order_at(held):
             return Loaded(outcome=LoadOutcome.NOT_HOME)
         known = self._known(held, adapter)
         if known is not None:
@@ -311,6 +325,15 @@
         finally:
             held.queued -= 1
 
+    def _may_order_at(self, held: _Engine) -> bool:
+        """Return whether this instance is the orderer at this very moment."""
+        name = held.listed.id
+        return (
+            self._clock.now() >= held.usable_from
+            and self._has_quorum()
+            and self.orderer_of(name) == self._instance
+        )
+
     def _expected_s(self, held: _Engine, adapter: Adapter) -> float:
         """Return in how many seconds an adapter ordered now would be usable."""
         now = self._clock.now()
@@ -359,7 +382,6 @@
             answer = await self._order(held, Operation.LOAD, adapter[0], adapter[1])
             if answer is not OrderAnswer.CONFLICT:
                 return answer
-            self._load_times.came_late()
             await asyncio.sleep(_CONFLICT_PAUSE_S)
             # A report is old, so it can only tell of too few orders.
             report_orders = await self._reported_orders(held)
@@ -407,8 +429,11 @@
         The store serves as many a second when more are under way, so the parts add
         up to more than it serves at full speed: none of it is left idle.
         """
-        share = len(self._engines) / max(self._all_engines, 1)
-        return max(math.ceil(self._load_times.most_fetches * _OVERLAP * share), 1)
+        most = self._load_times.most_fetches * _OVERLAP
+        return max(math.ceil(most * self._share()), 1)
+
+    def _share(self) -> float:
+        return len(self._engines) / max(self._all_engines, 1)
 
     async def _free_place(self, held: _Engine) -> bool:
         now = self._clock.now()
@@ -427,6 +452,8 @@
     async def _order(
         self, held: _Engine, operation: Operation, target: str, version: int = 0
     ) -> OrderAnswer | None:
+        if not self._may_order_at(held):
+            return None
         if held.fence == 0:
             held.fence = self._new_fence(held.listed.id)
         order = EngineOrder(
--- a/src/chiveslip/store/reader.py
+++ b/src/chiveslip/store/reader.py
@@ -24,6 +24,8 @@
         Longest time in seconds that one watch waits.
     pause_s
         Pause in seconds after a failed read.
+    gather_s
+        Pause in seconds after a change, so that the next read brings several.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         *,
         watch_s: float,
         pause_s: float,
+        gather_s: float,
     ) -> None:
         self._store = store
         self._mirror = mirror
@@ -42,6 +45,7 @@
         self._random = generator
         self._watch_s = watch_s
         self._pause_s = pause_s
+        self._gather_s = gather_s
         self._needs_all = True
         self._lost_at: float | None = clock.now()
         self._regained_at = float("-inf")
@@ -76,6 +80,9 @@
             return
         changes = await self._store.watch(self._mirror.revision, self._watch_s)
         self._mirror.apply(changes)
+        if changes.items:
+            # Endpoints change often; each change by itself would cost a read.
+            await asyncio.sleep(self._gather_s)
 
     def _answered(self) -> None:
         if self._lost_at is None:
--- a/testing/gateway/test_ordering.py
+++ b/testing/gateway/test_ordering.py
@@ -276,3 +276,60 @@
     asyncio.run(fleet.orderer.load_models())
     asyncio.run(fleet.orderer.load_models())
     assert [order.target for order in fleet.engine.given] == ["m"]
+
+
+def test_new_engine_gets_orders_at_once_while_nobody_was_lost(
+    fleet_of: FleetOf,
+) -> None:
+    fleet = fleet_of(FIRST)
+    for _ in range(40):
+        fleet.clock.advance(0.25)
+        fleet.orderer.look([])
+    fleet.look()
+    assert fleet.load() is LoadOutcome.USABLE
+
+
+@pytest.mark.parametrize(
+    ("last_order_age_s", "waits_s"),
+    [
+        pytest.param(None, 0.25, id="gave-no-orders"),
+        pytest.param(10.0, 0.25, id="gave-none-for-long"),
+        pytest.param(0.5, LEASE_S + 0.5, id="gave-one-just-now"),
+    ],
+)
+def test_successor_of_a_planned_stop_waits_from_the_last_order(
+    fleet_of: FleetOf, last_order_age_s: float | None, waits_s: float
+) -> None:
+    fleet = fleet_of(SECOND)
+    fleet.look_for(10.0)
+    fleet.orderer.heard_stop(FIRST)
+    if last_order_age_s is not None:
+        fleet.orderer.heard_order("engine", fence=1, age_s=last_order_age_s)
+    fleet.alive.remove(FIRST)
+    fleet.look_for(waits_s)
+    assert fleet.load() is LoadOutcome.USABLE
+
+
+def test_orderer_that_is_no_more_gives_no_order_before_its_next_look(
+    fleet_of: FleetOf,
+) -> None:
+    fleet = fleet_of(FIRST)
+    fleet.look_for(2.0)
+    fleet.alive.remove(FIRST)
+    assert fleet.load() is LoadOutcome.NOT_HOME
+    assert not fleet.engine.given
+
+
+def test_crowded_store_makes_estimates_longer() -> None:
+    times = LoadTimes(fetch_s=0.25, reload_s=0.025, most_fetches=8)
+    for index in range(16):
+        times.ordered("engine", (f"m/{index}", 1), 0.0)
+    assert times.expected_s("engine", ("m/x", 1), 0.0) == pytest.approx(0.25 * 17 / 8)
+    assert times.expected_s("engine", ("m/0", 1), 0.0) == pytest.approx(0.025)
+
+
+def test_late_loads_do_not_throttle_the_store_for_long() -> None:
+    times = LoadTimes(fetch_s=0.25, reload_s=0.025, most_fetches=8)
+    for _ in range(100):
+        times.came_late()
+    assert times.expected_s("engine", ("m/x", 1), 0.0) <= 0.25 * 2
