--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -30,6 +30,9 @@
 _STEP_PER_REQUEST_S = 0.0004
 # Cost of leaving the order of an adapter's engines by one place; a third of a fetch.
 _RANK_COST_S = 0.08
+# Each request of the batch has its prompt read between the tokens of the others, so a
+# stream of several hundred tokens on a fuller engine takes that much longer to end.
+_REQUEST_COST_S = 0.012
 # An engine whose places are all in use cannot take another adapter.
 _NO_PLACE_COST_S = 3.0
 # From this share of its slots on, an engine's pauses grow.
@@ -118,7 +121,8 @@
                 load = max(ready_at - now, 0.0)
         estimate = max(wait, load) + load / 10
         failing = self._health.failing_share(engine.id)
-        cost = estimate + crowded + rank * _RANK_COST_S + failing
+        fullness = self._view.requests(engine.id, now) * _REQUEST_COST_S
+        cost = estimate + fullness + crowded + rank * _RANK_COST_S + failing
         choice = Choice(engine=engine, wait_s=estimate, is_present=is_present)
         return cost, choice
 
