Start buckets full after a kill of all, and join sooner

Change: a started instance takes over the bucket levels of peers that ran before it; where nobody did, buckets are full. The window across the restart then holds rate x 8 + 2 x burst, below the bound of 1.25 x (rate x 8 + burst) + 11,000.

--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import final
@@ -61,8 +62,11 @@
         )
         for news in parts.membership.told(self._random, now):
             message.members.append(_member(news))
+        levels = parts.allowances.levels(now)
         for name, tokens in parts.allowances.used.items():
-            message.allowance_uses.add(organisation=name, tokens=tokens)
+            message.allowance_uses.add(
+                organisation=name, tokens=tokens, level=levels.get(name, math.inf)
+            )
         for use in parts.view.own_uses():
             message.engine_uses.add(
                 endpoint=use.engine,
@@ -100,6 +104,9 @@
                 parts.membership.heard(news, now)
         if message.sender.stopping:
             parts.orderer.heard_stop(peer)
+        if parts.membership.is_older(message.sender.heartbeat):
+            levels = {use.organisation: use.level for use in message.allowance_uses}
+            parts.allowances.started_among(levels, now)
         used = {use.organisation: use.tokens for use in message.allowance_uses}
         parts.allowances.heard(peer, message.sender.incarnation, used)
         uses = [
--- a/src/chiveslip/fleet/membership.py
+++ b/src/chiveslip/fleet/membership.py
@@ -20,6 +20,8 @@
 _REMEMBERED_S = 60.0
 # Members that fell silent longer ago are taken for dead rather than cut off.
 _MISSED_S = 10.0
+# An instance that beat no more often than this has just started.
+_YOUNG_BEATS = 8
 # Members told of in one message: as many as keep a message below one packet.
 _MOST_TOLD = 20
 
@@ -81,6 +83,10 @@
         """Number of this start."""
         return self._incarnation
 
+    def is_older(self, heartbeat: int) -> bool:
+        """Return whether a sender was running well before this instance."""
+        return self._heartbeat <= _YOUNG_BEATS < heartbeat - self._heartbeat
+
     def beat(self, now: float) -> None:
         """Raise the own heartbeat and forget members that are long gone."""
         self._heartbeat += 1
--- a/src/chiveslip/gateway/allowances.py
+++ b/src/chiveslip/gateway/allowances.py
@@ -40,18 +40,15 @@
 
     Parameters
     ----------
-    starts_full
-        Whether buckets start with their burst; after a restart in the middle of
-        traffic they start empty, since what was used before is not known.
     news_s
         Time in seconds between two messages of a peer.
     """
 
-    def __init__(self, *, starts_full: bool, news_s: float) -> None:
-        self._starts_full = starts_full
+    def __init__(self, *, news_s: float) -> None:
         self._news_s = news_s
         self._buckets: dict[str, _Bucket] = {}
         self._used: dict[str, float] = {}
+        self._told_levels: dict[str, tuple[float, float]] = {}
         self._told: dict[tuple[str, int], dict[str, float]] = {}
 
     @property
@@ -98,6 +95,27 @@
             bucket = self._bucket(organisation, now)
             bucket.level = min(bucket.level + units, bucket.burst)
 
+    def levels(self, now: float) -> dict[str, float]:
+        """Return what each bucket holds, for instances that have just started."""
+        return {
+            name: min(bucket.level + bucket.rate * (now - bucket.at), bucket.burst)
+            for name, bucket in self._buckets.items()
+        }
+
+    def started_among(self, levels: Mapping[str, float], now: float) -> None:
+        """Take over the buckets of a peer that was running before this instance.
+
+        Without such a peer nobody runs that knows what was used; then buckets are
+        full, and a window across the restart holds two bursts.
+        """
+        for name, level in levels.items():
+            known = self._told_levels.get(name)
+            if known is None or level < known[0]:
+                self._told_levels[name] = (level, now)
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.level = min(bucket.level, level)
+
     def heard(self, peer: str, incarnation: int, used: Mapping[str, float]) -> None:
         """Charge what a peer used since it last told.
 
@@ -127,8 +145,8 @@
         rate, burst = organisation.rate, max(organisation.burst, organisation.rate / 10)
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
-            level = burst if self._starts_full else 0.0
-            bucket = _Bucket(rate, burst, level, now)
+            level, at = self._told_levels.get(organisation.name, (burst, now))
+            bucket = _Bucket(rate, burst, level, at)
             self._buckets[organisation.name] = bucket
         bucket.level = min(bucket.level + bucket.rate * (now - bucket.at), bucket.burst)
         bucket.at = now
--- a/src/chiveslip/gateway/ordering.py
+++ b/src/chiveslip/gateway/ordering.py
@@ -42,7 +42,7 @@
 _LONGEST_PAUSE_S = 1.0
 _REPORT_INTERVAL_S = 1.0
 # A started instance has heard of the live ones after this long.
-_JOIN_S = 0.8
+_JOIN_S = 0.5
 _MOST_WAIT_S = 1.5
 _OVERLAP = 1.5
 # An order for a model is repeated after this long if its load did not begin.
--- a/testing/fleet/test_membership.py
+++ b/testing/fleet/test_membership.py
@@ -155,3 +155,20 @@
     for name in "bcdef":
         membership.heard(news(name, stopping=True), 0.0)
     assert membership.has_quorum(3.0)
+
+
+@pytest.mark.parametrize(
+    ("own_beats", "heartbeat", "is_older"),
+    [
+        pytest.param(1, 100, True, id="just-started-among-old"),
+        pytest.param(1, 2, False, id="all-just-started"),
+        pytest.param(50, 500, False, id="both-run-for-long"),
+    ],
+)
+def test_older_members_know_what_was_used(
+    own_beats: int, heartbeat: int, is_older: bool
+) -> None:
+    membership = member("a")
+    for _ in range(own_beats):
+        membership.beat(0.0)
+    assert membership.is_older(heartbeat) is is_older
