Add chiveslip explain and gateway-status

Cause: a person with the output of six processes had to join lines by hand. Change: explain tells the way and the cause of a request from any number of logs; gateway-status reads the metrics addresses.

--- a/src/chiveslip/cli/main.py
+++ b/src/chiveslip/cli/main.py
@@ -12,6 +12,8 @@
 from chiveslip.cli.configuration_commands import Diff
 from chiveslip.cli.configuration_commands import Publish
 from chiveslip.cli.configuration_commands import Render
+from chiveslip.cli.explain_commands import Explain
+from chiveslip.cli.explain_commands import GatewayStatus
 from chiveslip.cli.fleet_commands import ShowAudit
 from chiveslip.cli.fleet_commands import ShowStatus
 from chiveslip.cli.fleet_commands import ShowTrace
@@ -33,6 +35,8 @@
         Check
         | CheckSettings
         | Diff
+        | Explain
+        | GatewayStatus
         | MakeKey
         | Publish
         | Render
