Name the engine that a left request was at, and why none could take one

Cause: chiveslip explain said of a request whose caller left that it was never sent; tries were noted when they ended. A refusal for want of an engine named no reason. Change: a try is noted when it begins; the refusal lists what each engine's orderer said; a request that may ask an engine again is kept on the request itself, where it ends with it; sums of a peer's earlier starts are dropped.

--- a/src/chiveslip/gateway/allowances.py
+++ b/src/chiveslip/gateway/allowances.py
@@ -127,6 +127,8 @@
         """
         sender = (peer, incarnation)
         before = self._told.get(sender)
+        if before is None:
+            self.forget_peer(peer)
         self._told[sender] = dict(used)
         if before is None:
             return
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -22,6 +22,8 @@
         Local time in seconds at which its final answer is due.
     units
         Charged to the organisation's allowance.
+    ask_again
+        Endpoint that was not ready yet and may be asked once more, or empty.
     was_sent
         Whether a byte of it may have reached an endpoint that did not say that it
         did not run.
@@ -42,6 +44,7 @@
     tries: int = 0
     runs: int = 0
     tried: list[str] = attrs.field(factory=list)
+    ask_again: str = ""
     results: list[str] = attrs.field(factory=list)
     estimate_s: float | None = None
     load_wait_s: float = 0.0
--- a/src/chiveslip/gateway/engine_way.py
+++ b/src/chiveslip/gateway/engine_way.py
@@ -62,7 +62,6 @@
         self._versions = versions
         self._clock = clock
         self._placed: dict[Call, _Placed] = {}
-        self._same_again: dict[Call, str] = {}
 
     async def choose(self, call: Call) -> Target | Refusal:
         """Return the engine that answers soonest, its adapter being there."""
@@ -72,6 +71,7 @@
         prompt = float(call.facts.prompt_tokens or _DEFAULT_PROMPT_TOKENS)
         excluded = self._excluded(call)
         soonest_s: float | None = None
+        outcomes: list[str] = []
         for _ in range(_MOST_LOAD_REQUESTS):
             now = self._clock.now()
             choice = self._placement.choose(
@@ -91,6 +91,7 @@
             loaded = await self._have_adapter(choice.engine.id, adapter, left_s)
             if loaded.outcome is not LoadOutcome.USABLE:
                 excluded.add(choice.engine.id)
+                outcomes.append(f"{choice.engine.id} {loaded.outcome.value}")
                 if loaded.outcome is LoadOutcome.TOO_LATE:
                     soonest_s = min(soonest_s or loaded.after_s, loaded.after_s)
                 continue
@@ -107,7 +108,7 @@
             return _too_late(soonest_s)
         return Refusal(
             code=result_codes.LOAD_FAILED if excluded else result_codes.NO_ENDPOINT,
-            detail="No engine can take the request now.",
+            detail=f"No engine can take it: {', '.join(outcomes) or 'none is left'}.",
             retry_after_s=_RETRY_AFTER_S,
         )
 
@@ -139,12 +140,13 @@
             self._load_times.came_late()
             again = self._clock.now() + _LATE_LOAD_S
             self._view.becomes_ready(engine, placed.adapter, again)
-            self._same_again[call] = engine
+            call.ask_again = engine
 
     def _excluded(self, call: Call) -> set[str]:
         excluded = set(call.tried)
         # An engine that was only not ready yet may be asked again.
-        excluded.discard(self._same_again.pop(call, ""))
+        excluded.discard(call.ask_again)
+        call.ask_again = ""
         return excluded
 
     def _adapter(self, call: Call) -> Adapter | None:
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -218,7 +218,6 @@
             if isinstance(target, Refusal):
                 break
             tried = await self._try(call, way, target, stream)
-            call.tried.append(target.endpoint.id)
             call.results.append(tried.result.value)
             if tried.result is TryResult.ANSWERED:
                 return None
@@ -252,6 +251,7 @@
             and call.tries < _MOST_OFFERS
         )
         result: TryResult | None = None
+        call.tried.append(target.endpoint.id)
         way.begins(call, target)
         try:
             tried = await self._parts.sender.send(
--- a/testing/cli/test_explain.py
+++ b/testing/cli/test_explain.py
@@ -40,8 +40,7 @@
 def log(tmp_path: Path) -> Path:
     rows = [
         "   0.500 node-1 " + ended(10.5, "good"),
-        "   1.000 node-1 "
-        + refused(11, "limit", 1301, "trust is beyond its rate."),
+        "   1.000 node-1 " + refused(11, "limit", 1301, "trust is beyond its rate."),
         line(
             12, "gateway: Try failed.", request="lost", endpoint="i-2", result="unknown"
         ),
