Tell peers of an engine only once its report was read

Cause: a test of two gateways failed once in six runs; its lines show that an instance told the state of an engine it had just taken up, before its first report, as holding nothing. Peers passed the engine over until the next message.

Change: a state is told only from a report that was read.

--- a/src/chiveslip/gateway/ordering.py
+++ b/src/chiveslip/gateway/ordering.py
@@ -95,6 +95,7 @@
     waiting: int = 0
     cache_used: int = 0
     reported_at: float = float("-inf")
+    read_at: float = float("-inf")
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     queued: int = 0
 
@@ -301,7 +302,7 @@
                 age_s=0.0,
             )
             for name, engine in self._engines.items()
-            if engine.reported_at > now - 5 * _REPORT_INTERVAL_S
+            if engine.read_at > now - 5 * _REPORT_INTERVAL_S
         ]
 
     async def load(self, engine: str, adapter: Adapter, patience_s: float) -> Loaded:
@@ -543,6 +544,7 @@
             held.started = report.started
             held.places = AdapterPlaces()
             self._load_times.restarted(held.listed.id)
+        held.read_at = asked_at
         held.models = report.models
         held.places.reported(report, asked_at)
         if held.orders is None:
--- a/testing/gateway/test_ordering.py
+++ b/testing/gateway/test_ordering.py
@@ -333,3 +333,29 @@
     for _ in range(100):
         times.came_late()
     assert times.expected_s("engine", ("m/x", 1), 0.0) <= 0.25 * 2
+
+
+def test_nothing_is_told_of_an_engine_before_its_report_was_read(
+    fleet_of: FleetOf,
+) -> None:
+    """Peers took an engine that was just taken up for empty, and passed it over."""
+    fleet = fleet_of(FIRST)
+    fleet.look_for(0.25)
+    fleet.clock.advance(0.5)
+    reading = fleet.orderer.read_reports()
+    fleet.orderer.look([(ENGINE, LIMITS)])
+    assert fleet.orderer.states() == []
+    asyncio.run(reading)
+    asyncio.run(fleet.orderer.read_reports())
+    (state,) = fleet.orderer.states()
+    assert state.models == {"m"}
+
+
+def test_engine_without_a_report_is_not_told_of(fleet_of: FleetOf) -> None:
+    class Silent(FakeEngine):
+        async def report(self, engine: ListedEndpoint) -> EngineReport:
+            raise EngineControlError("no answer")
+
+    fleet = fleet_of(FIRST, Silent())
+    fleet.look_for(2.0)
+    assert fleet.orderer.states() == []
