--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -17,6 +17,7 @@
 
 NODES = 1000
 ENDPOINTS = 10_000
+ACCELERATORS = 80_000
 REQUESTS_PER_S = 76_000
 TOKENS_PER_S = 37_000_000
 ADAPTERS = 16_000
@@ -186,8 +187,10 @@
         "Points are of one machine with fakes of the transport; figures at 1,000",
         "nodes are extrapolated, none was run at that size.",
         "",
-        f"Size: {NODES:,} nodes, {ENDPOINTS:,} replicas, {REQUESTS_PER_S:,} requests",
-        f"and {TOKENS_PER_S:,} tokens a second, {ADAPTERS:,} adapters,",
+        f"Size: {NODES:,} nodes, {ENDPOINTS:,} replicas on {ACCELERATORS:,}",
+        "accelerators,",
+        f"{REQUESTS_PER_S:,} requests and {TOKENS_PER_S:,} tokens a second,",
+        f"{ADAPTERS:,} adapters,",
         f"{DATA_CENTRES} data centres, {CHANGES_PER_DAY:,} changes a day,",
         f"{FAILURES_PER_DAY} failures and {RESTARTS_PER_DAY:,} restarts a day.",
         f"Assumed: {ORGANISATIONS:,} organisations, of which a node serves",
