--- a/src/chiveslip/cli/request_story.py
+++ b/src/chiveslip/cli/request_story.py
@@ -13,7 +13,7 @@
 
 # Lines without the request's id that are told if they are this near to it.
 _NEAR_S = 5.0
-_STATE_PARTS = ("catalogue", "store", "orders", "daemon", "audit")
+_STATE_PARTS = ("catalogue", "store", "orders", "daemon", "audit", "fleet")
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -23,6 +23,7 @@
 from chiveslip.fleet.gossip import Gossip
 from chiveslip.fleet.gossip import GossipMessages
 from chiveslip.fleet.gossip import GossipParts
+from chiveslip.fleet.member_log import MemberLog
 from chiveslip.fleet.membership import Membership
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.catalogue import Catalogue
@@ -106,6 +107,7 @@
             incarnation=int(time.time() * 1000),
             silence_s=settings.fleet.silence,
         )
+        self._member_log = MemberLog(settings.instance.id)
         directory = EndpointDirectory()
         self._health = EndpointHealth()
         self._directory = directory
@@ -286,6 +288,8 @@
 
     async def _look(self) -> None:
         logs.flush()
+        alive = self._membership.alive(self._clock.now())
+        self._member_log.note(alive, has_quorum=self._has_quorum())
         # Callers of an instance that was cut off are better served by others.
         self._ingress.closing = self._is_stopping or not self._has_quorum()
         self._catalogue.look()
--- a/src/chiveslip/gateway/engine_view.py
+++ b/src/chiveslip/gateway/engine_view.py
@@ -125,14 +125,6 @@
         held.present.discard(adapter)
         held.ready_at.pop(adapter, None)
 
-    def holders(self, adapter: Adapter) -> set[str]:
-        """Return the engines at which an adapter is present or on its way."""
-        return {
-            name
-            for name, held in self._held.items()
-            if adapter in held.present or adapter in held.ready_at
-        }
-
     def begins(self, engine: str, adapter: Adapter | None, unread: float) -> None:
         """Note a request sent from here, with its prompt tokens to be read."""
         work = self._own.setdefault(engine, _Work())
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection
 from typing import final
 
@@ -145,8 +144,3 @@
         return engines
     by_id = {engine.id: engine for engine in engines}
     return [by_id[name] for name in hashing.rank(adapter[0], by_id)]
-
-
-def is_finite(value: float) -> bool:
-    """Return whether a time is known."""
-    return math.isfinite(value)
--- /dev/null
+++ b/testing/fleet/test_member_log.py
@@ -0,0 +1,31 @@
+"""Lost and regained peers have one line each."""
+
+from __future__ import annotations
+
+import pytest
+from structlog.testing import capture_logs
+
+from chiveslip.fleet.member_log import MemberLog
+
+
+@pytest.mark.parametrize(
+    ("steps", "lines"),
+    [
+        pytest.param([["a"]], [], id="alone"),
+        pytest.param([["a", "b"]], [("Peer alive.", "b")], id="heard"),
+        pytest.param([["a", "b"], ["a", "b"]], [("Peer alive.", "b")], id="no-change"),
+        pytest.param(
+            [["a", "b"], ["a"], ["a", "b"]],
+            [("Peer alive.", "b"), ("Peer lost.", "b"), ("Peer alive.", "b")],
+            id="lost-and-regained",
+        ),
+    ],
+)
+def test_each_change_has_one_line(
+    steps: list[list[str]], lines: list[tuple[str, str]]
+) -> None:
+    with capture_logs() as captured:
+        log = MemberLog("a")
+        for alive in steps:
+            log.note(alive, has_quorum=True)
+    assert [(line["event"], line["peer"]) for line in captured] == lines
