--- a/testing/fleet/test_member_log.py
+++ b/testing/fleet/test_member_log.py
@@ -2,12 +2,23 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 import pytest
 from structlog.testing import capture_logs
 
+from chiveslip import logs
 from chiveslip.fleet.member_log import MemberLog
 
 
+@pytest.fixture(autouse=True)
+def all_lines() -> Iterator[None]:
+    """Let lines of all levels through, as a daemon does."""
+    logs.configure("console", "info")
+    yield
+    logs.configure("console", "error")
+
+
 @pytest.mark.parametrize(
     ("steps", "lines"),
     [
