--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -22,6 +22,7 @@
 from chiveslip.gateway.dialect import GatewayDialect
 from chiveslip.gateway.dialect import Passing
 from chiveslip.gateway.endpoints import ListedEndpoint
+from chiveslip.gateway.event_stream import EventSplitter
 from chiveslip.gateway.health import EndpointHealth
 from chiveslip.gateway.ingress import IngressReply
 from chiveslip.gateway.ingress import IngressRequest
@@ -40,10 +41,10 @@
 from chiveslip.results import Refusal
 from chiveslip.results import ResultCode
 
-# Endpoints that a request is offered to, those included that did not run it.
+# Most endpoints that a request is offered to, counting those that did not run it. A
+# fourth refusal in a row means that the service is full.
 _MOST_OFFERS = 4
-# A caller that names no deadline gets the route's timeout; one without a route's
-# timeout does not exist.
+# A request with less time left than a round trip to an endpoint is not sent again.
 _LEAST_LEFT_S = 0.005
 # Another instance can take the request at once.
 _ELSEWHERE_RETRY_S = 0.05
@@ -210,8 +211,7 @@
         Refusal or None
             The answer to give where no endpoint's answer went to the caller.
         """
-        stream = StreamState()
-        stream.splitter = type(stream.splitter)(call.facts.last_event)
+        stream = StreamState(splitter=EventSplitter(call.facts.last_event))
         kept: Tried | None = None
         while True:
             target = await way.choose(call)
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -21,10 +21,10 @@
 from chiveslip.gateway.loads import LoadTimes
 from chiveslip.gateway.routing import EngineLimits
 
-# Prompt tokens that an engine reads in a second, until its own pace is known.
+# Prompt tokens that an engine reads in a second; the users' engines read 19.1 a ms.
 READ_TOKENS_PER_S = 19_000.0
-# Each request in the batch makes a step longer by this share of a step, and the
-# first token waits for a step.
+# The first token waits for a step: 8.87 ms alone on the users' engines, and longer by
+# each request of the batch, reads of prompts between them included.
 _STEP_S = 0.009
 _STEP_PER_REQUEST_S = 0.0004
 # Cost of leaving the order of an adapter's engines by one place; a third of a fetch.
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -69,7 +69,7 @@
 class StreamState:
     """What of a stream went to the caller so far, over all its tries."""
 
-    splitter: EventSplitter = attrs.field(factory=EventSplitter)
+    splitter: EventSplitter
     has_head: bool = False
 
 
