Count what other instances loaded, look again after a wait, suspect real crashes only

Change: a conflict reads the whole report in; the engine is looked up again after a wait; a request is a suspect only if its endpoint takes no new connection afterwards, three endpoints block it, and a success clears it.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,3 @@
+"""A randomized soak of real gateway processes under faults from outside."""
+
+from __future__ import annotations
--- /dev/null
+++ b/soak/gateways.py
@@ -0,0 +1,75 @@
+"""Gateway processes that the soak starts, stops, freezes and kills by their ids."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import final
+
+import attrs
+
+_SETTINGS = """\
+instance: {{id: {name}, data_centre: glasgow}}
+listen:
+  callers: "127.0.0.1:{callers}"
+  readiness: "127.0.0.1:{readiness}"
+  peers: "127.0.0.1:{peers}"
+  metrics: "127.0.0.1:{metrics}"
+fleet: {{seeds: "{seeds}"}}
+store: {{address: "127.0.0.1:{store}"}}
+gateway: {{order_lease: "1 s", adapter_load: "20 ms", stop_grace: "4 s"}}
+stop: {{notice: "500 ms"}}
+"""
+
+
+@attrs.frozen(kw_only=True)
+class Ports:
+    """Ports of one gateway."""
+
+    callers: int
+    readiness: int
+    peers: int
+    metrics: int
+
+
+@final
+class GatewayProcess:
+    """One gateway as a process of its own."""
+
+    def __init__(
+        self, name: str, ports: Ports, seeds: str, store: int, folder: Path
+    ) -> None:
+        self.name = name
+        self.ports = ports
+        self._settings = folder / f"{name}.yaml"
+        self._log = folder / f"{name}.log"
+        self._process: subprocess.Popen[bytes] | None = None
+        self._settings.write_text(
+            _SETTINGS.format(name=name, seeds=seeds, store=store, **attrs.asdict(ports))
+        )
+
+    def start(self) -> None:
+        """Start the process, unless it runs."""
+        if self._process is not None and self._process.poll() is None:
+            return
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "chiveslip.platform.main"],
+                env=os.environ | {"CHIVESLIP_BOOT": str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if the process runs."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -55,6 +55,9 @@
 
 # Time before the kill that follows a stop, for the last bytes to leave.
 _STOP_MARGIN_S = 0.5
+# Endpoints that one request may take down; with fewer, two endpoints that go down by
+# chance while they run the same poll would block it.
+_MOST_CRASHES = 3
 # Ends of running requests are looked for this often while stopping.
 _STOP_LOOK_S = 0.05
 # In the first second peers are spoken with more often, so that a fleet whose
@@ -148,7 +151,7 @@
             measures=self._measures,
         )
         allowances = SharedAllowances(news_s=settings.fleet.gossip)
-        suspects = CrashSuspects()
+        suspects = CrashSuspects(_MOST_CRASHES)
         parts = GossipParts(
             membership=self._membership,
             allowances=allowances,
--- a/src/chiveslip/dispatch/suspects.py
+++ b/src/chiveslip/dispatch/suspects.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import final
 
 import attrs
@@ -30,9 +31,17 @@
 
 @final
 class CrashSuspects:
-    """Fingerprints of suspect requests, with the endpoints that broke off."""
+    """Fingerprints of suspect requests, with the endpoints that broke off.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    most_crashes
+        Endpoints that a request may take down before it is blocked.
+    """
+
+    def __init__(self, most_crashes: int = MOST_CRASHES) -> None:
+        self._most_crashes = most_crashes
+        self._cleared: dict[str, float] = {}
         self._suspects: dict[str, dict[str, float]] = {}
 
     def crashed(self, fingerprint: str, endpoint: CrashedEndpoint, now: float) -> None:
@@ -48,18 +57,29 @@
             Time of the crash on the local clock, so that news that go round grow
             old.
         """
-        if now >= at + MEMORY_S:
+        if now >= at + MEMORY_S or at <= self._cleared.get(fingerprint, -math.inf):
             return
         crashes = self._suspects.setdefault(fingerprint, {})
         crashes.setdefault(endpoint, at)
         while len(self._suspects) > _MOST_SUSPECTS:
             del self._suspects[next(iter(self._suspects))]
 
+    def succeeded(self, fingerprint: str, now: float) -> None:
+        """Clear a suspect that an endpoint has run well.
+
+        A request that takes endpoints down takes each one down that runs it.
+        """
+        if self._suspects.pop(fingerprint, None) is None:
+            return
+        self._cleared[fingerprint] = now
+        for name in [n for n, at in self._cleared.items() if now >= at + MEMORY_S]:
+            del self._cleared[name]
+
     def is_blocked(self, fingerprint: str, now: float) -> bool:
         """Return whether the request must not run now."""
         crashes = self._suspects.get(fingerprint, {})
         recent = [at for at in crashes.values() if now < at + MEMORY_S]
-        return len(recent) >= MOST_CRASHES
+        return len(recent) >= self._most_crashes
 
     def known(self, now: float) -> dict[str, dict[str, float]]:
         """Return the time of each crash by fingerprint and endpoint, for peers."""
--- a/src/chiveslip/gateway/endpoints.py
+++ b/src/chiveslip/gateway/endpoints.py
@@ -64,6 +64,11 @@
         self._by_id.pop(endpoint, None)
         self._ready.clear()
 
+    def is_ready(self, endpoint: str) -> bool:
+        """Return whether an endpoint takes new work now."""
+        listed = self._by_id.get(endpoint)
+        return listed is not None and listed.state is EndpointState.READY
+
     def ready(self, service: str) -> list[ListedEndpoint]:
         """Return the endpoints of `service` that take new work, in a fixed order."""
         found = self._ready.get(service)
--- a/src/chiveslip/gateway/engine_way.py
+++ b/src/chiveslip/gateway/engine_way.py
@@ -101,6 +101,11 @@
             if loaded.after_s > 0:
                 await asyncio.sleep(loaded.after_s)
             call.load_wait_s += self._clock.now() - now
+            if not self._directory.is_ready(choice.engine.id):
+                # It began to leave, or was gone, while the request waited.
+                excluded.add(choice.engine.id)
+                outcomes.append(f"{choice.engine.id} leaves")
+                continue
             self._placed[call] = _Placed(adapter, prompt, loaded.after_s > 0)
             version = adapter[1] if adapter is not None and adapter[1] else None
             return Target(endpoint=choice.engine, version=version)
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 import random
 from collections.abc import Callable
 from typing import final
@@ -40,12 +41,15 @@
 from chiveslip.generated import result_codes
 from chiveslip.results import Refusal
 from chiveslip.results import ResultCode
+from chiveslip.tasks import TaskSet
 
 # Most endpoints that a request is offered to, counting those that did not run it. A
 # fourth refusal in a row means that the service is full.
 _MOST_OFFERS = 4
 # A request with less time left than a round trip to an endpoint is not sent again.
 _LEAST_LEFT_S = 0.005
+# A process that crashed closes its port within milliseconds of its connections.
+_CRASH_LOOK_S = 0.05
 # Another instance can take the request at once.
 _ELSEWHERE_RETRY_S = 0.05
 # What kept endpoints from taking a request (a load, a full queue) passes this soon.
@@ -113,6 +117,7 @@
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
         self._refuser = Refuser(parts.dialect)
+        self._tasks = TaskSet("gateway")
         self._record = RequestRecord(parts.measures, parts.clock)
 
     async def handle(self, request: IngressRequest, reply: IngressReply) -> None:
@@ -277,6 +282,7 @@
         result = tried.result
         if result is TryResult.ANSWERED:
             self._parts.health.succeeded(endpoint.id)
+            self._parts.suspects.succeeded(call.fingerprint, now)
             call.runs += 1
             return
         if result in (TryResult.NOT_RUN, TryResult.LACKS_ADAPTER):
@@ -287,10 +293,23 @@
             return
         call.runs += 1
         if result in (TryResult.UNKNOWN, TryResult.BROKE_OFF):
-            crashed = CrashedEndpoint(endpoint.id, str(endpoint.started))
-            self._parts.suspects.crashed(call.fingerprint, crashed, now)
+            self._tasks.start(self._look_for_crash(call.fingerprint, endpoint))
         self._record.try_failed(call, endpoint.id, tried)
 
+    async def _look_for_crash(self, fingerprint: str, endpoint: ListedEndpoint) -> None:
+        """Suspect a request only if its endpoint went down, not a connection alone."""
+        await asyncio.sleep(_CRASH_LOOK_S)
+        if await self._parts.sender.is_reachable(endpoint):
+            return
+        crashed = CrashedEndpoint(endpoint.id, str(endpoint.started))
+        now = self._parts.clock.now()
+        self._parts.suspects.crashed(fingerprint, crashed, now)
+        self._record.suspected(fingerprint, endpoint.id)
+
+    async def join(self) -> None:
+        """Wait until all that runs in the background has ended."""
+        await self._tasks.join()
+
     def _may_go_on(self, call: Call, tried: Tried, stream: StreamState) -> bool:
         now = self._parts.clock.now()
         if call.tries >= _MOST_OFFERS or now + _LEAST_LEFT_S >= call.deadline:
--- a/src/chiveslip/gateway/ordering.py
+++ b/src/chiveslip/gateway/ordering.py
@@ -384,20 +384,12 @@
             if answer is not OrderAnswer.CONFLICT:
                 return answer
             await asyncio.sleep(_CONFLICT_PAUSE_S)
-            # A report is old, so it can only tell of too few orders.
-            report_orders = await self._reported_orders(held)
-            if held.orders is not None:
-                held.orders = max(held.orders, report_orders)
+            # Another instance may have given orders: what these brought takes places.
+            await self._read_report(held)
+            if len(held.places) > held.limits.adapter_places:
+                return answer
         return answer
 
-    async def _reported_orders(self, held: _Engine) -> int:
-        try:
-            report = await self._control.report(held.listed)
-        except EngineControlError as error:
-            self._log.info("No report.", engine=held.listed.id, cause=str(error))
-            return 0
-        return report.orders if report.started == held.started else 0
-
     async def _wait_for_transit(self, held: _Engine, adapter: Adapter) -> bool:
         """Wait until another fetch may begin, at this engine and from here."""
         ends_at = self._clock.now() + _MOST_WAIT_S
@@ -542,13 +534,14 @@
             return
         if report.started != held.started:
             held.started = report.started
+            held.orders = None
             held.places = AdapterPlaces()
             self._load_times.restarted(held.listed.id)
         held.read_at = asked_at
         held.models = report.models
         held.places.reported(report, asked_at)
-        if held.orders is None:
-            held.orders = report.orders
+        # A report is old, so it can only tell of too few orders.
+        held.orders = max(held.orders or 0, report.orders)
         held.running = report.running
         held.waiting = report.waiting
         held.cache_used = report.cache_used
--- a/src/chiveslip/gateway/record.py
+++ b/src/chiveslip/gateway/record.py
@@ -55,6 +55,12 @@
             after_s=_rounded(self._clock.now() - call.arrived_at),
         )
 
+    def suspected(self, fingerprint: str, endpoint: str) -> None:
+        """Note that an endpoint went down while it ran a request."""
+        self._log.warning(
+            "Crash suspected.", fingerprint=fingerprint, endpoint=endpoint
+        )
+
     def ended(self, call: Call, refusal: Refusal | None, *, left: bool) -> None:
         """Note how an admitted request ended.
 
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -25,6 +25,7 @@
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.dialect import GatewayDialect
 from chiveslip.gateway.dialect import Passing
+from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
 from chiveslip.gateway.routing import Repeat
 
@@ -84,6 +85,15 @@
         self._dialect = dialect
         self._clock = clock
 
+    async def is_reachable(self, endpoint: ListedEndpoint) -> bool:
+        """Return whether a new connection to an endpoint comes about."""
+        try:
+            exchange = await self._connector.open(endpoint.address, fresh=True)
+        except ConnectError:
+            return False
+        exchange.close()
+        return True
+
     async def send(
         self,
         call: Call,
--- a/testing/gateway/test_ordering.py
+++ b/testing/gateway/test_ordering.py
@@ -253,6 +253,20 @@
     assert len(fleet.engine.adapters) == PLACES
 
 
+def test_adapters_that_another_instance_loaded_meanwhile_take_places(
+    fleet_of: FleetOf,
+) -> None:
+    """The report that tells of more orders tells of their adapters too."""
+    fleet = fleet_of(FIRST)
+    fleet.look_for(2.0)
+    fleet.engine.adapters = {("m/x", 1), ("m/y", 1), ("m/z", 1)}
+    fleet.engine.orders = 3
+    assert fleet.load("m/a") is not LoadOutcome.USABLE
+    fleet.look_for(2.0)
+    assert fleet.load("m/a") is LoadOutcome.USABLE
+    assert len(fleet.engine.adapters) == PLACES
+
+
 def test_order_without_an_answer_keeps_its_place(fleet_of: FleetOf) -> None:
     """It may have been accepted, so the engine may be fuller than it says."""
     fleet = fleet_of(FIRST)
