--- a/src/chiveslip/idempotency/claim.py
+++ b/src/chiveslip/idempotency/claim.py
@@ -36,13 +36,24 @@
 
     Attributes
     ----------
+    earlier
+        Whether the view has ended. A claim made under it holds at most of the
+        replicas, so enough of them must answer to meet every such claim. In the
+        present view the claim itself must hold at most of them.
     moved_on
         Replicas whose records are known in a later view, which is asked as well.
     """
 
     replicas: tuple[str, ...]
+    earlier: bool = False
     moved_on: frozenset[str] = frozenset()
 
+    @property
+    def needed(self) -> int:
+        """Replicas that must accept the claim."""
+        most = len(self.replicas) // 2 + 1
+        return len(self.replicas) - most + 1 if self.earlier else most
+
 
 ClaimResult = Result[Granted | Replayed, Refusal]
 
@@ -58,8 +69,7 @@
     answers
         What each replica said; None stands for no answer.
     quorums
-        The replicas in the present view and in each earlier one that counts. The
-        claim must hold at most of each.
+        The replicas in the present view and in each earlier one that counts.
     """
     known = [answer for answer in answers.values() if answer is not None]
     outcomes = [answer.outcome for answer in known]
@@ -98,7 +108,7 @@
         replica in quorum.moved_on or _accepted(answers.get(replica))
         for replica in quorum.replicas
     )
-    return accepted > len(quorum.replicas) // 2
+    return accepted >= quorum.needed
 
 
 def _accepted(answer: RememberAnswer | None) -> bool:
--- a/src/chiveslip/idempotency/claims.py
+++ b/src/chiveslip/idempotency/claims.py
@@ -117,6 +117,7 @@
         return [
             Quorum(
                 replicas=replicas.members,
+                earlier=replicas.revision > 0,
                 moved_on=frozenset(
                     member
                     for member in replicas.members
