Speak with a bounded number of peers in a large fleet

Sums of allowances reached direct peers only, so a large fleet would have let an organisation take many bursts. Work under way goes to an engine's orderer first, others go by the engine's report. Requests of a frequent adapter are spread over as many engines as they need, judged from the own share. Ruled out: samples of members without what the asker has (three times the bytes); a home for each organisation (16 calls a second of each instance).

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -226,7 +226,13 @@
             most_fetches=load.most_fetches,
         )
         health = EndpointHealth()
-        self._placement = Placement(self._view, health, self._times)
+        self._placement = Placement(
+            self._view,
+            health,
+            self._times,
+            instances=lambda: 1,
+            generator=random.Random(SEED),
+        )
         self._places = {name: AdapterPlaces() for name in engines}
         self._limits = EngineLimits(
             slots=64,
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -21,10 +21,13 @@
 from chiveslip.fleet.gateway_peers import GatewayPeers
 from chiveslip.fleet.gossip import GatewayPeerService
 from chiveslip.fleet.gossip import Gossip
-from chiveslip.fleet.gossip import GossipMessages
-from chiveslip.fleet.gossip import GossipParts
+from chiveslip.fleet.gossip_messages import GossipMessages
+from chiveslip.fleet.gossip_messages import GossipParts
 from chiveslip.fleet.member_log import MemberLog
 from chiveslip.fleet.membership import Membership
+from chiveslip.fleet.pace import Pace
+from chiveslip.fleet.pace import PaceSettings
+from chiveslip.fleet.pace import pace_of
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.catalogue import Catalogue
 from chiveslip.gateway.dialect import GatewayDialect
@@ -101,6 +104,14 @@
         self._tasks = TaskSet("daemon")
         self._is_stopping = False
         self._refuses_from = math.inf
+        self._pace_settings = PaceSettings(
+            interval_s=settings.fleet.gossip,
+            fan_out=settings.fleet.fan_out,
+            silence_s=settings.fleet.silence,
+            gather_s=settings.store.gather,
+            watch_s=settings.store.watch,
+        )
+        self._current_pace = pace_of(1, self._pace_settings)
         connector = ConnectionPool(clock, settings.services.connect)
         dialect = surroundings.dialect()
         self._membership = Membership(
@@ -108,13 +119,13 @@
             address=settings.listen.peers,
             # Peers need only that a later start has a larger number.
             incarnation=int(time.time() * 1000),
-            silence_s=settings.fleet.silence,
+            silence_s=lambda members: pace_of(members, self._pace_settings).silence_s,
         )
         self._member_log = MemberLog(settings.instance.id)
         directory = EndpointDirectory()
         self._health = EndpointHealth()
         self._directory = directory
-        view = EngineView()
+        view = EngineView(hears_all=lambda: not self._pace().relays)
         load_times = LoadTimes(
             fetch_s=settings.gateway.adapter_load,
             reload_s=settings.gateway.adapter_reload,
@@ -127,9 +138,9 @@
             self._mirror,
             clock,
             self._random,
-            watch_s=settings.store.watch,
+            watch_s=lambda: self._pace().watch_s,
             pause_s=settings.store.pause,
-            gather_s=settings.store.gather,
+            gather_s=lambda: self._pace().gather_s,
         )
         self._catalogue = Catalogue(
             directory=directory,
@@ -142,6 +153,7 @@
         self._orderer = Orderer(
             instance=settings.instance.id,
             lease_s=settings.gateway.order_lease,
+            spread_s=lambda: self._pace().spread_s,
             control=surroundings.engine_control(connector, clock),
             view=view,
             load_times=load_times,
@@ -150,7 +162,9 @@
             clock=clock,
             measures=self._measures,
         )
-        allowances = SharedAllowances(news_s=settings.fleet.gossip)
+        allowances = SharedAllowances(
+            pace=self._pace, instances=lambda: self._membership.size
+        )
         suspects = CrashSuspects(_MOST_CRASHES)
         parts = GossipParts(
             membership=self._membership,
@@ -159,6 +173,7 @@
             orderer=self._orderer,
             suspects=suspects,
             mirror=self._mirror,
+            pace=self._pace,
             clock=clock,
         )
         messages = GossipMessages(parts, self._random)
@@ -170,7 +185,6 @@
             parts=parts,
             peers=self._peers,
             seeds=settings.fleet.seeds,
-            fan_out=settings.fleet.fan_out,
             generator=self._random,
         )
         service = GatewayPeerService(messages, parts, self._mirror.changes_after)
@@ -199,7 +213,13 @@
                 engines=EngineWay(
                     directory=directory,
                     view=view,
-                    placement=Placement(view, self._health, load_times),
+                    placement=Placement(
+                        view,
+                        self._health,
+                        load_times,
+                        instances=lambda: self._membership.size,
+                        generator=self._random,
+                    ),
                     load_requests=load_requests,
                     load_times=load_times,
                     versions=self._catalogue.version_of,
@@ -278,14 +298,18 @@
         """Speak with peers and look after engines, more often at the start."""
         began = self._clock.now()
         while True:
+            self._current_pace = pace_of(self._membership.size, self._pace_settings)
             self._tasks.start(self._gossip.round())
             self._tasks.start(self._look())
             is_joining = self._clock.now() - began < _JOINING_S
-            interval_s = self._settings.fleet.gossip
+            interval_s = self._pace().interval_s
             await asyncio.sleep(
                 interval_s * _JOINING_PART if is_joining else interval_s
             )
 
+    def _pace(self) -> Pace:
+        return self._current_pace
+
     def _has_quorum(self) -> bool:
         return self._membership.has_quorum(self._clock.now())
 
--- a/src/chiveslip/fleet/gateway_peers.py
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -132,8 +132,5 @@
         config=ChannelConfiguration(
             _keepalive_time=_KEEPALIVE_S,
             _keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
-            _keepalive_permit_without_calls=True,
-            _http2_max_pings_without_data=0,
-            _http2_min_sent_ping_interval_without_data=_KEEPALIVE_S,
         ),
     )
--- a/src/chiveslip/fleet/membership.py
+++ b/src/chiveslip/fleet/membership.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from typing import final
 
@@ -59,16 +61,24 @@
     Parameters
     ----------
     silence_s
-        A member whose heartbeat has not risen for this time in seconds is gone.
+        Returns, for a number of members, the time in seconds after which one whose
+        heartbeat has not risen is gone.
     """
 
     def __init__(
-        self, *, instance: str, address: Address, incarnation: int, silence_s: float
+        self,
+        *,
+        instance: str,
+        address: Address,
+        incarnation: int,
+        silence_s: Callable[[int], float],
     ) -> None:
         self._instance = instance
         self._address = address
         self._incarnation = incarnation
-        self._silence_s = silence_s
+        self._silence_of = silence_s
+        self._silence_s = silence_s(1)
+        self._size = 1
         self._heartbeat = 0
         self._members: dict[str, _Member] = {}
         self.stopping = False
@@ -83,6 +93,20 @@
         """Number of this start."""
         return self._incarnation
 
+    @property
+    def remembered(self) -> Collection[str]:
+        """Names of all other members, also of those gone a short while ago."""
+        return self._members.keys()
+
+    @property
+    def size(self) -> int:
+        """Size of the fleet, this instance and those missed for a short time included.
+
+        A fleet that seems to shrink because news is late must not speak and judge
+        like a small one.
+        """
+        return self._size
+
     def is_older(self, heartbeat: int) -> bool:
         """Return whether a sender was running well before this instance."""
         return self._heartbeat <= _YOUNG_BEATS < heartbeat - self._heartbeat
@@ -93,6 +117,11 @@
         for name, member in list(self._members.items()):
             if now - member.heard_at > _REMEMBERED_S:
                 del self._members[name]
+        self._size = 1 + sum(
+            not member.news.stopping and now - member.heard_at <= _MISSED_S
+            for member in self._members.values()
+        )
+        self._silence_s = self._silence_of(self._size)
 
     def heard(self, news: MemberNews, now: float) -> None:
         """Take over news of a member, unless newer ones are known."""
--- a/src/chiveslip/gateway/allowances.py
+++ b/src/chiveslip/gateway/allowances.py
@@ -9,19 +9,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import final
 
 import attrs
 
+from chiveslip.fleet.pace import Pace
 from chiveslip.gateway.routing import Organisation
 
 # A request is worth waiting for this much of the bucket at most: a caller that
 # waits longer is better told when to come back.
 _SHORTEST_PAUSE_S = 0.1
-# Until peers have told what they used, one instance takes at most this share of
-# what a bucket held; six that did not hear of each other take three bursts then.
-_SHARE_BEFORE_NEWS = 0.5
+# Until peers have told what they used, all instances together take at most so many
+# times what a bucket held, and one of them at most half of it.
+_TIMES_BEFORE_NEWS = 4.0
+_MOST_BEFORE_NEWS = 0.5
 
 
 @attrs.define
@@ -40,12 +43,17 @@
 
     Parameters
     ----------
-    news_s
-        Time in seconds between two messages of a peer.
+    pace
+        Returns the pace at which peers learn what this instance used.
+    instances
+        Returns the number of instances.
     """
 
-    def __init__(self, *, news_s: float) -> None:
-        self._news_s = news_s
+    def __init__(
+        self, *, pace: Callable[[], Pace], instances: Callable[[], int]
+    ) -> None:
+        self._pace = pace
+        self._instances = instances
         self._buckets: dict[str, _Bucket] = {}
         self._used: dict[str, float] = {}
         self._told_levels: dict[str, tuple[float, float]] = {}
@@ -153,8 +161,10 @@
         bucket.level = min(bucket.level + bucket.rate * (now - bucket.at), bucket.burst)
         bucket.at = now
         if now >= bucket.slice_ends:
-            bucket.slice_ends = now + self._news_s
-            bucket.slice_left = bucket.level * _SHARE_BEFORE_NEWS
+            pace = self._pace()
+            bucket.slice_ends = now + max(pace.interval_s, pace.spread_s)
+            share = min(_TIMES_BEFORE_NEWS / self._instances(), _MOST_BEFORE_NEWS)
+            bucket.slice_left = (bucket.level + rate * pace.spread_s) * share
         if (bucket.rate, bucket.burst) != (rate, burst):
             bucket.rate, bucket.burst = rate, burst
             bucket.level = min(bucket.level, burst)
--- a/src/chiveslip/gateway/engine_view.py
+++ b/src/chiveslip/gateway/engine_view.py
@@ -3,10 +3,13 @@
 Three sources of different age are joined: the store's list (seconds), reports that
 the engine's orderer reads and tells (some hundred milliseconds), and what this
 instance and its peers have under way (own at once, others within a gossip interval).
+In a fleet where not every peer speaks with this instance, the reports stand for what
+others have under way.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import final
 
 import attrs
@@ -20,6 +23,9 @@
 # Adapters that were told to be present are not believed for longer than this
 # without news, and what peers have under way neither.
 _BELIEVED_S = 5.0
+# Prompt tokens still to be read of a request that an engine reports as waiting; the
+# mean prompt of the users' sheets.
+_WAITING_TOKENS = 1000.0
 
 
 @attrs.define
@@ -41,14 +47,27 @@
 
 @final
 class EngineView:
-    """Adapters and load of all engines, as believed here."""
+    """Adapters and load of all engines, as believed here.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    hears_all
+        Returns whether every peer tells this instance what it has under way.
+    """
+
+    def __init__(self, hears_all: Callable[[], bool] = lambda: True) -> None:
+        self._hears_all = hears_all
         self._held: dict[str, _Held] = {}
         self._own: dict[str, _Work] = {}
-        self._peers: dict[str, tuple[float, dict[str, EngineUseNews]]] = {}
+        self._peer_engines: dict[str, frozenset[str]] = {}
+        self._users: dict[str, dict[str, tuple[float, EngineUseNews]]] = {}
         self._reports: dict[str, tuple[float, EngineStateNews]] = {}
 
+    @property
+    def hears_all(self) -> bool:
+        """Whether every peer tells this instance what it has under way."""
+        return self._hears_all()
+
     def seen(
         self,
         engine: str,
@@ -77,11 +96,17 @@
 
     def peer_works(self, peer: str, uses: list[EngineUseNews], now: float) -> None:
         """Take over what a peer has under way."""
-        self._peers[peer] = (now, {use.engine: use for use in uses})
+        engines = frozenset(use.engine for use in uses)
+        for engine in self._peer_engines.get(peer, frozenset()) - engines:
+            self._users[engine].pop(peer, None)
+        self._peer_engines[peer] = engines
+        for use in uses:
+            self._users.setdefault(use.engine, {})[peer] = (now, use)
 
     def forget_peer(self, peer: str) -> None:
         """Drop what a peer had under way."""
-        self._peers.pop(peer, None)
+        for engine in self._peer_engines.pop(peer, frozenset()):
+            self._users[engine].pop(peer, None)
 
     def forget_engine(self, engine: str) -> None:
         """Drop all of an engine that is gone."""
@@ -167,13 +192,23 @@
         """Return the requests under way at an engine, from all instances."""
         own = self._own.get(engine)
         count = 0 if own is None else own.requests
-        return count + sum(use.requests for use in self._peer_uses(engine, now))
+        if self._hears_all():
+            return count + sum(use.requests for use in self._peer_uses(engine, now))
+        report = self._report(engine, now)
+        if report is None:
+            return count
+        # Own requests are in the report, but for those of the last moment.
+        return max(count, report.running + report.waiting)
 
     def unread_tokens(self, engine: str, now: float) -> float:
         """Return the prompt tokens still to be read there, from all instances."""
         own = self._own.get(engine)
         tokens = 0.0 if own is None else own.unread_tokens
-        return tokens + sum(use.unread_tokens for use in self._peer_uses(engine, now))
+        if self._hears_all():
+            uses = self._peer_uses(engine, now)
+            return tokens + sum(use.unread_tokens for use in uses)
+        report = self._report(engine, now)
+        return tokens + (0.0 if report is None else report.waiting * _WAITING_TOKENS)
 
     def adapters_in_use(self, engine: str, now: float) -> set[Adapter]:
         """Return the adapters that any instance has requests for there."""
@@ -183,9 +218,12 @@
             found |= use.adapters
         return found
 
+    def _report(self, engine: str, now: float) -> EngineStateNews | None:
+        at, report = self._reports.get(engine, (float("-inf"), None))
+        return report if now - at <= _BELIEVED_S else None
+
     def _peer_uses(self, engine: str, now: float) -> list[EngineUseNews]:
-        return [
-            uses[engine]
-            for at, uses in self._peers.values()
-            if engine in uses and now - at <= _BELIEVED_S
-        ]
+        users = self._users.get(engine)
+        if not users:
+            return []
+        return [use for at, use in users.values() if now - at <= _BELIEVED_S]
--- a/src/chiveslip/gateway/ordering.py
+++ b/src/chiveslip/gateway/ordering.py
@@ -108,6 +108,8 @@
     ----------
     lease_s
         Time in seconds that must pass between the orders of two instances.
+    spread_s
+        Returns the time in seconds in which all instances have the news of one.
     alive
         Names of the live instances, this one included.
     has_quorum
@@ -119,6 +121,7 @@
         *,
         instance: str,
         lease_s: float,
+        spread_s: Callable[[], float],
         control: EngineControl,
         view: EngineView,
         load_times: LoadTimes,
@@ -129,7 +132,8 @@
     ) -> None:
         self._measures = measures
         self._instance = instance
-        self._hold_off_s = lease_s + _AGREEMENT_S
+        self._lease_s = lease_s
+        self._spread_s = spread_s
         self._control = control
         self._view = view
         self._load_times = load_times
@@ -138,9 +142,12 @@
         self._started_at = clock.now()
         self._last_orders: dict[str, tuple[float, int]] = {}
         self._peers_ordered_at: dict[str, float] = {}
+        self._ranked_among: list[str] = []
+        self._first: dict[str, str] = {}
         self._was_alive: set[str] = set()
         self._announced: set[str] = set()
         self._lost_at = float("-inf")
+        self._changed_at = float("-inf")
         self._clock = clock
         self._engines: dict[str, _Engine] = {}
         self._fences: dict[str, int] = {}
@@ -150,10 +157,21 @@
         self._model_loads_at: float | None = None
         self._log = logs.get_logger("orders")
 
+    @property
+    def _hold_off_s(self) -> float:
+        return self._lease_s + max(_AGREEMENT_S, self._spread_s())
+
     def orderer_of(self, engine: str) -> str:
         """Return the instance that orders loads at an engine."""
         alive = self._alive()
-        return hashing.rank(engine, alive)[0] if alive else self._instance
+        if alive != self._ranked_among:
+            self._ranked_among = list(alive)
+            self._first.clear()
+        first = self._first.get(engine)
+        if first is None:
+            first = hashing.rank(engine, alive)[0] if alive else self._instance
+            self._first[engine] = first
+        return first
 
     def heard_order(self, engine: str, fence: int, age_s: float) -> None:
         """Note the last order of another instance."""
@@ -194,7 +212,7 @@
             for engine, limits in engines
             if self._may_order(now)
             and alive
-            and hashing.rank(engine.id, alive)[0] == self._instance
+            and self.orderer_of(engine.id) == self._instance
         }
         for name in [name for name in self._engines if name not in mine]:
             del self._engines[name]
@@ -217,23 +235,31 @@
         self._announced.add(instance)
 
     def _note_lost(self, alive: list[str], now: float) -> None:
-        """Note when an instance was lost that may still give orders unnoticed."""
+        """Note when who is alive changed, and when one was lost unannounced.
+
+        The latter may still give orders unnoticed.
+        """
         present = set(alive)
+        if present != self._was_alive:
+            self._changed_at = now
         if self._was_alive - present - self._announced:
             self._lost_at = now
         self._announced -= present
         self._was_alive = present
 
     def _may_order(self, now: float) -> bool:
-        return now >= self._started_at + _JOIN_S and self._has_quorum()
+        joined_at = self._started_at + max(_JOIN_S, self._spread_s())
+        return now >= joined_at and self._has_quorum()
 
     def _usable_from(self, engine: str, now: float) -> float:
         """Return when no other instance's orders can come any more.
 
-        Peers tell their orders; only one that was lost since may have given more.
+        Peers tell their orders, and until all have heard who is alive, the orderer
+        before goes on; one that was lost since may have given more.
         """
         told_at = self._peers_ordered_at.get(engine, float("-inf"))
-        return max(now, max(told_at, self._lost_at) + self._hold_off_s)
+        held_off_until = max(told_at, self._lost_at) + self._hold_off_s
+        return max(now, self._changed_at + self._spread_s(), held_off_until)
 
     async def read_reports(self) -> None:
         """Read the reports that are due."""
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -8,12 +8,16 @@
 
 from __future__ import annotations
 
+import math
+import random
+from collections.abc import Callable
 from collections.abc import Collection
 from typing import final
 
 import attrs
 
 from chiveslip import hashing
+from chiveslip.gateway.demand import AdapterDemand
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
@@ -34,6 +38,10 @@
 _REQUEST_COST_S = 0.012
 # An engine whose places are all in use cannot take another adapter.
 _NO_PLACE_COST_S = 3.0
+# Where the requests of an adapter are spread, an engine that costs this much more is
+# chosen e times as seldom, and beyond those needed as many again are held in reserve.
+_LIKELY_COST_S = 0.2
+_RESERVE = 2
 # From this share of its slots on, an engine's pauses grow.
 _FULL_SHARE = 0.9
 _FULL_COST_S = 1.0
@@ -61,8 +69,17 @@
     """Ranks engines by the estimated time to a request's first event."""
 
     def __init__(
-        self, view: EngineView, health: EndpointHealth, loads: LoadTimes
+        self,
+        view: EngineView,
+        health: EndpointHealth,
+        loads: LoadTimes,
+        *,
+        instances: Callable[[], int],
+        generator: random.Random,
     ) -> None:
+        self._instances = instances
+        self._demand = AdapterDemand()
+        self._random = generator
         self._view = view
         self._health = health
         self._loads = loads
@@ -88,12 +105,30 @@
         if not sound:
             return None
         ranks = _ranks(adapter, sound)
+        spread = self._spread(adapter, limits, now)
+        rank_cost = _RANK_COST_S / spread
         choices = [
-            self._judge(engine, limits, adapter, prompt_tokens, rank, now)
+            self._judge(engine, limits, adapter, prompt_tokens, rank * rank_cost, now)
             for rank, engine in enumerate(ranks)
         ]
-        best = min(choices, key=lambda pair: pair[0])
-        return best[1]
+        if spread == 1:
+            return min(choices, key=_cost)[1]
+        return self._one_of(choices[: spread * _RESERVE])
+
+    def _spread(self, adapter: Adapter | None, limits: EngineLimits, now: float) -> int:
+        """Return over how many engines the requests of an adapter are spread."""
+        if adapter is None or self._view.hears_all:
+            return 1
+        self._demand.note(adapter, now)
+        return self._demand.engines_for(
+            adapter, instances=self._instances(), slots=limits.slots, now=now
+        )
+
+    def _one_of(self, choices: list[tuple[float, Choice]]) -> Choice:
+        """Return one of several engines, one that costs little most likely."""
+        least = min(choices, key=_cost)[0]
+        weights = [math.exp((least - cost) / _LIKELY_COST_S) for cost, _ in choices]
+        return self._random.choices(choices, weights)[0][1]
 
     def _judge(
         self,
@@ -101,7 +136,7 @@
         limits: EngineLimits,
         adapter: Adapter | None,
         prompt_tokens: float,
-        rank: int,
+        rank_cost: float,
         now: float,
     ) -> tuple[float, Choice]:
         wait = self.wait_s(engine.id, limits, prompt_tokens, now)
@@ -121,7 +156,7 @@
         estimate = max(wait, load) + load / 10
         failing = self._health.failing_share(engine.id)
         fullness = self._view.requests(engine.id, now) * _REQUEST_COST_S
-        cost = estimate + fullness + crowded + rank * _RANK_COST_S + failing
+        cost = estimate + fullness + crowded + rank_cost + failing
         choice = Choice(engine=engine, wait_s=estimate, is_present=is_present)
         return cost, choice
 
@@ -144,3 +179,7 @@
         return engines
     by_id = {engine.id: engine for engine in engines}
     return [by_id[name] for name in hashing.rank(adapter[0], by_id)]
+
+
+def _cost(choice: tuple[float, Choice]) -> float:
+    return choice[0]
--- a/src/chiveslip/store/reader.py
+++ b/src/chiveslip/store/reader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import final
 
 from chiveslip import logs
@@ -21,11 +22,12 @@
     Parameters
     ----------
     watch_s
-        Longest time in seconds that one watch waits.
+        Returns the longest time in seconds that one watch waits.
     pause_s
         Pause in seconds after a failed read.
     gather_s
-        Pause in seconds after a change, so that the next read brings several.
+        Returns the pause in seconds after a change, so that the next read brings
+        several.
     """
 
     def __init__(
@@ -35,9 +37,9 @@
         clock: Clock,
         generator: random.Random,
         *,
-        watch_s: float,
+        watch_s: Callable[[], float],
         pause_s: float,
-        gather_s: float,
+        gather_s: Callable[[], float],
     ) -> None:
         self._store = store
         self._mirror = mirror
@@ -78,11 +80,11 @@
             self._mirror.replace(await self._store.read_all())
             self._needs_all = False
             return
-        changes = await self._store.watch(self._mirror.revision, self._watch_s)
+        changes = await self._store.watch(self._mirror.revision, self._watch_s())
         self._mirror.apply(changes)
         if changes.items:
             # Endpoints change often; each change by itself would cost a read.
-            await asyncio.sleep(self._gather_s)
+            await asyncio.sleep(self._gather_s())
 
     def _answered(self) -> None:
         if self._lost_at is None:
--- a/testing/fleet/test_membership.py
+++ b/testing/fleet/test_membership.py
@@ -23,7 +23,7 @@
         instance=name,
         address=address(name),
         incarnation=incarnation,
-        silence_s=SILENCE_S,
+        silence_s=lambda members: SILENCE_S,
     )
 
 
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -21,6 +21,8 @@
 from chiveslip.dispatch.connection import SilentError
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.engines.dialect import Outgoing
+from chiveslip.fleet.pace import PaceSettings
+from chiveslip.fleet.pace import pace_of
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import EndpointState
@@ -42,6 +44,9 @@
 from chiveslip.platform.dialect import PlatformDialect
 from chiveslip.settings.fields import Address
 
+PACE = PaceSettings(
+    interval_s=0.25, fan_out=6, silence_s=1.5, gather_s=0.35, watch_s=1.0
+)
 KEY = "secret-key-of-the-trust"
 TRUST = Organisation(
     name="trust",
@@ -266,7 +271,9 @@
                 dialect=dialect,
                 measures=GatewayMeasures(),
                 sender=Sender(connector, dialect, clock),
-                allowances=SharedAllowances(news_s=0.25),
+                allowances=SharedAllowances(
+                    pace=lambda: pace_of(1, PACE), instances=lambda: 1
+                ),
                 budget=WindowedRetryBudget(share=0.2, slack=50, window_s=10.0),
                 health=health,
                 suspects=suspects,
--- a/testing/gateway/test_engine_way.py
+++ b/testing/gateway/test_engine_way.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
 import attrs
@@ -129,7 +130,13 @@
     made.way = EngineWay(
         directory=directory,
         view=view,
-        placement=Placement(view, EndpointHealth(), times),
+        placement=Placement(
+            view,
+            EndpointHealth(),
+            times,
+            instances=lambda: 6,
+            generator=random.Random(1),
+        ),
         load_requests=made,  # type: ignore[arg-type]
         load_times=times,
         versions=lambda _: 1,
--- a/testing/gateway/test_ordering.py
+++ b/testing/gateway/test_ordering.py
@@ -107,6 +107,7 @@
     clock: ManualClock
     alive: list[str]
     quorum: list[bool]
+    spread: list[float]
     view: EngineView
 
     def look(self) -> None:
@@ -128,11 +129,12 @@
     def build(instance: str, engine: FakeEngine | None = None) -> Fleet:
         clock = ManualClock()
         engine = engine or FakeEngine()
-        alive, quorum = list(ALL), [True]
+        alive, quorum, spread = list(ALL), [True], [0.0]
         view = EngineView()
         orderer = Orderer(
             instance=instance,
             lease_s=LEASE_S,
+            spread_s=lambda: spread[0],
             control=engine,
             view=view,
             load_times=LoadTimes(fetch_s=0.02, reload_s=0.01, most_fetches=8),
@@ -141,7 +143,7 @@
             clock=clock,
             measures=GatewayMeasures(),
         )
-        return Fleet(orderer, engine, clock, alive, quorum, view)
+        return Fleet(orderer, engine, clock, alive, quorum, spread, view)
 
     return build
 
@@ -303,6 +305,30 @@
     assert fleet.load() is LoadOutcome.USABLE
 
 
+def test_newcomer_of_a_large_fleet_waits_until_all_know_of_it(
+    fleet_of: FleetOf,
+) -> None:
+    fleet = fleet_of(FIRST)
+    fleet.spread[0] = 2.5
+    fleet.look_for(2.25)
+    assert fleet.load() is LoadOutcome.NOT_HOME
+    fleet.look_for(1.0)
+    assert fleet.load() is LoadOutcome.USABLE
+
+
+def test_successor_in_a_large_fleet_waits_longer_than_news_takes(
+    fleet_of: FleetOf,
+) -> None:
+    fleet = fleet_of(SECOND)
+    fleet.spread[0] = 2.5
+    fleet.look_for(10.0)
+    fleet.alive.remove(FIRST)
+    fleet.look_for(LEASE_S + 2.25)
+    assert fleet.load() is LoadOutcome.NOT_HOME
+    fleet.look_for(1.0)
+    assert fleet.load() is LoadOutcome.USABLE
+
+
 @pytest.mark.parametrize(
     ("last_order_age_s", "waits_s"),
     [
