Split the orderer, and tell a blocked request when to come back

A request refused as a crash suspect got no Retry-After, so its caller could only guess. Change: order_rights (who, from when, with which fence), model_loads (base models within their rate), ordering (the orders). A suspect is told when it is no longer blocked.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -44,6 +44,7 @@
 from chiveslip.gateway.load_requests import LoadRequests
 from chiveslip.gateway.loads import LoadTimes
 from chiveslip.gateway.measures import GatewayMeasures
+from chiveslip.gateway.order_rights import OrderRights
 from chiveslip.gateway.ordering import Orderer
 from chiveslip.gateway.placement import Placement
 from chiveslip.gateway.retries import WindowedRetryBudget
@@ -150,15 +151,19 @@
             regained_at=lambda: self._reader.regained_at,
         )
         self._mirror.listen(surroundings.listener(self._catalogue))
-        self._orderer = Orderer(
+        rights = OrderRights(
             instance=settings.instance.id,
             lease_s=settings.gateway.order_lease,
             spread_s=lambda: self._pace().spread_s,
+            alive=lambda: self._membership.alive(clock.now()),
+            has_quorum=self._has_quorum,
+            clock=clock,
+        )
+        self._orderer = Orderer(
+            rights=rights,
             control=surroundings.engine_control(connector, clock),
             view=view,
             load_times=load_times,
-            alive=lambda: self._membership.alive(clock.now()),
-            has_quorum=self._has_quorum,
             clock=clock,
             measures=self._measures,
         )
--- a/src/chiveslip/dispatch/engine_calls.py
+++ b/src/chiveslip/dispatch/engine_calls.py
@@ -155,9 +155,11 @@
         return hashing.content_hash(name.encode() + self._call.body)
 
     def _refuse_suspect(self, fingerprint: str) -> None:
-        if self._tools.suspects.is_blocked(fingerprint, self._tools.clock.now()):
+        now = self._tools.clock.now()
+        blocked_s = self._tools.suspects.blocked_for_s(fingerprint, now)
+        if blocked_s > 0:
             detail = "The same request took endpoints down; change it."
-            raise failed(result_codes.CRASH_SUSPECT, detail)
+            raise failed(result_codes.CRASH_SUSPECT, detail, blocked_s)
 
     async def _try_engines(
         self, adapter: Adapter, version: AdapterVersion, fingerprint: str
--- a/src/chiveslip/dispatch/suspects.py
+++ b/src/chiveslip/dispatch/suspects.py
@@ -77,9 +77,15 @@
 
     def is_blocked(self, fingerprint: str, now: float) -> bool:
         """Return whether the request must not run now."""
+        return self.blocked_for_s(fingerprint, now) > 0
+
+    def blocked_for_s(self, fingerprint: str, now: float) -> float:
+        """Return the time in seconds until the request may run again, or 0."""
         crashes = self._suspects.get(fingerprint, {})
-        recent = [at for at in crashes.values() if now < at + MEMORY_S]
-        return len(recent) >= self._most_crashes
+        newest = sorted(crashes.values(), reverse=True)[: self._most_crashes]
+        if len(newest) < self._most_crashes:
+            return 0.0
+        return max(newest[-1] + MEMORY_S - now, 0.0)
 
     def known(self, now: float) -> dict[str, dict[str, float]]:
         """Return the time of each crash by fingerprint and endpoint, for peers."""
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -69,7 +69,7 @@
         if len(reachable) <= asked:
             return [news.address for news in reachable.values()]
         used = [use.engine for use in parts.view.own_uses()]
-        orderers = {parts.orderer.orderer_of(engine) for engine in used}
+        orderers = {parts.orderer.rights.orderer_of(engine) for engine in used}
         told = sorted(orderers & reachable.keys())
         chosen = self._random.sample(told, min(len(told), asked - 1))
         others = sorted(reachable.keys() - set(chosen))
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -128,7 +128,7 @@
                 cache_used=state.cache_used,
                 age_seconds=state.age_s,
             )
-        for engine, age_s, fence in parts.orderer.last_orders():
+        for engine, age_s, fence in parts.orderer.rights.last_orders():
             message.last_orders.add(endpoint=engine, age_seconds=age_s, fence=fence)
         for fingerprint, crashes in parts.suspects.known(now).items():
             told = message.crash_suspects.add(fingerprint=fingerprint)
@@ -146,7 +146,7 @@
         parts = self._parts
         member = report.member
         if member.stopping:
-            parts.orderer.heard_stop(member.instance)
+            parts.orderer.rights.heard_stop(member.instance)
         used = {use.organisation: use.tokens for use in report.allowance_uses}
         parts.allowances.heard(member.instance, member.incarnation, used)
         for state in report.engine_states:
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -177,9 +177,12 @@
             if organisation is None:
                 return _refusal(result_codes.KEY_REFUSED, "The key is unknown.")
         fingerprint = _fingerprint(request, organisation)
-        if self._parts.suspects.is_blocked(fingerprint, now):
+        blocked_s = self._parts.suspects.blocked_for_s(fingerprint, now)
+        if blocked_s > 0:
             return _refusal(
-                result_codes.CRASH_SUSPECT, "This request took endpoints down."
+                result_codes.CRASH_SUSPECT,
+                "This request took endpoints down.",
+                blocked_s,
             )
         units = _units(facts.prompt_tokens, facts.output_tokens, organisation)
         if organisation is not None:
--- a/src/chiveslip/gateway/load_requests.py
+++ b/src/chiveslip/gateway/load_requests.py
@@ -53,7 +53,7 @@
         return Loaded(outcome=LoadOutcome.USABLE, after_s=max(after_s, 0.0))
 
     async def _ask(self, engine: str, adapter: Adapter, patience_s: float) -> Loaded:
-        orderer = self._orderer.orderer_of(engine)
+        orderer = self._orderer.rights.orderer_of(engine)
         if orderer == self._instance:
             loaded = await self._orderer.load(engine, adapter, patience_s)
         else:
--- a/src/chiveslip/gateway/ordering.py
+++ b/src/chiveslip/gateway/ordering.py
@@ -1,10 +1,8 @@
-"""Who orders loads at which engine, and the orders themselves.
+"""Orders to the engines that this instance orders at.
 
-Each engine has one orderer: the first live instance in its rendezvous order. An
-instance that becomes orderer holds off until the one before has surely stopped, and
-sends every order with a fencing number that no other instance can have and with the
-number of orders the engine must have accepted. Without an orderer, engines go on
-serving what they hold.
+Every order has a fencing number that no other instance can have and the number of
+orders that the engine must have accepted. Without an orderer, engines go on serving
+what they hold. Who orders where is decided in `order_rights`.
 """
 
 from __future__ import annotations
@@ -12,13 +10,10 @@
 import asyncio
 import enum
 import math
-import time
-from collections.abc import Callable
 from typing import final
 
 import attrs
 
-from chiveslip import hashing
 from chiveslip import logs
 from chiveslip.clock import Clock
 from chiveslip.fleet.gossip_news import EngineStateNews
@@ -32,34 +27,21 @@
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.loads import LoadTimes
 from chiveslip.gateway.measures import GatewayMeasures
+from chiveslip.gateway.model_loads import ModelLoads
+from chiveslip.gateway.model_loads import missing_model
+from chiveslip.gateway.order_rights import OrderRights
 from chiveslip.gateway.places import MOST_COMING
 from chiveslip.gateway.places import AdapterPlaces
 from chiveslip.gateway.routing import EngineLimits
 
-# Added to the lease: the time that members need to agree on who is alive.
-_AGREEMENT_S = 0.8
-# An own pause longer than this may have cost the orderer's role.
-_LONGEST_PAUSE_S = 1.0
 _REPORT_INTERVAL_S = 1.0
-# A started instance has heard of the live ones after this long.
-_JOIN_S = 0.5
 _MOST_WAIT_S = 1.5
 _OVERLAP = 1.5
 # An order for a model is repeated after this long if its load did not begin.
 _MODEL_LOAD_LOOK_S = 2.0
-# Window of the store's bound on loads of models, and the part of its rate that is
-# used beside one window's burst.
-_MODEL_WINDOW_S = 5.0
-_MODEL_RATE_PART = 0.7
 # An engine that has enough adapters on their way refuses more with a conflict.
 _MOST_CONFLICTS = 4
 _CONFLICT_PAUSE_S = 0.06
-# A fencing number is a term above and a part of its own for each instance below.
-_INSTANCE_BITS = 20
-# Terms follow the time of day in tenths of a second, so that they rise over a
-# restart of all instances; a lower one only costs a refusal.
-_TERM_S = 0.1
-_TERM_JUMP = 50
 
 
 class LoadOutcome(enum.Enum):
@@ -102,165 +84,73 @@
 
 @final
 class Orderer:
-    """Gives orders to the engines that this instance is responsible for.
-
-    Parameters
-    ----------
-    lease_s
-        Time in seconds that must pass between the orders of two instances.
-    spread_s
-        Returns the time in seconds in which all instances have the news of one.
-    alive
-        Names of the live instances, this one included.
-    has_quorum
-        Whether this instance hears most of the others; without, it gives no orders.
-    """
+    """Gives orders to the engines that this instance is responsible for."""
 
     def __init__(
         self,
         *,
-        instance: str,
-        lease_s: float,
-        spread_s: Callable[[], float],
+        rights: OrderRights,
         control: EngineControl,
         view: EngineView,
         load_times: LoadTimes,
-        alive: Callable[[], list[str]],
-        has_quorum: Callable[[], bool],
         clock: Clock,
         measures: GatewayMeasures,
     ) -> None:
-        self._measures = measures
-        self._instance = instance
-        self._lease_s = lease_s
-        self._spread_s = spread_s
+        self._rights = rights
         self._control = control
         self._view = view
         self._load_times = load_times
-        self._alive = alive
-        self._has_quorum = has_quorum
-        self._started_at = clock.now()
-        self._last_orders: dict[str, tuple[float, int]] = {}
-        self._peers_ordered_at: dict[str, float] = {}
-        self._ranked_among: list[str] = []
-        self._first: dict[str, str] = {}
-        self._was_alive: set[str] = set()
-        self._announced: set[str] = set()
-        self._lost_at = float("-inf")
-        self._changed_at = float("-inf")
         self._clock = clock
+        self._measures = measures
         self._engines: dict[str, _Engine] = {}
-        self._fences: dict[str, int] = {}
-        self._looked_at = clock.now()
         self._all_engines = 0
-        self._model_loads = 0.0
-        self._model_loads_at: float | None = None
+        self._model_loads = ModelLoads()
         self._log = logs.get_logger("orders")
 
     @property
-    def _hold_off_s(self) -> float:
-        return self._lease_s + max(_AGREEMENT_S, self._spread_s())
-
-    def orderer_of(self, engine: str) -> str:
-        """Return the instance that orders loads at an engine."""
-        alive = self._alive()
-        if alive != self._ranked_among:
-            self._ranked_among = list(alive)
-            self._first.clear()
-        first = self._first.get(engine)
-        if first is None:
-            first = hashing.rank(engine, alive)[0] if alive else self._instance
-            self._first[engine] = first
-        return first
+    def rights(self) -> OrderRights:
+        """Which instance orders where."""
+        return self._rights
 
     def heard_order(self, engine: str, fence: int, age_s: float) -> None:
         """Note the last order of another instance."""
-        self._fences[engine] = max(self._fences.get(engine, 0), fence)
-        at = self._clock.now() - age_s
-        known = self._peers_ordered_at.get(engine, float("-inf"))
-        self._peers_ordered_at[engine] = max(known, at)
+        at = self._rights.heard_order(engine, fence, age_s)
         held = self._engines.get(engine)
         if held is not None:
-            held.usable_from = max(held.usable_from, at + self._hold_off_s)
+            held.usable_from = max(held.usable_from, at + self._rights.hold_off_s)
 
     @property
     def engines(self) -> int:
         """Number of engines that this instance orders at."""
         return len(self._engines)
 
-    def last_orders(self) -> list[tuple[str, float, int]]:
-        """Return the engines ordered at within a lease: age in seconds and fence."""
-        now = self._clock.now()
-        return [
-            (engine, now - at, fence)
-            for engine, (at, fence) in self._last_orders.items()
-            if now - at <= self._hold_off_s
-        ]
-
     def look(self, engines: list[tuple[ListedEndpoint, EngineLimits]]) -> None:
         """Take up and lay down engines, by who is alive now."""
-        now = self._clock.now()
-        if now - self._looked_at > _LONGEST_PAUSE_S:
+        if self._rights.look():
             self._engines.clear()
-            self._lost_at = now
-        self._looked_at = now
         self._all_engines = len(engines)
-        alive = self._alive()
-        self._note_lost(alive, now)
+        alive = self._rights.live
         mine = {
             engine.id: (engine, limits)
             for engine, limits in engines
-            if self._may_order(now)
-            and alive
-            and self.orderer_of(engine.id) == self._instance
+            if self._rights.has_joined() and self._rights.is_own(engine.id)
         }
         for name in [name for name in self._engines if name not in mine]:
             del self._engines[name]
-            self._log.info("No longer orderer.", engine=name, alive=len(alive))
+            self._log.info("No longer orderer.", engine=name, alive=alive)
         for name, (listed, limits) in mine.items():
             held = self._engines.get(name)
             if held is None:
                 self._engines[name] = _Engine(
                     listed=listed,
                     limits=limits,
-                    usable_from=self._usable_from(name, now),
+                    usable_from=self._rights.usable_from(name),
                 )
-                self._log.info("Orderer from now on.", engine=name, alive=len(alive))
+                self._log.info("Orderer from now on.", engine=name, alive=alive)
                 continue
             held.listed, held.limits = listed, limits
         self._load_times.orders_share(self._share())
 
-    def heard_stop(self, instance: str) -> None:
-        """Note that an instance said itself that it stops, and so gives no orders."""
-        self._announced.add(instance)
-
-    def _note_lost(self, alive: list[str], now: float) -> None:
-        """Note when who is alive changed, and when one was lost unannounced.
-
-        The latter may still give orders unnoticed.
-        """
-        present = set(alive)
-        if present != self._was_alive:
-            self._changed_at = now
-        if self._was_alive - present - self._announced:
-            self._lost_at = now
-        self._announced -= present
-        self._was_alive = present
-
-    def _may_order(self, now: float) -> bool:
-        joined_at = self._started_at + max(_JOIN_S, self._spread_s())
-        return now >= joined_at and self._has_quorum()
-
-    def _usable_from(self, engine: str, now: float) -> float:
-        """Return when no other instance's orders can come any more.
-
-        Peers tell their orders, and until all have heard who is alive, the orderer
-        before goes on; one that was lost since may have given more.
-        """
-        told_at = self._peers_ordered_at.get(engine, float("-inf"))
-        held_off_until = max(told_at, self._lost_at) + self._hold_off_s
-        return max(now, self._changed_at + self._spread_s(), held_off_until)
-
     async def read_reports(self) -> None:
         """Read the reports that are due."""
         now = self._clock.now()
@@ -275,44 +165,19 @@
         """Have engines that lack base models load them, within the store's rate."""
         now = self._clock.now()
         for held in list(self._engines.values()):
-            model = self._missing_model(held)
+            model = missing_model(held.models, held.limits, self._view)
             if model is None or not self._may_order_at(held):
                 continue
             if held.lock.locked() or now < held.model_ordered_at + _MODEL_LOAD_LOOK_S:
                 continue
-            if held.orders is None or not self._may_load_model(held.limits, now):
+            if held.orders is None:
+                continue
+            if not self._model_loads.take(held.limits, self._rights.live, now):
                 continue
             held.model_ordered_at = now
             async with held.lock:
                 await self._order(held, Operation.LOAD, model)
 
-    def _missing_model(self, held: _Engine) -> str | None:
-        """Return the model that the engine has room for and the fewest others hold."""
-        taken = sum(held.limits.models.get(model, 0.0) for model in held.models)
-        room = held.limits.memory_mb - taken
-        missing = [
-            (self._view.model_holders(model), model)
-            for model, size in held.limits.models.items()
-            if model not in held.models and size <= room
-        ]
-        return min(missing)[1] if missing else None
-
-    def _may_load_model(self, limits: EngineLimits, now: float) -> bool:
-        """Take one load out of this instance's part of the store's rate."""
-        alive = max(len(self._alive()), 1)
-        burst = max(int(limits.model_loads_per_s * _MODEL_WINDOW_S / alive), 1)
-        rate = limits.model_loads_per_s * _MODEL_RATE_PART / alive
-        if self._model_loads_at is None:
-            self._model_loads = float(burst)
-        else:
-            elapsed_s = now - self._model_loads_at
-            self._model_loads = min(self._model_loads + elapsed_s * rate, burst)
-        self._model_loads_at = now
-        if self._model_loads < 1:
-            return False
-        self._model_loads -= 1
-        return True
-
     def states(self) -> list[EngineStateNews]:
         """Return what this instance knows of its engines, for peers."""
         now = self._clock.now()
@@ -354,12 +219,8 @@
 
     def _may_order_at(self, held: _Engine) -> bool:
         """Return whether this instance is the orderer at this very moment."""
-        name = held.listed.id
-        return (
-            self._clock.now() >= held.usable_from
-            and self._has_quorum()
-            and self.orderer_of(name) == self._instance
-        )
+        is_usable = self._clock.now() >= held.usable_from
+        return is_usable and self._rights.is_own(held.listed.id)
 
     def _expected_s(self, held: _Engine, adapter: Adapter) -> float:
         """Return in how many seconds an adapter ordered now would be usable."""
@@ -474,16 +335,16 @@
         if not self._may_order_at(held):
             return None
         if held.fence == 0:
-            held.fence = self._new_fence(held.listed.id)
+            held.fence = self._rights.new_fence(held.listed.id)
         order = EngineOrder(
             operation=operation,
             target=target,
             version=version,
-            holder=self._instance,
+            holder=self._rights.instance,
             fence=held.fence,
             after_orders=held.orders,
         )
-        self._last_orders[held.listed.id] = (self._clock.now(), held.fence)
+        self._rights.gives_order(held.listed.id, held.fence)
         try:
             answer = await self._control.order(held.listed, order)
         except EngineControlError as error:
@@ -535,20 +396,12 @@
             held.orders = None
         if answer is OrderAnswer.FENCED:
             # Another instance gave orders: wait its lease out again.
-            held.usable_from = self._clock.now() + self._hold_off_s
-            self._fences[held.listed.id] = held.fence + (_TERM_JUMP << _INSTANCE_BITS)
+            held.usable_from = self._clock.now() + self._rights.hold_off_s
+            self._rights.was_fenced(held.listed.id, held.fence)
             held.fence = 0
         if answer is OrderAnswer.OTHER_ENGINE:
             self._engines.pop(held.listed.id, None)
 
-    def _new_fence(self, engine: str) -> int:
-        known_term = self._fences.get(engine, 0) >> _INSTANCE_BITS
-        term = max(known_term + 1, int(time.time() / _TERM_S))
-        own = hashing.score("fence", self._instance) % (1 << _INSTANCE_BITS)
-        fence = (term << _INSTANCE_BITS) + own
-        self._fences[engine] = fence
-        return fence
-
     async def _read_report(self, held: _Engine) -> None:
         asked_at = self._clock.now()
         held.reported_at = asked_at
--- a/testing/fleet/conftest.py
+++ b/testing/fleet/conftest.py
@@ -32,6 +32,7 @@
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.loads import LoadTimes
 from chiveslip.gateway.measures import GatewayMeasures
+from chiveslip.gateway.order_rights import OrderRights
 from chiveslip.gateway.ordering import Orderer
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.settings.fields import Address
@@ -143,15 +144,19 @@
             return pace_of(membership.size, SETTINGS)
 
         view = EngineView(hears_all=lambda: not pace().relays)
-        orderer = Orderer(
+        rights = OrderRights(
             instance=name,
             lease_s=LEASE_S,
             spread_s=lambda: pace().spread_s,
+            alive=lambda: membership.alive(clock.now()),
+            has_quorum=lambda: membership.has_quorum(clock.now()),
+            clock=clock,
+        )
+        orderer = Orderer(
+            rights=rights,
             control=NoEngines(),
             view=view,
             load_times=LoadTimes(fetch_s=0.25, reload_s=0.025, most_fetches=48),
-            alive=lambda: membership.alive(clock.now()),
-            has_quorum=lambda: membership.has_quorum(clock.now()),
             clock=clock,
             measures=GatewayMeasures(),
         )
--- a/testing/gateway/test_ordering.py
+++ b/testing/gateway/test_ordering.py
@@ -21,6 +21,7 @@
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.loads import LoadTimes
 from chiveslip.gateway.measures import GatewayMeasures
+from chiveslip.gateway.order_rights import OrderRights
 from chiveslip.gateway.ordering import LoadOutcome
 from chiveslip.gateway.ordering import Orderer
 from chiveslip.gateway.routing import EngineLimits
@@ -131,15 +132,19 @@
         engine = engine or FakeEngine()
         alive, quorum, spread = list(ALL), [True], [0.0]
         view = EngineView()
-        orderer = Orderer(
+        rights = OrderRights(
             instance=instance,
             lease_s=LEASE_S,
             spread_s=lambda: spread[0],
+            alive=lambda: alive,
+            has_quorum=lambda: quorum[0],
+            clock=clock,
+        )
+        orderer = Orderer(
+            rights=rights,
             control=engine,
             view=view,
             load_times=LoadTimes(fetch_s=0.02, reload_s=0.01, most_fetches=8),
-            alive=lambda: alive,
-            has_quorum=lambda: quorum[0],
             clock=clock,
             measures=GatewayMeasures(),
         )
@@ -342,7 +347,7 @@
 ) -> None:
     fleet = fleet_of(SECOND)
     fleet.look_for(10.0)
-    fleet.orderer.heard_stop(FIRST)
+    fleet.orderer.rights.heard_stop(FIRST)
     if last_order_age_s is not None:
         fleet.orderer.heard_order("engine", fence=1, age_s=last_order_age_s)
     fleet.alive.remove(FIRST)
--- a/testing/world/switches.py
+++ b/testing/world/switches.py
@@ -176,7 +176,7 @@
 
 def suspects_forgotten(patch: Patch) -> None:
     """Run a request that takes engines down again and again."""
-    patch.setattr(CrashSuspects, "is_blocked", lambda *_: False)
+    patch.setattr(CrashSuspects, "blocked_for_s", lambda *_: 0.0)
 
 
 def echo_ignored(patch: Patch) -> None:
