Choose endpoints, budget retries and ask peers in one place for both paths

Cause: the choice of a service's endpoint, retry budgets and gRPC calls with their errors were written twice, once for each way to run the product; a mending of one missed the other. Change: services.choice with services.health, dispatch.retry_budget and fleet.channels serve both. The product's own path gets services.retry_slack and services.retry_window. In large fleets a peer's newer copy of the store is taken only when the own read is overdue; idle channels are not pinged. Ruled out: one allowance for both; credits of a home wait where they run out, sums that all exchange are not exact.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -21,11 +21,11 @@
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
-from chiveslip.gateway.health import EndpointHealth
 from chiveslip.gateway.loads import LoadTimes
 from chiveslip.gateway.placement import Placement
 from chiveslip.gateway.places import AdapterPlaces
 from chiveslip.gateway.routing import EngineLimits
+from chiveslip.services.health import EndpointHealth
 from chiveslip.settings.fields import Address
 
 SEED = 20261204
--- a/src/chiveslip/allowance/manager.py
+++ b/src/chiveslip/allowance/manager.py
@@ -26,8 +26,8 @@
 from chiveslip.allowance.home import CreditRequest
 from chiveslip.allowance.home import Limits
 from chiveslip.clock import Clock
+from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.ownership import Ownership
-from chiveslip.fleet.peers import PeerError
 from chiveslip.fleet.peers import Peers
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated import result_codes
--- a/src/chiveslip/configuration/keeper.py
+++ b/src/chiveslip/configuration/keeper.py
@@ -23,7 +23,7 @@
 from chiveslip.configuration.store import ConfigurationStore
 from chiveslip.configuration.store import Decision
 from chiveslip.configuration.store import Offer
-from chiveslip.fleet.peers import PeerError
+from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.peers import Peers
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.tasks import TaskSet
--- a/src/chiveslip/configuration/model.py
+++ b/src/chiveslip/configuration/model.py
@@ -167,3 +167,13 @@
 
     revision: int
     endpoints: dict[str, Endpoint]
+
+    def live_of(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a plain service that take new work."""
+        return [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.kind is EndpointKind.SERVICE
+            and endpoint.serves == service
+            and endpoint.state is State.LIVE
+        ]
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -17,6 +17,7 @@
 from chiveslip.clock import Clock
 from chiveslip.dispatch.connection import ConnectionPool
 from chiveslip.dispatch.connection import Connector
+from chiveslip.dispatch.retry_budget import RetryBudget
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.fleet.gateway_peers import GatewayPeers
 from chiveslip.fleet.gossip import GatewayPeerService
@@ -37,7 +38,6 @@
 from chiveslip.gateway.engine_way import EngineWay
 from chiveslip.gateway.forwarding import Gateway
 from chiveslip.gateway.forwarding import GatewayParts
-from chiveslip.gateway.health import EndpointHealth
 from chiveslip.gateway.ingress import Ingress
 from chiveslip.gateway.ingress import IngressReply
 from chiveslip.gateway.ingress import IngressRequest
@@ -47,10 +47,11 @@
 from chiveslip.gateway.order_rights import OrderRights
 from chiveslip.gateway.ordering import Orderer
 from chiveslip.gateway.placement import Placement
-from chiveslip.gateway.retries import WindowedRetryBudget
 from chiveslip.gateway.sending import Sender
 from chiveslip.gateway.service_way import ServiceWay
 from chiveslip.generated.settings import Settings
+from chiveslip.services.choice import ServiceChoice
+from chiveslip.services.health import EndpointHealth
 from chiveslip.store.client import KeyValueStore
 from chiveslip.store.mirror import Listener
 from chiveslip.store.mirror import StoreMirror
@@ -208,7 +209,7 @@
                 measures=self._measures,
                 sender=Sender(connector, dialect, clock),
                 allowances=allowances,
-                budget=WindowedRetryBudget(
+                budget=RetryBudget(
                     share=settings.gateway.retry_share,
                     slack=settings.gateway.retry_slack,
                     window_s=settings.gateway.retry_window,
@@ -232,9 +233,9 @@
                 ),
                 services=ServiceWay(
                     directory=directory,
-                    health=self._health,
-                    data_centre=settings.instance.data_centre,
-                    generator=self._random,
+                    choice=ServiceChoice(
+                        self._health, settings.instance.data_centre, self._random
+                    ),
                     clock=clock,
                 ),
                 generator=self._random,
--- a/src/chiveslip/daemon/node.py
+++ b/src/chiveslip/daemon/node.py
@@ -49,8 +49,9 @@
 from chiveslip.idempotency.copies import RecordCopies
 from chiveslip.idempotency.records import RecordLimits
 from chiveslip.idempotency.records import Records
+from chiveslip.services.choice import ServiceChoice
 from chiveslip.services.dialect import PlainHttpDialect
-from chiveslip.services.selection import ServiceSelection
+from chiveslip.services.health import EndpointHealth
 
 _JOIN_POLL_S = 0.05
 
@@ -362,7 +363,8 @@
             homes=self._homes,
             pool=self._around.connector,
             dialect=OpenAIDialect(),
-            budget=RetryBudget(self._settings.services.retry_budget),
+            budget=self._retry_budget(),
+            instances=self._instances,
             suspects=self._suspects,
             configuration=lambda: self._keeper.current,
             endpoints=lambda: self._fleet.endpoints,
@@ -377,15 +379,29 @@
             claims=self._claims,
             pool=self._around.connector,
             dialect=PlainHttpDialect(),
-            selection=ServiceSelection(
-                self._settings.instance.data_centre, self._around.generator
+            choice=ServiceChoice(
+                EndpointHealth(),
+                self._settings.instance.data_centre,
+                self._around.generator,
             ),
-            budget=RetryBudget(self._settings.services.retry_budget),
+            budget=self._retry_budget(),
+            instances=self._instances,
             configuration=lambda: self._keeper.current,
             endpoints=lambda: self._fleet.endpoints,
             retries=self._settings.services.retries,
         )
 
+    def _retry_budget(self) -> RetryBudget:
+        services = self._settings.services
+        return RetryBudget(
+            share=services.retry_budget,
+            slack=services.retry_slack,
+            window_s=services.retry_window,
+        )
+
+    def _instances(self) -> int:
+        return len(self._ownership.members)
+
 
 def _store_limits(configuration: Configuration) -> Limits:
     store = configuration.weight_store
--- a/src/chiveslip/dispatch/engine_calls.py
+++ b/src/chiveslip/dispatch/engine_calls.py
@@ -69,6 +69,7 @@
     pool: Connector
     dialect: EngineDialect
     budget: RetryBudget
+    instances: Callable[[], int]
     suspects: CrashSuspects
     configuration: Callable[[], Configuration | None]
     endpoints: Callable[[], EndpointList]
@@ -164,7 +165,8 @@
     async def _try_engines(
         self, adapter: Adapter, version: AdapterVersion, fingerprint: str
     ) -> None:
-        self._tools.budget.called()
+        now = self._tools.clock.now()
+        self._tools.budget.requested(adapter.base_model, now)
         tried: list[str] = []
         last = Refusal(
             code=result_codes.NO_ENDPOINT,
@@ -175,7 +177,7 @@
             engine = self._next_engine(adapter, version, tried)
             if engine is None:
                 break
-            if sent and not self._tools.budget.may_retry():
+            if sent and not self._may_retry(adapter.base_model):
                 break
             tried.append(engine.id)
             self._step(Step.PLACE, engine.id)
@@ -192,6 +194,10 @@
                 return
         raise FailedError(true_after(sent, last))
 
+    def _may_retry(self, base_model: str) -> bool:
+        tools = self._tools
+        return tools.budget.may_retry(base_model, tools.instances(), tools.clock.now())
+
     def _refuse_suspect_after(self, fingerprint: str) -> None:
         if self._tools.suspects.is_blocked(fingerprint, self._tools.clock.now()):
             detail = "The request took endpoints down and is not run again."
--- a/src/chiveslip/dispatch/retry_budget.py
+++ b/src/chiveslip/dispatch/retry_budget.py
@@ -1,31 +1,62 @@
-"""Retries allowed as a share of calls, so that retries cannot feed an overload."""
+"""Retries of the whole fleet, each instance with a share of the common slack.
+
+The bound is a share of a service's requests plus a slack in any window. Each
+instance spends at most the share of its own requests and its part of the slack, so
+the sum holds without a message between instances.
+"""
 
 from __future__ import annotations
 
+import collections
 from typing import final
 
-_MOST_SAVED = 20.0
-
 
 @final
 class RetryBudget:
-    """Each call earns a share of a retry; each retry costs one.
-
-    Every instance keeps its own share of its own calls, so the bound holds over
-    the fleet without a message.
+    """Requests and retries to services in a sliding window.
+
+    Parameters
+    ----------
+    share
+        Retries as a share of requests.
+    slack
+        Retries of the whole fleet beyond that in one window.
+    window_s
+        Length of the window in seconds.
     """
 
-    def __init__(self, share: float) -> None:
+    def __init__(self, *, share: float, slack: float, window_s: float) -> None:
         self._share = share
-        self._saved = _MOST_SAVED if share > 0 else 0.0
-
-    def called(self) -> None:
-        """Note a first try."""
-        self._saved = min(self._saved + self._share, _MOST_SAVED)
-
-    def may_retry(self) -> bool:
-        """Take one retry, or say that none is left."""
-        if self._saved < 1:
+        self._slack = slack
+        self._window_s = window_s
+        self._requests: dict[str, collections.deque[float]] = {}
+        self._retries: dict[str, collections.deque[float]] = {}
+
+    def requested(self, service: str, now: float) -> None:
+        """Note a caller's request to `service`."""
+        self._within(self._requests, service, now).append(now)
+
+    def may_retry(self, service: str, instances: int, now: float) -> bool:
+        """Take one retry, or say that none is left.
+
+        Parameters
+        ----------
+        instances
+            Instances that share the slack.
+        """
+        requests = len(self._within(self._requests, service, now))
+        retries = self._within(self._retries, service, now)
+        # Restarted instances forget what they spent, so a third is left unused.
+        slack = self._slack * 0.67 / max(instances, 1)
+        if len(retries) + 1 > self._share * requests + slack:
             return False
-        self._saved -= 1
+        retries.append(now)
         return True
+
+    def _within(
+        self, kept: dict[str, collections.deque[float]], service: str, now: float
+    ) -> collections.deque[float]:
+        times = kept.setdefault(service, collections.deque())
+        while times and times[0] <= now - self._window_s:
+            times.popleft()
+        return times
--- a/src/chiveslip/dispatch/service_calls.py
+++ b/src/chiveslip/dispatch/service_calls.py
@@ -38,8 +38,8 @@
 from chiveslip.idempotency.claims import Claims
 from chiveslip.idempotency.records import KeptAnswer
 from chiveslip.idempotency.records import OnceKey
+from chiveslip.services.choice import ServiceChoice
 from chiveslip.services.dialect import ServiceDialect
-from chiveslip.services.selection import ServiceSelection
 
 _ANSWER_BYTES = 16 * 1024 * 1024
 _OPEN_ORGANISATION = "open"
@@ -56,8 +56,9 @@
     claims: Claims
     pool: Connector
     dialect: ServiceDialect
-    selection: ServiceSelection
+    choice: ServiceChoice
     budget: RetryBudget
+    instances: Callable[[], int]
     configuration: Callable[[], Configuration | None]
     endpoints: Callable[[], EndpointList]
     retries: int
@@ -138,7 +139,8 @@
             await self._run_claimed(self._once_key)
 
     async def _run_idempotent(self) -> None:
-        self._tools.budget.called()
+        now = self._tools.clock.now()
+        self._tools.budget.requested(self._route.service, now)
         tried: list[str] = []
         detail = f"No live endpoint of {self._route.service} took the call."
         error = failed(result_codes.NO_ENDPOINT, detail)
@@ -171,7 +173,11 @@
     def _may_retry(self, tried: list[str]) -> bool:
         if self._left_s <= 0 or len(tried) > self._tools.retries:
             return False
-        return self._choose(tried) is not None and self._tools.budget.may_retry()
+        if self._choose(tried) is None:
+            return False
+        return self._tools.budget.may_retry(
+            self._route.service, self._tools.instances(), self._tools.clock.now()
+        )
 
     async def _run_claimed(self, once_key: str) -> None:
         organisation = _OPEN_ORGANISATION
@@ -238,23 +244,32 @@
     async def _attempt(
         self, endpoint: Endpoint, *, fresh: bool
     ) -> tuple[ResponseHead, bytes]:
-        selection = self._tools.selection
+        choice = self._tools.choice
         self._step(Step.PLACE, endpoint.id)
         try:
             exchange = await self._tools.pool.open(endpoint.address, fresh=fresh)
         except ConnectError as error:
-            selection.judged(endpoint.id, failed=True, now=self._tools.clock.now())
+            now = self._tools.clock.now()
+            choice.health.failed(endpoint.id, now, surely_down=True)
             raise _NotSentError(str(error)) from error
-        selection.started(endpoint.id)
+        choice.begins(endpoint.id)
         ok = False
         try:
             head, body = await self._exchange(exchange, endpoint)
             ok = head.status < _SERVER_FAULT
         finally:
-            selection.ended(endpoint.id, failed=not ok, now=self._tools.clock.now())
+            choice.ends(endpoint.id)
+            self._judge(endpoint.id, ok=ok)
             exchange.close()
         return head, body
 
+    def _judge(self, endpoint: str, *, ok: bool) -> None:
+        health = self._tools.choice.health
+        if ok:
+            health.succeeded(endpoint)
+        else:
+            health.failed(endpoint, self._tools.clock.now(), surely_down=False)
+
     async def _exchange(
         self, exchange: Exchange, endpoint: Endpoint
     ) -> tuple[ResponseHead, bytes]:
@@ -286,12 +301,8 @@
             raise FailedError(again.failure())
 
     def _choose(self, tried: list[str]) -> Endpoint | None:
-        return self._tools.selection.choose(
-            self._route.service,
-            self._tools.endpoints(),
-            tried,
-            self._tools.clock.now(),
-        )
+        live = self._tools.endpoints().live_of(self._route.service)
+        return self._tools.choice.choose(live, tried, self._tools.clock.now())
 
     async def _answer(
         self, status: int, content_type: str, body: bytes, *, replayed: bool = False
--- a/src/chiveslip/engines/homes.py
+++ b/src/chiveslip/engines/homes.py
@@ -19,8 +19,8 @@
 from chiveslip.engines.task import EngineTask
 from chiveslip.engines.task import EngineTools
 from chiveslip.engines.task import engine_limits
+from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.fleet import Fleet
-from chiveslip.fleet.peers import PeerError
 from chiveslip.fleet.peers import Peers
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated import result_codes
--- /dev/null
+++ b/src/chiveslip/fleet/channels.py
@@ -0,0 +1,125 @@
+"""gRPC channels to other instances; one that failed once is not used again."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TypeVar
+from typing import final
+
+import attrs
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import ProtocolError
+from grpclib.exceptions import StreamTerminatedError
+
+from chiveslip.settings.fields import Address
+
+Reply = TypeVar("Reply")
+
+
+class PeerError(Exception):
+    """A peer gave no answer; whether it got the message is unknown."""
+
+
+@attrs.frozen(kw_only=True)
+class ChannelOptions:
+    """How channels are looked after; times in seconds.
+
+    Attributes
+    ----------
+    keepalive_s
+        Interval between pings.
+    keepalive_timeout_s
+        Time for the answer to a ping.
+    pings_idle
+        Whether idle channels are pinged too. With a channel to each of many
+        instances that costs more than their messages.
+    longest_call_s
+        A channel that failed is closed after this long, when no other call can
+        still run on it.
+    """
+
+    keepalive_s: float
+    keepalive_timeout_s: float
+    pings_idle: bool
+    longest_call_s: float
+
+
+@final
+class PeerChannels:
+    """Channels by address, opened on first use."""
+
+    def __init__(self, options: ChannelOptions) -> None:
+        self._options = options
+        self._channels: dict[Address, Channel] = {}
+
+    async def ask(
+        self,
+        address: Address,
+        timeout_s: float,
+        send: Callable[[Channel, float], Awaitable[Reply]],
+    ) -> Reply:
+        """Send a message and return its answer.
+
+        Raises
+        ------
+        PeerError
+            If no answer came in time, or the peer refused the call.
+        """
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._channels[address] = self._open(address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await send(channel, timeout_s)
+        except (
+            GRPCError,
+            ProtocolError,
+            StreamTerminatedError,
+            OSError,
+            TimeoutError,
+        ) as error:
+            self._drop(address, channel)
+            raise PeerError(f"{address}: {error!r}") from error
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    def close_one(self, address: Address) -> None:
+        """Close the channel to an address that is no longer a peer's."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def _drop(self, address: Address, channel: Channel) -> None:
+        if self._channels.get(address) is not channel:
+            return
+        del self._channels[address]
+        # A loop that ends closes the channel's socket itself.
+        with contextlib.suppress(RuntimeError):
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._options.longest_call_s, channel.close)
+
+    def _open(self, address: Address) -> Channel:
+        options = self._options
+        if not options.pings_idle:
+            configuration = Configuration(
+                _keepalive_time=options.keepalive_s,
+                _keepalive_timeout=options.keepalive_timeout_s,
+            )
+            return Channel(address.host, address.port, config=configuration)
+        configuration = Configuration(
+            _keepalive_time=options.keepalive_s,
+            _keepalive_timeout=options.keepalive_timeout_s,
+            _keepalive_permit_without_calls=True,
+            _http2_max_pings_without_data=0,
+            _http2_min_sent_ping_interval_without_data=options.keepalive_s,
+        )
+        return Channel(address.host, address.port, config=configuration)
--- a/src/chiveslip/fleet/fleet.py
+++ b/src/chiveslip/fleet/fleet.py
@@ -18,12 +18,12 @@
 from chiveslip.configuration.model import InstanceList
 from chiveslip.configuration.source import ConfigurationSource
 from chiveslip.dispatch.suspects import CrashSuspects
+from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.history import PastView
 from chiveslip.fleet.history import ViewHistory
 from chiveslip.fleet.lists import ListWaits
 from chiveslip.fleet.lists import PublishedLists
 from chiveslip.fleet.ownership import Ownership
-from chiveslip.fleet.peers import PeerError
 from chiveslip.fleet.peers import Peers
 from chiveslip.fleet.relays import relays
 from chiveslip.generated import peer_pb2 as wire
--- a/src/chiveslip/fleet/gateway_peers.py
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import TypeVar
 from typing import final
 
-from grpclib.client import Channel
-from grpclib.config import Configuration as ChannelConfiguration
-from grpclib.exceptions import GRPCError
-from grpclib.exceptions import ProtocolError
-from grpclib.exceptions import StreamTerminatedError
-
+from chiveslip.fleet.channels import ChannelOptions
+from chiveslip.fleet.channels import PeerChannels
+from chiveslip.fleet.channels import PeerError
 from chiveslip.gateway.ordering import Loaded
 from chiveslip.gateway.ordering import LoadOutcome
 from chiveslip.generated import peer_pb2 as wire
@@ -22,8 +18,12 @@
 
 # A load answers when its order was accepted, which may wait for other loads.
 _LOAD_TIMEOUT_S = 2.0
-_KEEPALIVE_S = 2.0
-_KEEPALIVE_TIMEOUT_S = 1.0
+_OPTIONS = ChannelOptions(
+    keepalive_s=2.0,
+    keepalive_timeout_s=1.0,
+    pings_idle=False,
+    longest_call_s=2 * _LOAD_TIMEOUT_S,
+)
 
 Reply = TypeVar("Reply")
 
@@ -37,10 +37,6 @@
 _OUTCOMES_READ = {value: outcome for outcome, value in OUTCOMES.items()}
 
 
-class GatewayPeerError(Exception):
-    """The peer did not answer; what it did is unknown."""
-
-
 @final
 class GatewayPeers:
     """Channels to peers, opened on first use.
@@ -56,7 +52,7 @@
     ) -> None:
         self._address_of = address_of
         self._timeout_s = timeout_s
-        self._channels: dict[Address, Channel] = {}
+        self._channels = PeerChannels(_OPTIONS)
 
     async def exchange(self, address: Address, gossip: wire.Gossip) -> wire.Gossip:
         """Tell a peer what is known here and hear what it knows."""
@@ -70,7 +66,7 @@
         """Ask an engine's orderer for an adapter."""
         address = self._address_of(peer)
         if address is None:
-            raise GatewayPeerError(f"the address of {peer} is unknown")
+            raise PeerError(f"the address of {peer} is unknown")
         request = wire.LoadRequest(
             endpoint=engine,
             adapter=adapter[0],
@@ -92,9 +88,7 @@
 
     def close(self) -> None:
         """Close all channels."""
-        for channel in self._channels.values():
-            channel.close()
-        self._channels.clear()
+        self._channels.close()
 
     async def _ask(
         self,
@@ -102,35 +96,6 @@
         timeout_s: float,
         send: Callable[[GatewayPeerStub, float], Awaitable[Reply]],
     ) -> Reply:
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = self._channels[address] = _open(address)
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await send(GatewayPeerStub(channel), timeout_s)
-        except (
-            GRPCError,
-            ProtocolError,
-            StreamTerminatedError,
-            OSError,
-            TimeoutError,
-        ) as error:
-            if self._channels.get(address) is channel:
-                del self._channels[address]
-                # Other calls may still run on the channel; they end by their own
-                # timeouts.
-                asyncio.get_running_loop().call_later(
-                    2 * _LOAD_TIMEOUT_S, channel.close
-                )
-            raise GatewayPeerError(f"{address}: {error!r}") from error
-
-
-def _open(address: Address) -> Channel:
-    return Channel(
-        address.host,
-        address.port,
-        config=ChannelConfiguration(
-            _keepalive_time=_KEEPALIVE_S,
-            _keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
-        ),
-    )
+        return await self._channels.ask(
+            address, timeout_s, lambda channel, t: send(GatewayPeerStub(channel), t)
+        )
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -10,8 +10,8 @@
 from grpclib.server import Stream
 
 from chiveslip import logs
+from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.gateway_peers import OUTCOMES
-from chiveslip.fleet.gateway_peers import GatewayPeerError
 from chiveslip.fleet.gateway_peers import GatewayPeers
 from chiveslip.fleet.gossip_messages import GossipMessages
 from chiveslip.fleet.gossip_messages import GossipParts
@@ -82,7 +82,7 @@
             reply = await self._peers.exchange(address, question)
             self._messages.take(reply)
             await self._pull(address, reply.store_revision)
-        except GatewayPeerError as error:
+        except PeerError as error:
             self._log.debug("No exchange.", peer=str(address), cause=str(error))
         finally:
             self._in_flight.discard(address)
@@ -90,7 +90,8 @@
     async def _pull(self, address: Address, revision: int) -> None:
         """Take changes of the store from a peer that has newer ones."""
         mirror = self._parts.mirror
-        if not mirror.lags_behind(revision, self._parts.clock.now()):
+        patience_s = self._parts.pace().patience_s
+        if not mirror.lags_behind(revision, patience_s, self._parts.clock.now()):
             return
         reply = await self._peers.changes(address, mirror.revision)
         mirror.take_from_peer(reply, self._parts.clock.now())
--- a/src/chiveslip/fleet/handover.py
+++ b/src/chiveslip/fleet/handover.py
@@ -14,8 +14,8 @@
 from chiveslip.clock import Clock
 from chiveslip.configuration.model import InstanceList
 from chiveslip.configuration.model import State
+from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.ownership import Ownership
-from chiveslip.fleet.peers import PeerError
 from chiveslip.fleet.peers import Peers
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.hashing import rank
--- a/src/chiveslip/fleet/pace.py
+++ b/src/chiveslip/fleet/pace.py
@@ -26,6 +26,9 @@
 # A watch of the store waits up to this long there: half of the time in which an
 # instance has to catch up after a path that went silent.
 _LONGEST_WATCH_S = 2.5
+# The own watch is given this long to bring what a peer already has, beyond the longer
+# pause between two of them.
+_PATIENCE_S = 0.3
 
 
 @attrs.frozen(kw_only=True)
@@ -60,6 +63,9 @@
         Pause in seconds after a change of the store was read.
     watch_s
         Longest wait in seconds of one watch of the store.
+    patience_s
+        Time in seconds for which a peer has had newer changes of the store before
+        they are taken from it.
     """
 
     interval_s: float
@@ -69,6 +75,7 @@
     silence_s: float
     gather_s: float
     watch_s: float
+    patience_s: float
 
 
 def pace_of(members: int, settings: PaceSettings) -> Pace:
@@ -82,20 +89,21 @@
             silence_s=settings.silence_s,
             gather_s=settings.gather_s,
             watch_s=settings.watch_s,
+            patience_s=_PATIENCE_S,
         )
     interval_s = settings.interval_s * _LONGER
     multiplying = math.ceil(math.log(members) / math.log(2 * _ASKED + 1))
     spread_s = (multiplying + _LAST_ROUNDS) * interval_s
     share = members / (settings.fan_out + 1)
     watch_s = min(settings.watch_s * share, max(_LONGEST_WATCH_S, settings.watch_s))
+    gather_s = min(settings.gather_s * share, max(_LONGEST_GATHER_S, settings.gather_s))
     return Pace(
         interval_s=interval_s,
         asked=_ASKED,
         relays=True,
         spread_s=spread_s,
         silence_s=max(settings.silence_s, spread_s + 2 * interval_s),
-        gather_s=min(
-            settings.gather_s * share, max(_LONGEST_GATHER_S, settings.gather_s)
-        ),
+        gather_s=gather_s,
         watch_s=watch_s,
+        patience_s=_PATIENCE_S + gather_s - settings.gather_s,
     )
--- a/src/chiveslip/fleet/peers.py
+++ b/src/chiveslip/fleet/peers.py
@@ -3,33 +3,26 @@
 from __future__ import annotations
 
 import abc
-import asyncio
-import contextlib
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import TypeVar
 from typing import final
 
-from grpclib.client import Channel
-from grpclib.config import Configuration as ChannelConfiguration
-from grpclib.exceptions import GRPCError
-from grpclib.exceptions import ProtocolError
-from grpclib.exceptions import StreamTerminatedError
-
+from chiveslip.fleet.channels import ChannelOptions
+from chiveslip.fleet.channels import PeerChannels
+from chiveslip.fleet.channels import PeerError
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated.peer_grpc import PeerStub
 from chiveslip.settings.fields import Address
 
-_KEEPALIVE_S = 5.0
-_KEEPALIVE_TIMEOUT_S = 2.0
+# A permit may be waited for this long on a channel that failed for another call.
+_OPTIONS = ChannelOptions(
+    keepalive_s=5.0, keepalive_timeout_s=2.0, pings_idle=True, longest_call_s=60.0
+)
 
 Reply = TypeVar("Reply")
 
 
-class PeerError(Exception):
-    """A peer gave no answer; whether it got the message is unknown."""
-
-
 class Peers(abc.ABC):
     """The other instances by their published names.
 
@@ -87,14 +80,15 @@
 
 @final
 class GrpcPeers(Peers):
-    """Peers over gRPC; a channel that failed once is not used again."""
+    """Peers over gRPC."""
 
     def __init__(
         self, address_of: Callable[[str], Address | None], timeout_s: float
     ) -> None:
         self._address_of = address_of
         self._timeout_s = timeout_s
-        self._channels: dict[str, tuple[Address, Channel]] = {}
+        self._channels = PeerChannels(_OPTIONS)
+        self._addresses: dict[str, Address] = {}
 
     async def confirm(self, to: str, request: wire.ConfirmRequest) -> wire.ConfirmReply:
         """Exchange heartbeats."""
@@ -144,9 +138,7 @@
 
     async def close(self) -> None:
         """Close all channels."""
-        for _, channel in self._channels.values():
-            channel.close()
-        self._channels.clear()
+        self._channels.close()
 
     async def _ask(
         self,
@@ -155,48 +147,16 @@
         timeout_s: float | None = None,
     ) -> Reply:
         limit_s = self._timeout_s if timeout_s is None else timeout_s
-        channel = self._channel(to)
-        try:
-            async with asyncio.timeout(limit_s):
-                return await send(PeerStub(channel), limit_s)
-        except (
-            GRPCError,
-            ProtocolError,
-            StreamTerminatedError,
-            OSError,
-            TimeoutError,
-        ) as error:
-            self._drop(to, channel)
-            raise PeerError(f"{to}: {error!r}") from error
-
-    def _channel(self, to: str) -> Channel:
+        return await self._channels.ask(
+            self._address(to), limit_s, lambda channel, t: send(PeerStub(channel), t)
+        )
+
+    def _address(self, to: str) -> Address:
         address = self._address_of(to)
         if address is None:
             raise PeerError(f"{to} is not in the list of instances")
-        held = self._channels.get(to)
-        if held is not None and held[0] == address:
-            return held[1]
-        if held is not None:
-            held[1].close()
-        channel = Channel(
-            address.host,
-            address.port,
-            config=ChannelConfiguration(
-                _keepalive_time=_KEEPALIVE_S,
-                _keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
-                _keepalive_permit_without_calls=True,
-                _http2_max_pings_without_data=0,
-                _http2_min_sent_ping_interval_without_data=_KEEPALIVE_S,
-            ),
-        )
-        self._channels[to] = (address, channel)
-        return channel
-
-    def _drop(self, to: str, channel: Channel) -> None:
-        held = self._channels.get(to)
-        if held is None or held[1] is not channel:
-            return
-        del self._channels[to]
-        # Other calls may still run on the channel; they end by their deadlines.
-        with contextlib.suppress(RuntimeError):
-            asyncio.get_running_loop().call_later(60.0, channel.close)
+        before = self._addresses.get(to)
+        if before is not None and before != address:
+            self._channels.close_one(before)
+        self._addresses[to] = address
+        return address
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -16,6 +16,7 @@
 
 from chiveslip import hashing
 from chiveslip.clock import Clock
+from chiveslip.dispatch.retry_budget import RetryBudget
 from chiveslip.dispatch.suspects import CrashedEndpoint
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.gateway.allowances import SharedAllowances
@@ -24,13 +25,11 @@
 from chiveslip.gateway.dialect import Passing
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
-from chiveslip.gateway.health import EndpointHealth
 from chiveslip.gateway.ingress import IngressReply
 from chiveslip.gateway.ingress import IngressRequest
 from chiveslip.gateway.measures import GatewayMeasures
 from chiveslip.gateway.record import RequestRecord
 from chiveslip.gateway.refusals import Refuser
-from chiveslip.gateway.retries import WindowedRetryBudget
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import Repeat
 from chiveslip.gateway.routing import RoutingTable
@@ -41,6 +40,7 @@
 from chiveslip.generated import result_codes
 from chiveslip.results import Refusal
 from chiveslip.results import ResultCode
+from chiveslip.services.health import EndpointHealth
 from chiveslip.tasks import TaskSet
 
 # Most endpoints that a request is offered to, counting those that did not run it. A
@@ -99,7 +99,7 @@
     measures: GatewayMeasures
     sender: Sender
     allowances: SharedAllowances
-    budget: WindowedRetryBudget
+    budget: RetryBudget
     health: EndpointHealth
     suspects: CrashSuspects
     engines: Way
--- a/src/chiveslip/gateway/load_requests.py
+++ b/src/chiveslip/gateway/load_requests.py
@@ -6,7 +6,7 @@
 from typing import final
 
 from chiveslip.clock import Clock
-from chiveslip.fleet.gateway_peers import GatewayPeerError
+from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.gateway_peers import GatewayPeers
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
@@ -59,7 +59,7 @@
         else:
             try:
                 loaded = await self._peers.load(orderer, engine, adapter, patience_s)
-            except GatewayPeerError:
+            except PeerError:
                 return Loaded(outcome=LoadOutcome.FAILED)
         if loaded.outcome is LoadOutcome.USABLE:
             ready_at = self._clock.now() + loaded.after_s
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -21,9 +21,9 @@
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
-from chiveslip.gateway.health import EndpointHealth
 from chiveslip.gateway.loads import LoadTimes
 from chiveslip.gateway.routing import EngineLimits
+from chiveslip.services.health import EndpointHealth
 
 # Prompt tokens that an engine reads in a second; the users' engines read 19.1 a ms.
 READ_TOKENS_PER_S = 19_000.0
--- a/src/chiveslip/idempotency/claims.py
+++ b/src/chiveslip/idempotency/claims.py
@@ -10,9 +10,9 @@
 from returns.result import Success
 
 from chiveslip.clock import Clock
+from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.history import ViewHistory
 from chiveslip.fleet.ownership import Ownership
-from chiveslip.fleet.peers import PeerError
 from chiveslip.fleet.peers import Peers
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.idempotency import claim as claims
--- a/src/chiveslip/idempotency/copies.py
+++ b/src/chiveslip/idempotency/copies.py
@@ -14,9 +14,9 @@
 from chiveslip import hashing
 from chiveslip import logs
 from chiveslip.clock import Clock
+from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.history import ViewHistory
 from chiveslip.fleet.ownership import Ownership
-from chiveslip.fleet.peers import PeerError
 from chiveslip.fleet.peers import Peers
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.idempotency.records import KeptAnswer
--- a/src/chiveslip/store/mirror.py
+++ b/src/chiveslip/store/mirror.py
@@ -15,8 +15,6 @@
 from chiveslip.store.client import Changes
 from chiveslip.store.client import Item
 
-# The own watch is given this long to bring what a peer already has.
-_PATIENCE_S = 0.3
 _MOST_REMOVALS = 5000
 
 Listener = Callable[[Item], None]
@@ -70,14 +68,14 @@
             self._revision = changes.revision
             self._behind_since = None
 
-    def lags_behind(self, peer_revision: int, now: float) -> bool:
-        """Return whether a peer has had newer changes for a while."""
+    def lags_behind(self, peer_revision: int, patience_s: float, now: float) -> bool:
+        """Return whether a peer has had newer changes for `patience_s` seconds."""
         if peer_revision <= self._revision:
             self._behind_since = None
             return False
         if self._behind_since is None:
             self._behind_since = now
-        return now - self._behind_since >= _PATIENCE_S
+        return now - self._behind_since >= patience_s
 
     def take_from_peer(self, reply: wire.ChangesReply, now: float) -> None:
         """Take over what a peer sent."""
--- a/testing/gateway/test_retries.py
+++ b/testing/dispatch/test_retry_budget.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from chiveslip.gateway.retries import WindowedRetryBudget
+from chiveslip.dispatch.retry_budget import RetryBudget
 
 
 @pytest.mark.parametrize(
@@ -16,7 +16,7 @@
     ],
 )
 def test_retries_in_one_window(requests: int, instances: int, allowed: int) -> None:
-    budget = WindowedRetryBudget(share=0.2, slack=50, window_s=10.0)
+    budget = RetryBudget(share=0.2, slack=50, window_s=10.0)
     for _ in range(requests):
         budget.requested("kiosk", 0.0)
     taken = sum(budget.may_retry("kiosk", instances, 1.0) for _ in range(200))
@@ -24,9 +24,7 @@
 
 
 def test_fleet_stays_within_its_bound() -> None:
-    budgets = [
-        WindowedRetryBudget(share=0.2, slack=52, window_s=10.0) for _ in range(6)
-    ]
+    budgets = [RetryBudget(share=0.2, slack=52, window_s=10.0) for _ in range(6)]
     retries = 0
     for index, budget in enumerate(budgets):
         for _ in range(50 * index):
@@ -37,13 +35,13 @@
 
 
 def test_budget_returns_with_the_window() -> None:
-    budget = WindowedRetryBudget(share=0.0, slack=3, window_s=10.0)
+    budget = RetryBudget(share=0.0, slack=3, window_s=10.0)
     assert [budget.may_retry("kiosk", 1, 0.0) for _ in range(3)] == [True, True, False]
     assert budget.may_retry("kiosk", 1, 10.0)
 
 
 def test_services_have_budgets_of_their_own() -> None:
-    budget = WindowedRetryBudget(share=0.0, slack=2, window_s=10.0)
+    budget = RetryBudget(share=0.0, slack=2, window_s=10.0)
     assert budget.may_retry("kiosk", 1, 0.0)
     assert not budget.may_retry("kiosk", 1, 0.0)
     assert budget.may_retry("portal", 1, 0.0)
--- a/testing/fleet/conftest.py
+++ b/testing/fleet/conftest.py
@@ -13,7 +13,7 @@
 
 from chiveslip.clock import ManualClock
 from chiveslip.dispatch.suspects import CrashSuspects
-from chiveslip.fleet.gateway_peers import GatewayPeerError
+from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.gateway_peers import GatewayPeers
 from chiveslip.fleet.gossip import Gossip
 from chiveslip.fleet.gossip_messages import GossipMessages
@@ -91,7 +91,7 @@
     async def exchange(self, address: Address, question: wire.Gossip) -> wire.Gossip:
         member = self._fleet.members.get(address.host)
         if member is None or not member.is_up:
-            raise GatewayPeerError("nobody answers")
+            raise PeerError("nobody answers")
         member.messages.take(question)
         answer = member.messages.answer(question)
         asker = self._fleet.members[self._sender].traffic
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -19,6 +19,7 @@
 from chiveslip.dispatch.connection import Exchange
 from chiveslip.dispatch.connection import ResponseHead
 from chiveslip.dispatch.connection import SilentError
+from chiveslip.dispatch.retry_budget import RetryBudget
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.engines.dialect import Outgoing
 from chiveslip.fleet.pace import PaceSettings
@@ -29,10 +30,8 @@
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.forwarding import Gateway
 from chiveslip.gateway.forwarding import GatewayParts
-from chiveslip.gateway.health import EndpointHealth
 from chiveslip.gateway.ingress import IngressRequest
 from chiveslip.gateway.measures import GatewayMeasures
-from chiveslip.gateway.retries import WindowedRetryBudget
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import Repeat
 from chiveslip.gateway.routing import Route
@@ -42,6 +41,8 @@
 from chiveslip.gateway.sending import Sender
 from chiveslip.gateway.service_way import ServiceWay
 from chiveslip.platform.dialect import PlatformDialect
+from chiveslip.services.choice import ServiceChoice
+from chiveslip.services.health import EndpointHealth
 from chiveslip.settings.fields import Address
 
 PACE = PaceSettings(
@@ -259,9 +260,7 @@
         generator = random.Random(20261204)
         way = ServiceWay(
             directory=directory,
-            health=health,
-            data_centre="glasgow",
-            generator=generator,
+            choice=ServiceChoice(health, "glasgow", generator),
             clock=clock,
         )
         dialect = PlatformDialect()
@@ -274,7 +273,7 @@
                 allowances=SharedAllowances(
                     pace=lambda: pace_of(1, PACE), instances=lambda: 1
                 ),
-                budget=WindowedRetryBudget(share=0.2, slack=50, window_s=10.0),
+                budget=RetryBudget(share=0.2, slack=50, window_s=10.0),
                 health=health,
                 suspects=suspects,
                 engines=way,
--- a/testing/gateway/test_engine_way.py
+++ b/testing/gateway/test_engine_way.py
@@ -19,7 +19,6 @@
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.engine_way import EngineWay
 from chiveslip.gateway.forwarding import Target
-from chiveslip.gateway.health import EndpointHealth
 from chiveslip.gateway.loads import LoadTimes
 from chiveslip.gateway.ordering import Loaded
 from chiveslip.gateway.ordering import LoadOutcome
@@ -30,6 +29,7 @@
 from chiveslip.gateway.routing import RoutingTable
 from chiveslip.gateway.routing import Service
 from chiveslip.results import Refusal
+from chiveslip.services.health import EndpointHealth
 from chiveslip.settings.fields import Address
 
 LIMITS = EngineLimits(
--- a/testing/store/test_mirror.py
+++ b/testing/store/test_mirror.py
@@ -67,7 +67,7 @@
 
 def test_own_watch_has_time_before_a_peer_is_asked() -> None:
     mirror = StoreMirror()
-    assert not mirror.lags_behind(5, 0.0)
-    assert mirror.lags_behind(5, 0.4)
+    assert not mirror.lags_behind(5, 0.3, 0.0)
+    assert mirror.lags_behind(5, 0.3, 0.4)
     mirror.apply(Changes(items=[], revision=5))
-    assert not mirror.lags_behind(5, 0.5)
+    assert not mirror.lags_behind(5, 0.3, 0.5)
--- a/testing/world/peers.py
+++ b/testing/world/peers.py
@@ -9,7 +9,7 @@
 
 from google.protobuf import text_format
 
-from chiveslip.fleet.peers import PeerError
+from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.peers import Peers
 from chiveslip.fleet.service import PeerService
 from chiveslip.generated import peer_pb2 as wire
--- a/testing/world/switches.py
+++ b/testing/world/switches.py
@@ -31,7 +31,6 @@
 from chiveslip.idempotency import claim
 from chiveslip.idempotency.claim import Granted
 from chiveslip.services.dialect import PlainHttpDialect
-from chiveslip.services.selection import ServiceSelection
 
 Patch = pytest.MonkeyPatch
 
@@ -125,14 +124,12 @@
         }
         return EndpointList(revision=endpoints.revision, endpoints=live)
 
-    choose = ServiceSelection.choose
+    live_of = EndpointList.live_of
     engines_for = placement.engines_for
     patch.setattr(
-        ServiceSelection,
-        "choose",
-        lambda self, service, endpoints, tried, now: choose(
-            self, service, all_live(endpoints), tried, now
-        ),
+        EndpointList,
+        "live_of",
+        lambda self, service: live_of(all_live(self), service),
     )
     patch.setattr(
         placement,
