--- a/bench/placement.py
+++ b/bench/placement.py
@@ -1,6 +1,6 @@
 """Placement policies side by side on a small model of engines, in virtual time.
 
-Run ``python -m bench.placement`` for the table of docs/BENCH.md. The model has what
+Played by ``bench.experiment`` for the table of docs/BENCH.md. The model has what
 placing depends on: places for adapters, fetches from a store that slows down when
 crowded, copies that come back faster, prompts read one after the other, a batch whose
 steps grow. It has no cache of prompts, no network and one instance that knows all.
@@ -429,32 +429,3 @@
 def fewest_fetches(requests: list[Arrival]) -> int:
     """Return the fetches of a clairvoyant: each adapter once, copies for ever."""
     return len({arrival.adapter for arrival in requests})
-
-
-def main() -> None:
-    """Print the table."""
-    for rate in (57.0, 100.0):
-        load = Load(rate=rate)
-        requests = arrivals(load, SEED)
-        print(f"\n{rate:g} requests a second, {len(requests)} requests, seed {SEED}\n")
-        print(
-            "| policy | fetches | stalled | stall p50 | stall p99 | first token p99 "
-            "| worst organisation | refused |"
-        )
-        print("|---|---|---|---|---|---|---|---|")
-        for name, policy in POLICIES.items():
-            result = Simulation(load, policy).play(requests)
-            print(
-                f"| {name} | {result.fetches} | {len(result.stalls_s)} "
-                f"| {share(result.stalls_s, 0.5) * 1000:.0f} ms "
-                f"| {share(result.stalls_s, 0.99) * 1000:.0f} ms "
-                f"| {first_p99(result) * 1000:.0f} ms "
-                f"| {worst_p99(result):.2f} x median | {result.refused} |"
-            )
-        print(
-            f"| clairvoyant, fetches alone | {fewest_fetches(requests)} | | | | | | |"
-        )
-
-
-if __name__ == "__main__":
-    main()
