--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,9 +9,9 @@
 
 import argparse
 import asyncio
+import logging
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -22,6 +22,7 @@
 from tornado.httpclient import HTTPClientError
 from tornado.iostream import StreamClosedError
 
+from local.processes import free_ports
 from soak import checks
 from soak.checks import Asked
 from soak.gateways import GatewayProcess
@@ -31,7 +32,7 @@
 from testing.platform.standins import ReplicaStandIn
 from testing.platform.standins import StoreStandIn
 
-GATEWAYS = 3
+SEED_PEERS = 3
 CLIENTS = 12
 KEYS = "soak-key-"
 ADAPTERS = 8
@@ -85,13 +86,13 @@
 class Soak:
     """One seed."""
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(self, seed: int, folder: Path, gateways: int) -> None:
         self._random = random.Random(seed)
         self._store = StoreStandIn()
         self._replicas = [ReplicaStandIn(name) for name in ("k1", "k2", "e1", "e2")]
         self._proxies = [Proxy(replica.port) for replica in self._replicas]
-        ports = [Ports(**_free_ports()) for _ in range(GATEWAYS)]
-        seeds = ",".join(f"127.0.0.1:{port.peers}" for port in ports)
+        ports = _free_ports(gateways)
+        seeds = ",".join(f"127.0.0.1:{port.peers}" for port in ports[:SEED_PEERS])
         self._gateways = [
             GatewayProcess(f"g{n}", port, seeds, self._store.port, folder)
             for n, port in enumerate(ports)
@@ -268,20 +269,15 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def _free_ports() -> dict[str, int]:
+def _free_ports(gateways: int) -> list[Ports]:
     names = ("callers", "readiness", "peers", "metrics")
-    probes = [socket.socket() for _ in names]
-    for probe in probes:
-        probe.bind(("127.0.0.1", 0))
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return dict(zip(names, ports, strict=True))
+    free = iter(free_ports(gateways * len(names)))
+    return [Ports(**{name: next(free) for name in names}) for _ in range(gateways)]
 
 
-async def _play(seed: int, folder: Path, seconds: float) -> list[str]:
+async def _play(seed: int, folder: Path, gateways: int, seconds: float) -> list[str]:
     # The stand-ins listen on the running event loop.
-    return await Soak(seed, folder).play(seconds)
+    return await Soak(seed, folder, gateways).play(seconds)
 
 
 def main() -> int:
@@ -290,15 +286,18 @@
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--first-seed", type=int, default=1)
+    parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--folder", type=Path, default=None)
     options = parser.parse_args()
+    # Stand-ins refuse and break off as they are told; that is no news.
+    logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
     failed = []
     for seed in range(options.first_seed, options.first_seed + options.seeds):
         base = options.folder or Path(tempfile.mkdtemp(prefix="soak-"))
         folder = base / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
         print(f"seed {seed}, logs in {folder}")
-        found = asyncio.run(_play(seed, folder, options.seconds))
+        found = asyncio.run(_play(seed, folder, options.gateways, options.seconds))
         for line in found:
             print(f"  NOT KEPT: {line}")
         if found:
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -180,6 +180,7 @@
             suspects=suspects,
             mirror=self._mirror,
             pace=self._pace,
+            measures=self._measures,
             clock=clock,
         )
         messages = GossipMessages(parts, self._random)
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -81,8 +81,10 @@
         try:
             reply = await self._peers.exchange(address, question)
             self._messages.take(reply)
+            self._parts.measures.exchanges.labels("answered").inc()
             await self._pull(address, reply.store_revision)
         except PeerError as error:
+            self._parts.measures.exchanges.labels("failed").inc()
             self._log.debug("No exchange.", peer=str(address), cause=str(error))
         finally:
             self._in_flight.discard(address)
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -26,6 +26,7 @@
 from chiveslip.fleet.reports import unpack
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.measures import GatewayMeasures
 from chiveslip.gateway.ordering import Orderer
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.settings.fields import parse_address
@@ -43,6 +44,7 @@
     suspects: CrashSuspects
     mirror: StoreMirror
     pace: Callable[[], Pace]
+    measures: GatewayMeasures
     clock: Clock
 
 
@@ -105,11 +107,23 @@
             sender=_member(parts.membership.own_news()),
             store_revision=parts.mirror.revision,
         )
-        levels = parts.allowances.levels(now)
-        for name, tokens in parts.allowances.used.items():
+        self._tell_allowances(message, now)
+        self._tell_engines(message)
+        for fingerprint, crashes in parts.suspects.known(now).items():
+            told = message.crash_suspects.add(fingerprint=fingerprint)
+            for endpoint, at in crashes.items():
+                told.crashes.add(endpoint=endpoint, age_seconds=now - at)
+        return message
+
+    def _tell_allowances(self, message: wire.Gossip, now: float) -> None:
+        levels = self._parts.allowances.levels(now)
+        for name, tokens in self._parts.allowances.used.items():
             message.allowance_uses.add(
                 organisation=name, tokens=tokens, level=levels.get(name, math.inf)
             )
+
+    def _tell_engines(self, message: wire.Gossip) -> None:
+        parts = self._parts
         for use in parts.view.own_uses():
             message.engine_uses.add(
                 endpoint=use.engine,
@@ -118,23 +132,9 @@
                 adapters=[_join(adapter) for adapter in use.adapters],
             )
         for state in parts.orderer.states():
-            message.engine_states.add(
-                endpoint=state.engine,
-                started=state.started,
-                models=sorted(state.models),
-                adapters=[_join(adapter) for adapter in state.adapters],
-                running=state.running,
-                waiting=state.waiting,
-                cache_used=state.cache_used,
-                age_seconds=state.age_s,
-            )
+            message.engine_states.append(_told_state(state))
         for engine, age_s, fence in parts.orderer.rights.last_orders():
             message.last_orders.add(endpoint=engine, age_seconds=age_s, fence=fence)
-        for fingerprint, crashes in parts.suspects.known(now).items():
-            told = message.crash_suspects.add(fingerprint=fingerprint)
-            for endpoint, at in crashes.items():
-                told.crashes.add(endpoint=endpoint, age_seconds=now - at)
-        return message
 
     def _hear(self, told: wire.MemberState, now: float) -> None:
         news = _news(told)
@@ -227,6 +227,19 @@
     )
 
 
+def _told_state(state: EngineStateNews) -> wire.EngineState:
+    return wire.EngineState(
+        endpoint=state.engine,
+        started=state.started,
+        models=sorted(state.models),
+        adapters=[_join(adapter) for adapter in state.adapters],
+        running=state.running,
+        waiting=state.waiting,
+        cache_used=state.cache_used,
+        age_seconds=state.age_s,
+    )
+
+
 def _state(state: wire.EngineState, age_s: float) -> EngineStateNews:
     return EngineStateNews(
         engine=state.endpoint,
--- a/src/chiveslip/gateway/engine_way.py
+++ b/src/chiveslip/gateway/engine_way.py
@@ -19,6 +19,7 @@
 from chiveslip.gateway.loads import LoadTimes
 from chiveslip.gateway.ordering import Loaded
 from chiveslip.gateway.ordering import LoadOutcome
+from chiveslip.gateway.placement import Choice
 from chiveslip.gateway.placement import Placement
 from chiveslip.gateway.sending import TryResult
 from chiveslip.generated import result_codes
@@ -39,6 +40,41 @@
     waited_for_load: bool
 
 
+@attrs.define
+class _Search:
+    """What is known of one request while an engine is sought for it."""
+
+    adapter: Adapter | None
+    prompt: float
+    excluded: set[str]
+    soonest_s: float | None = None
+    outcomes: list[str] = attrs.field(factory=list)
+
+    def passes_over(self, engine: str, loaded: Loaded) -> None:
+        """Note why an engine cannot have the adapter in time."""
+        self.excluded.add(engine)
+        self.outcomes.append(f"{engine} {loaded.outcome.value}")
+        if loaded.outcome is LoadOutcome.TOO_LATE:
+            self.soonest_s = min(self.soonest_s or loaded.after_s, loaded.after_s)
+
+    def leaves(self, engine: str) -> None:
+        """Note that an engine left meanwhile."""
+        self.excluded.add(engine)
+        self.outcomes.append(f"{engine} leaves")
+
+    def refusal(self) -> Refusal:
+        """Return the refusal when no engine is left to ask."""
+        if self.soonest_s is not None:
+            return _too_late(self.soonest_s)
+        tried = ", ".join(self.outcomes) or "none is left"
+        code = result_codes.LOAD_FAILED if self.excluded else result_codes.NO_ENDPOINT
+        return Refusal(
+            code=code,
+            detail=f"No engine can take it: {tried}.",
+            retry_after_s=_RETRY_AFTER_S,
+        )
+
+
 @final
 class EngineWay(Way):
     """Chooses engines by their adapters and their load."""
@@ -65,58 +101,57 @@
 
     async def choose(self, call: Call) -> Target | Refusal:
         """Return the engine that answers soonest, its adapter being there."""
-        limits = call.table.services[call.service].engine
-        assert limits is not None
-        adapter = self._adapter(call)
-        prompt = float(call.facts.prompt_tokens or _DEFAULT_PROMPT_TOKENS)
-        excluded = self._excluded(call)
-        soonest_s: float | None = None
-        outcomes: list[str] = []
+        search = _Search(
+            adapter=self._adapter(call),
+            prompt=float(call.facts.prompt_tokens or _DEFAULT_PROMPT_TOKENS),
+            excluded=self._excluded(call),
+        )
         for _ in range(_MOST_LOAD_REQUESTS):
-            now = self._clock.now()
-            choice = self._placement.choose(
-                self._directory.ready(call.service),
-                limits,
-                call.facts.model,
-                adapter,
-                prompt,
-                excluded,
-                now,
-            )
+            began = self._clock.now()
+            choice = self._best(call, search, began)
             if choice is None:
                 break
-            left_s = call.first_event_by - now
+            left_s = call.first_event_by - began
             if choice.wait_s > left_s:
                 return _too_late(choice.wait_s - left_s)
-            loaded = await self._have_adapter(choice.engine.id, adapter, left_s)
+            loaded = await self._have_adapter(choice.engine.id, search.adapter, left_s)
             if loaded.outcome is not LoadOutcome.USABLE:
-                excluded.add(choice.engine.id)
-                outcomes.append(f"{choice.engine.id} {loaded.outcome.value}")
-                if loaded.outcome is LoadOutcome.TOO_LATE:
-                    soonest_s = min(soonest_s or loaded.after_s, loaded.after_s)
+                search.passes_over(choice.engine.id, loaded)
                 continue
             if loaded.after_s > left_s:
                 return _too_late(loaded.after_s)
             call.estimate_s = max(choice.wait_s, loaded.after_s)
             if loaded.after_s > 0:
                 await asyncio.sleep(loaded.after_s)
-            call.load_wait_s += self._clock.now() - now
+            call.load_wait_s += self._clock.now() - began
             if not self._directory.is_ready(choice.engine.id):
                 # It began to leave, or was gone, while the request waited.
-                excluded.add(choice.engine.id)
-                outcomes.append(f"{choice.engine.id} leaves")
+                search.leaves(choice.engine.id)
                 continue
-            self._placed[call] = _Placed(adapter, prompt, loaded.after_s > 0)
-            version = adapter[1] if adapter is not None and adapter[1] else None
-            return Target(endpoint=choice.engine, version=version)
-        if soonest_s is not None:
-            return _too_late(soonest_s)
-        return Refusal(
-            code=result_codes.LOAD_FAILED if excluded else result_codes.NO_ENDPOINT,
-            detail=f"No engine can take it: {', '.join(outcomes) or 'none is left'}.",
-            retry_after_s=_RETRY_AFTER_S,
+            return self._target(call, search, choice, loaded)
+        return search.refusal()
+
+    def _best(self, call: Call, search: _Search, now: float) -> Choice | None:
+        limits = call.table.services[call.service].engine
+        assert limits is not None
+        return self._placement.choose(
+            self._directory.ready(call.service),
+            limits,
+            call.facts.model,
+            search.adapter,
+            search.prompt,
+            search.excluded,
+            now,
         )
 
+    def _target(
+        self, call: Call, search: _Search, choice: Choice, loaded: Loaded
+    ) -> Target:
+        adapter = search.adapter
+        self._placed[call] = _Placed(adapter, search.prompt, loaded.after_s > 0)
+        version = adapter[1] if adapter is not None and adapter[1] else None
+        return Target(endpoint=choice.engine, version=version)
+
     def begins(self, call: Call, target: Target) -> None:
         """Count the request and its prompt at the engine."""
         placed = self._placed[call]
--- a/src/chiveslip/gateway/measures.py
+++ b/src/chiveslip/gateway/measures.py
@@ -74,6 +74,12 @@
             "Instances alive, this one included.",
             registry=registry,
         )
+        self.exchanges = Counter(
+            "chiveslip_peer_exchanges",
+            "Exchanges with peers that this instance began, by outcome.",
+            ("outcome",),
+            registry=registry,
+        )
         self.engines_ordered = Gauge(
             "chiveslip_engines_ordered",
             "Engines that this instance orders at.",
--- a/testing/fleet/conftest.py
+++ b/testing/fleet/conftest.py
@@ -168,6 +168,7 @@
             suspects=CrashSuspects(3),
             mirror=StoreMirror(),
             pace=pace,
+            measures=GatewayMeasures(),
             clock=clock,
         )
         messages = GossipMessages(parts, self.random)
