Take an adapter that is being dropped for absent

Cause: an engine answers an unload of an adapter in use with "under way" and refuses it to new requests from then on. The orderer went on telling it as usable, and a load of it was ordered again and again while the engine's other loads waited. Change: such an adapter takes its place, is no longer told, and is refused until the report shows that it has gone. Orderers of used engines are asked in turn, the one asked longest ago first. Test: test_adapter_that_an_engine_is_dropping_is_not_told_as_usable, red before.

--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -39,6 +39,7 @@
         self._seeds = seeds
         self._random = generator
         self._rounds = 0
+        self._rounds_asked: dict[str, int] = {}
         self._in_flight: set[Address] = set()
         self._log = logs.get_logger("gossip")
 
@@ -73,12 +74,19 @@
             return [news.address for news in reachable.values()]
         used = [use.engine for use in parts.view.own_uses()]
         orderers = {parts.orderer.rights.orderer_of(engine) for engine in used}
-        told = sorted(orderers & reachable.keys())
-        chosen = self._random.sample(told, min(len(told), asked - 1))
+        # The one asked longest ago first, so that each is told in turn.
+        told = sorted(orderers & reachable.keys(), key=self._asked_at)
+        chosen = told[: asked - 1]
         others = sorted(reachable.keys() - set(chosen))
         chosen += self._random.sample(others, asked - len(chosen))
+        self._rounds_asked = {
+            name: at for name, at in self._rounds_asked.items() if name in reachable
+        } | dict.fromkeys(chosen, self._rounds)
         return [reachable[name].address for name in chosen]
 
+    def _asked_at(self, instance: str) -> int:
+        return self._rounds_asked.get(instance, 0)
+
     async def _exchange(self, address: Address, question: wire.Gossip) -> None:
         self._in_flight.add(address)
         try:
--- a/src/chiveslip/gateway/ordering.py
+++ b/src/chiveslip/gateway/ordering.py
@@ -230,6 +230,8 @@
         return load_s * (1 + waiting / self._fetch_part())
 
     def _known(self, held: _Engine, adapter: Adapter) -> Loaded | None:
+        if held.places.is_leaving(adapter):
+            return Loaded(outcome=LoadOutcome.NO_ROOM)
         ready_at = held.places.ready_at(adapter)
         if ready_at is None:
             return None
@@ -321,6 +323,11 @@
         if victim is None:
             return False
         answer = await self._order(held, Operation.UNLOAD, victim[0])
+        if answer is OrderAnswer.UNDER_WAY:
+            # A request that nobody has told of yet uses it.
+            held.places.leaves(victim, self._clock.now())
+            self._view.missing(held.listed.id, victim)
+            return False
         if answer is not OrderAnswer.HOLDS_ALREADY:
             return False
         held.places.unloaded(victim, self._clock.now())
--- a/src/chiveslip/gateway/places.py
+++ b/src/chiveslip/gateway/places.py
@@ -28,6 +28,7 @@
     ordered_at: float
     ready_at: float
     used_at: float
+    leaving: bool = False
 
 
 @final
@@ -43,13 +44,18 @@
 
     @property
     def adapters(self) -> frozenset[Adapter]:
-        """Adapters that take a place."""
-        return frozenset(self._places)
+        """Adapters that take a place and stay."""
+        return frozenset(a for a, place in self._places.items() if not place.leaving)
+
+    def is_leaving(self, adapter: Adapter) -> bool:
+        """Return whether an adapter goes when its last request ends."""
+        place = self._places.get(adapter)
+        return place is not None and place.leaving
 
     def ready_at(self, adapter: Adapter) -> float | None:
         """Return when an adapter is or was usable, or None."""
         place = self._places.get(adapter)
-        return None if place is None else place.ready_at
+        return None if place is None or place.leaving else place.ready_at
 
     def coming(self, now: float) -> list[float]:
         """Return when each adapter on its way is expected, the first one first."""
@@ -81,6 +87,15 @@
         self._places.pop(adapter, None)
         self._unloaded[adapter] = now
 
+    def leaves(self, adapter: Adapter, now: float) -> None:
+        """Note that the engine drops an adapter once its requests have ended.
+
+        Until then it takes its place, and the engine refuses it to new requests.
+        """
+        place = self._places[adapter]
+        place.leaving = True
+        place.ordered_at = now
+
     def refused(self, adapter: Adapter) -> None:
         """Take back the count of an order that was refused."""
         self._places.pop(adapter, None)
@@ -97,6 +112,8 @@
         idle = [
             (place.used_at, adapter)
             for adapter, place in self._places.items()
-            if adapter not in in_use and place.used_at + _RECENT_USE_S <= now
+            if adapter not in in_use
+            and not place.leaving
+            and place.used_at + _RECENT_USE_S <= now
         ]
         return min(idle)[1] if idle else None
--- a/testing/gateway/test_ordering.py
+++ b/testing/gateway/test_ordering.py
@@ -404,3 +404,20 @@
     fleet = fleet_of(FIRST, Silent())
     fleet.look_for(2.0)
     assert fleet.orderer.states() == []
+
+
+def test_adapter_that_an_engine_is_dropping_is_not_told_as_usable(
+    fleet_of: FleetOf,
+) -> None:
+    """It goes when its last request ends, and is refused to new ones until then."""
+    fleet = fleet_of(FIRST)
+    fleet.look_for(2.0)
+    for name in ("m/a", "m/b", "m/c"):
+        fleet.load(name)
+    fleet.look_for(2.0)
+    fleet.engine.answers = [OrderAnswer.UNDER_WAY]
+    assert fleet.load("m/d") is LoadOutcome.NO_ROOM
+    dropped = fleet.engine.given[-1].target
+    assert fleet.load(dropped) is not LoadOutcome.USABLE
+    (state,) = fleet.orderer.states()
+    assert dropped not in {name for name, _ in state.adapters}
