Log when and from whom an instance learns that an endpoint leaves

Lines of the catalogue had no source, a request's line had neither the time of the choice nor that of the sending, and a stalled event loop left no trace.

Change: changes of the store carry their source (the store, or the peer) to the catalogue's lines; `Ended.` has `chosen_s` and `sent_s` for each attempt; `Removal deferred.` and `Round late.` are logged, the latter with the metric chiveslip_round_delay_seconds; `chiveslip departures LOG...` lists for each endpoint that left who learnt of it when and from whom, and each request sent too late.

No decision changes.

--- a/src/chiveslip/cli/explain_commands.py
+++ b/src/chiveslip/cli/explain_commands.py
@@ -1,4 +1,4 @@
-"""Commands for gateways: explain a request from logs, and show metrics."""
+"""Commands for gateways: explain requests and departures from logs, show metrics."""
 
 from __future__ import annotations
 
@@ -11,12 +11,15 @@
 import cappa
 from prometheus_client.parser import text_string_to_metric_families
 
+from chiveslip.cli import departures
 from chiveslip.cli import output
 from chiveslip.cli import request_report
 from chiveslip.cli.configuration_commands import AsJson
 from chiveslip.cli.request_report import LogLine
 
 _TIMEOUT_S = 3.0
+# Endpoints serve for at least two seconds after they said that they leave.
+_DEFAULT_LATE_BOUND_S = 2.0
 # Metrics that show the health of a gateway, with their labels in the output.
 _METRIC_LABELS = {
     "chiveslip_members": "live instances",
@@ -42,14 +45,7 @@
 
     def __call__(self) -> None:
         """Run the command."""
-        lines: list[LogLine] = []
-        for path in self.logs:
-            try:
-                text = path.read_text(encoding="utf-8", errors="replace")
-            except OSError as error:
-                errors = [f"{path}: {error.strerror}; give a readable log file"]
-                raise output.print_errors(errors, output.EXIT_INVALID_INPUT) from error
-            lines += request_report.parse_lines(text.splitlines(), path.name)
+        lines = _read_logs(self.logs)
         report = request_report.build_report(self.request, lines)
         if report is None:
             message = (
@@ -61,6 +57,45 @@
         output.print_result(report.to_dict(), text, as_json=self.json)
 
 
+@cappa.command(name="departures")
+@dataclass
+class Departures:
+    """Show when each instance learnt that endpoints left, and what was sent too late.
+
+    Pass the logs of all instances. A request is late if it was sent to an endpoint
+    longer than the bound after the first instance learnt that the endpoint left.
+    """
+
+    logs: Annotated[list[Path], cappa.Arg(help="Log files, one or more.")]
+    bound: Annotated[
+        float,
+        cappa.Arg(long=True, help="Seconds after which a request to it is late."),
+    ] = _DEFAULT_LATE_BOUND_S
+    json: AsJson = False
+
+    def __call__(self) -> None:
+        """Run the command."""
+        found = departures.find_departures(_read_logs(self.logs), self.bound)
+        if not found:
+            message = "no endpoint left; give the logs of all instances"
+            raise output.print_errors([message], output.EXIT_UNREACHABLE)
+        value = [departure.to_dict() for departure in found]
+        text = departures.format_departures(found)
+        output.print_result(value, text, as_json=self.json)
+
+
+def _read_logs(paths: list[Path]) -> list[LogLine]:
+    lines: list[LogLine] = []
+    for path in paths:
+        try:
+            text = path.read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            errors = [f"{path}: {error.strerror}; give a readable log file"]
+            raise output.print_errors(errors, output.EXIT_INVALID_INPUT) from error
+        lines += request_report.parse_lines(text.splitlines(), path.name)
+    return lines
+
+
 @cappa.command(name="gateway-status")
 @dataclass
 class GatewayStatus:
--- a/src/chiveslip/cli/main.py
+++ b/src/chiveslip/cli/main.py
@@ -12,6 +12,7 @@
 from chiveslip.cli.configuration_commands import Diff
 from chiveslip.cli.configuration_commands import Publish
 from chiveslip.cli.configuration_commands import Render
+from chiveslip.cli.explain_commands import Departures
 from chiveslip.cli.explain_commands import Explain
 from chiveslip.cli.explain_commands import GatewayStatus
 from chiveslip.cli.fleet_commands import ShowAudit
@@ -34,6 +35,7 @@
     command: cappa.Subcommands[
         Check
         | CheckSettings
+        | Departures
         | Diff
         | Explain
         | GatewayStatus
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -71,6 +71,9 @@
 _STARTUP_S = 1.0
 _STARTUP_INTERVAL_FACTOR = 0.4
 _MAX_HEAD_BYTES = 64 << 10
+# A round that begins this much late is logged: reads of the store and answers of peers
+# were processed as late.
+_LATE_ROUND_S = 0.5
 
 
 class PlatformInterfaces(abc.ABC):
@@ -323,9 +326,16 @@
             self._tasks.start(self._run_maintenance())
             is_starting = self._clock.now() - started_at < _STARTUP_S
             interval_s = self._schedule().interval_s
-            await asyncio.sleep(
-                interval_s * _STARTUP_INTERVAL_FACTOR if is_starting else interval_s
-            )
+            if is_starting:
+                interval_s *= _STARTUP_INTERVAL_FACTOR
+            due_at = self._clock.now() + interval_s
+            await asyncio.sleep(interval_s)
+            self._record_round_delay(self._clock.now() - due_at)
+
+    def _record_round_delay(self, late_s: float) -> None:
+        self._metrics.round_delay.observe(max(late_s, 0.0))
+        if late_s >= _LATE_ROUND_S:
+            self._log.warning("Round late.", late_s=round(late_s, 3))
 
     def _schedule(self) -> GossipSchedule:
         return self._current_schedule
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -130,7 +130,7 @@
         ):
             return
         reply = await self._peers.changes(address, mirror.revision)
-        mirror.apply_peer_reply(reply, self._parts.clock.now())
+        mirror.apply_peer_reply(reply, str(address))
 
 
 @final
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -12,6 +12,22 @@
 from chiveslip.gateway.routing import RoutingTable
 
 
+@attrs.define(kw_only=True)
+class AttemptTimes:
+    """When an attempt chose its endpoint and when it sent the request.
+
+    Attributes
+    ----------
+    chosen_at
+        Local time in seconds at which the endpoint was chosen.
+    sent_at
+        Local time in seconds at which the request was sent, or None if it was not.
+    """
+
+    chosen_at: float
+    sent_at: float | None = None
+
+
 @attrs.define(kw_only=True, eq=False)
 class Call:
     """A request that was admitted.
@@ -39,6 +55,8 @@
         empty.
     attempt_results
         Results of all attempts, in order.
+    attempt_times
+        Times of all attempts, in order.
     estimate_s
         Estimated time in seconds until the first event, or None if not estimated.
     load_wait_s
@@ -64,6 +82,7 @@
     attempted_endpoints: list[str] = attrs.field(factory=list)
     retryable_endpoint: str = ""
     attempt_results: list[str] = attrs.field(factory=list)
+    attempt_times: list[AttemptTimes] = attrs.field(factory=list)
     estimate_s: float | None = None
     load_wait_s: float = 0.0
     first_event_at: float | None = None
--- a/src/chiveslip/gateway/catalogue.py
+++ b/src/chiveslip/gateway/catalogue.py
@@ -21,6 +21,8 @@
 _EXPIRY_GRACE_S = 1.7
 _STORE_RECONNECT_WINDOW_S = 2.2
 _FIRST_VERSION = 1
+# Source of a removal that was deferred until the entry could have been renewed.
+_EXPIRED_SOURCE = "expiry"
 
 
 @final
@@ -91,8 +93,14 @@
                 "Adapter version activated.", adapter=adapter, version=version
             )
 
-    def update_endpoint(self, endpoint: ListedEndpoint) -> None:
-        """Add an endpoint or replace its description."""
+    def update_endpoint(self, endpoint: ListedEndpoint, source: str) -> None:
+        """Add an endpoint or replace its description.
+
+        Parameters
+        ----------
+        source
+            Where this instance learnt of the change, for the log.
+        """
         self._expired.pop(endpoint.id, None)
         known = self._directory.by_id.get(endpoint.id)
         if known is None or known.state is not endpoint.state:
@@ -101,6 +109,7 @@
                 endpoint=endpoint.id,
                 service=endpoint.service,
                 state=endpoint.state.value,
+                source=source,
             )
         self._directory.put(endpoint)
         # The engine's coordinator reports later changes sooner than the store.
@@ -114,26 +123,32 @@
                 self._clock.now(),
             )
 
-    def remove_endpoint(self, endpoint: str) -> None:
+    def remove_endpoint(self, endpoint: str, source: str) -> None:
         """Remove an endpoint whose entry was removed or cannot be read.
 
         Shortly after the store became reachable again, the endpoint is only marked as
         expired; `drop_expired_endpoints` removes it later.
+
+        Parameters
+        ----------
+        source
+            Where this instance learnt of the change, for the log.
         """
         if endpoint not in self._directory.by_id:
             return
         now = self._clock.now()
         if now - self._store_reconnected_at() < _STORE_RECONNECT_WINDOW_S:
             self._expired.setdefault(endpoint, now + _EXPIRY_GRACE_S)
+            self._log.info("Removal deferred.", endpoint=endpoint, source=source)
             return
-        self._drop(endpoint)
+        self._drop(endpoint, source)
 
     def drop_expired_endpoints(self) -> None:
         """Remove endpoints that expired with the store and were not renewed in time."""
         now = self._clock.now()
         for endpoint in [name for name, at in self._expired.items() if at <= now]:
             del self._expired[endpoint]
-            self._drop(endpoint)
+            self._drop(endpoint, _EXPIRED_SOURCE)
 
     def ready_engines(self) -> list[tuple[ListedEndpoint, EngineCapacity]]:
         """Return all engines that take new work, with their capacities."""
@@ -146,7 +161,7 @@
             for endpoint in self._directory.find_ready(service.name)
         ]
 
-    def _drop(self, endpoint: str) -> None:
-        self._log.info("Endpoint gone.", endpoint=endpoint)
+    def _drop(self, endpoint: str, source: str) -> None:
+        self._log.info("Endpoint gone.", endpoint=endpoint, source=source)
         self._directory.remove(endpoint)
         self._view.forget_engine(endpoint)
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -131,7 +131,7 @@
                 # The engine began to leave or disappeared while the request waited.
                 search.exclude_leaving(choice.engine.id)
                 continue
-            return self._place(call, search, choice, load)
+            return self._place(call, search, choice, load, started_at)
         return search.build_refusal()
 
     def _choose_engine(self, call: Call, search: _Search, now: float) -> Choice | None:
@@ -148,7 +148,12 @@
         )
 
     def _place(
-        self, call: Call, search: _Search, choice: Choice, load: LoadResult
+        self,
+        call: Call,
+        search: _Search,
+        choice: Choice,
+        load: LoadResult,
+        chosen_at: float,
     ) -> Target:
         """Remember what was chosen for a request, and return its target."""
         adapter = search.adapter
@@ -156,7 +161,7 @@
             adapter, search.prompt_tokens, load.ready_in_s > 0
         )
         version = adapter[1] if adapter is not None and adapter[1] else None
-        return Target(endpoint=choice.engine, version=version)
+        return Target(endpoint=choice.engine, chosen_at=chosen_at, version=version)
 
     def record_start(self, call: Call, target: Target) -> None:
         """Count the request and its prompt at the engine."""
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from chiveslip.dispatch.suspects import CrashedEndpoint
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.gateway.allowances import SharedAllowances
+from chiveslip.gateway.call import AttemptTimes
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
@@ -64,11 +65,14 @@
 
     Attributes
     ----------
+    chosen_at
+        Local time in seconds at which the endpoint was chosen, before any wait.
     version
         Version of the adapter that must answer, or None.
     """
 
     endpoint: ListedEndpoint
+    chosen_at: float
     version: int | None = None
 
 
@@ -306,6 +310,7 @@
         )
         result: AttemptResult | None = None
         call.attempted_endpoints.append(target.endpoint.id)
+        call.attempt_times.append(AttemptTimes(chosen_at=target.chosen_at))
         selector.record_start(call, target)
         try:
             attempt = await self._dependencies.sender.send(
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -105,6 +105,12 @@
         self.running_requests = Gauge(
             "chiveslip_requests_running", "Requests under way.", registry=registry
         )
+        self.round_delay = Histogram(
+            "chiveslip_round_delay_seconds",
+            "Time by which a round of periodic work began late.",
+            buckets=_SHORT_BUCKETS_S,
+            registry=registry,
+        )
         self.dropped_log_lines = Gauge(
             "chiveslip_log_lines_dropped",
             "Log lines dropped since the start, by level.",
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -160,6 +160,7 @@
             request_id=call.metadata.request_id,
         )
         call.was_sent = True
+        call.attempt_times[-1].sent_at = self._clock.now()
         try:
             await exchange.send(outgoing)
             head = await exchange.head(self._remaining_s(call))
--- a/src/chiveslip/gateway/service_selection.py
+++ b/src/chiveslip/gateway/service_selection.py
@@ -34,9 +34,10 @@
 
     async def select_target(self, call: Call) -> Target | Refusal:
         """Return a healthy endpoint with few requests, preferably a close one."""
+        now = self._clock.now()
         listed = self._directory.find_ready(call.service)
         endpoint = self._endpoint_selector.select_endpoint(
-            listed, call.attempted_endpoints, self._clock.now()
+            listed, call.attempted_endpoints, now
         )
         if endpoint is None:
             return Refusal(
@@ -44,7 +45,7 @@
                 detail=f"No ready endpoint is left to try, out of {len(listed)}.",
                 retry_after_s=_RETRY_AFTER_S,
             )
-        return Target(endpoint=endpoint)
+        return Target(endpoint=endpoint, chosen_at=now)
 
     def record_start(self, call: Call, target: Target) -> None:
         """Count the request as running at its endpoint."""
--- a/src/chiveslip/gateway/telemetry.py
+++ b/src/chiveslip/gateway/telemetry.py
@@ -110,6 +110,16 @@
             units=call.units,
             endpoints=call.attempted_endpoints,
             results=call.attempt_results,
+            chosen_s=[
+                _round_seconds(times.chosen_at - call.arrived_at)
+                for times in call.attempt_times
+            ],
+            sent_s=[
+                None
+                if times.sent_at is None
+                else _round_seconds(times.sent_at - call.arrived_at)
+                for times in call.attempt_times
+            ],
             estimate_s=_round_seconds(call.estimate_s),
             load_wait_s=_round_seconds(call.load_wait_s),
             first_event_s=_round_seconds(first_s),
--- a/src/chiveslip/platform/catalogue_updater.py
+++ b/src/chiveslip/platform/catalogue_updater.py
@@ -20,10 +20,10 @@
         self._catalogue = catalogue
         self._log = logs.get_logger("platform")
 
-    def apply_change(self, item: Item) -> None:
+    def apply_change(self, item: Item, source: str) -> None:
         """Apply one change; an unreadable entry does not affect other entries."""
         try:
-            self._parse_and_apply(item)
+            self._parse_and_apply(item, source)
         except UnreadableError as error:
             self._log.warning(
                 "Unreadable store entry.",
@@ -34,15 +34,15 @@
             if item.key == configuration.CONFIGURATION_KEY:
                 self._catalogue.record_refused_table(str(error))
             elif item.key.startswith(replicas.SERVERS_PREFIX):
-                self._remove_endpoint(item.key)
+                self._remove_endpoint(item.key, source)
 
-    def _parse_and_apply(self, item: Item) -> None:
+    def _parse_and_apply(self, item: Item, source: str) -> None:
         if item.key.startswith(replicas.SERVERS_PREFIX):
             if item.value is None:
-                self._remove_endpoint(item.key)
+                self._remove_endpoint(item.key, source)
                 return
             endpoint = replicas.read_endpoint(item.key, item.value)
-            self._catalogue.update_endpoint(endpoint)
+            self._catalogue.update_endpoint(endpoint, source)
         elif item.key == configuration.CONFIGURATION_KEY and item.value is not None:
             table = configuration.read_configuration(item.value)
             self._catalogue.activate_table(table)
@@ -50,5 +50,6 @@
             adapter, version = configuration.read_version(item.key, item.value)
             self._catalogue.activate_version(adapter, version)
 
-    def _remove_endpoint(self, key: str) -> None:
-        self._catalogue.remove_endpoint(key.removeprefix(replicas.SERVERS_PREFIX))
+    def _remove_endpoint(self, key: str, source: str) -> None:
+        endpoint = key.removeprefix(replicas.SERVERS_PREFIX)
+        self._catalogue.remove_endpoint(endpoint, source)
--- a/src/chiveslip/store/mirror.py
+++ b/src/chiveslip/store/mirror.py
@@ -18,7 +18,11 @@
 # Removed keys that are remembered; a peer that needs older ones gets a snapshot.
 _MAX_REMOVALS = 5000
 
-Listener = Callable[[Item], None]
+STORE_SOURCE = "store"
+"""Source of a change that this instance read itself."""
+
+Listener = Callable[[Item, str], None]
+"""Called with a change and its source: `STORE_SOURCE`, or the address of a peer."""
 
 
 @final
@@ -47,7 +51,7 @@
         """Call `listener` with each later change, in the order of application."""
         self._listeners.append(listener)
 
-    def apply_snapshot(self, snapshot: Changes) -> None:
+    def apply_snapshot(self, snapshot: Changes, source: str = STORE_SOURCE) -> None:
         """Apply all items of the store, unless the mirror has a newer revision."""
         if snapshot.revision < self._revision:
             return
@@ -55,16 +59,17 @@
         for key in [key for key in self._items if key not in present]:
             known = self._items[key]
             if known.revision <= snapshot.revision:
-                self._put(Item(key=key, value=None, revision=snapshot.revision))
+                removed = Item(key=key, value=None, revision=snapshot.revision)
+                self._put(removed, source)
         for item in snapshot.items:
-            self._put(item)
+            self._put(item, source)
         self._removals_complete_from = snapshot.revision
         self._revision = snapshot.revision
 
-    def apply_changes(self, changes: Changes) -> None:
+    def apply_changes(self, changes: Changes, source: str = STORE_SOURCE) -> None:
         """Apply changes that follow the current revision."""
         for item in changes.items:
-            self._put(item)
+            self._put(item, source)
         if changes.revision >= self._revision:
             self._revision = changes.revision
             self._behind_since = None
@@ -83,7 +88,7 @@
             self._behind_since = now
         return now - self._behind_since >= max_lag_s
 
-    def apply_peer_reply(self, reply: wire.ChangesReply, now: float) -> None:
+    def apply_peer_reply(self, reply: wire.ChangesReply, peer: str) -> None:
         """Apply the changes or the snapshot that a peer sent."""
         if reply.store_revision <= self._revision:
             return
@@ -97,9 +102,9 @@
         ]
         changes = Changes(items=items, revision=reply.store_revision)
         if reply.complete:
-            self.apply_snapshot(changes)
+            self.apply_snapshot(changes, peer)
         else:
-            self.apply_changes(changes)
+            self.apply_changes(changes, peer)
 
     def build_changes_reply(self, revision: int) -> wire.ChangesReply:
         """Return the changes for a peer whose mirror is at `revision`.
@@ -121,7 +126,7 @@
                 )
         return reply
 
-    def _put(self, item: Item) -> None:
+    def _put(self, item: Item, source: str) -> None:
         known = self._items.get(item.key) or self._removals.get(item.key)
         if known is not None and known.revision >= item.revision:
             return
@@ -137,4 +142,4 @@
             self._removals.pop(item.key, None)
             self._items[item.key] = item
         for listener in self._listeners:
-            listener(item)
+            listener(item, source)
--- a/testing/store/test_mirror.py
+++ b/testing/store/test_mirror.py
@@ -67,7 +67,7 @@
             items=[build_item("k", "2", 11), build_item("l", None, 12)], revision=12
         )
     )
-    target.apply_peer_reply(source.build_changes_reply(target.revision), 0.0)
+    target.apply_peer_reply(source.build_changes_reply(target.revision), "peer")
     assert values_by_key(target) == {"k": b"2"}
     assert target.revision == 12
 
@@ -79,7 +79,7 @@
         Changes(items=[build_item("gone", "1", 5), build_item("k", "1", 6)], revision=6)
     )
     younger.apply_snapshot(Changes(items=[build_item("k", "1", 6)], revision=20))
-    older.apply_peer_reply(younger.build_changes_reply(older.revision), 0.0)
+    older.apply_peer_reply(younger.build_changes_reply(older.revision), "peer")
     assert values_by_key(older) == {"k": b"1"}
 
 
