Check an endpoint again between connecting and sending

Callers saw: a request could reach an endpoint up to a second (`services.connect`) after its instance had learnt that the endpoint was leaving, and then be cut when the endpoint exited. With the time that the news itself takes, this exceeds the drain bound.

Cause: a choice was checked after the wait for an adapter, but not after the wait for the connection. The check looked at the id alone, so an endpoint that had restarted, or whose id or address was used again, passed as the one that was chosen. Class of fault: a decision used after a wait without asking whether it still holds.

Change: the sender asks the directory once the connection is open, directly before the request is written; the same entry (address, service, start) must still take new work. If not, the attempt ends as `endpoint left` and the next endpoint is tried, without a retry from the budget, as nothing was sent. This covers first attempts, retries, and resumed streams, for engines and plain services, because all of them pass through it.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -216,7 +216,7 @@
                 clock=clock,
                 protocol=protocol,
                 metrics=self._metrics,
-                sender=Sender(connector, protocol, clock),
+                sender=Sender(connector, protocol, clock, directory.accepts_work),
                 allowances=allowances,
                 retry_budget=RetryBudget(
                     share=settings.gateway.retry_share,
--- a/src/chiveslip/gateway/endpoints.py
+++ b/src/chiveslip/gateway/endpoints.py
@@ -69,10 +69,19 @@
         self._by_id.pop(endpoint, None)
         self._ready.clear()
 
-    def is_ready(self, endpoint: str) -> bool:
-        """Return whether an endpoint is listed and takes new work."""
-        listed = self._by_id.get(endpoint)
-        return listed is not None and listed.state is EndpointState.READY
+    def accepts_work(self, chosen: ListedEndpoint) -> bool:
+        """Return whether an endpoint that was chosen earlier still takes new work.
+
+        An id or an address that has been used again since belongs to another endpoint.
+        """
+        listed = self._by_id.get(chosen.id)
+        return (
+            listed is not None
+            and listed.state is EndpointState.READY
+            and listed.address == chosen.address
+            and listed.service == chosen.service
+            and listed.started == chosen.started
+        )
 
     def find_ready(self, service: str) -> list[ListedEndpoint]:
         """Return the endpoints of `service` that take new work, sorted by id."""
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -127,7 +127,7 @@
             if load.ready_in_s > 0:
                 await asyncio.sleep(load.ready_in_s)
             call.load_wait_s += self._clock.now() - started_at
-            if not self._directory.is_ready(choice.engine.id):
+            if not self._directory.accepts_work(choice.engine):
                 # The engine began to leave or disappeared while the request waited.
                 search.exclude_leaving(choice.engine.id)
                 continue
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -343,7 +343,11 @@
             self._dependencies.crash_suspects.clear(call.fingerprint, now)
             call.runs += 1
             return
-        if result in (AttemptResult.NOT_RUN, AttemptResult.LACKS_ADAPTER):
+        if result in (
+            AttemptResult.NOT_RUN,
+            AttemptResult.LACKS_ADAPTER,
+            AttemptResult.ENDPOINT_LEFT,
+        ):
             return
         is_unreachable = result is AttemptResult.NOT_SENT
         self._dependencies.endpoint_health.record_failure(
@@ -386,7 +390,7 @@
         now = self._dependencies.clock.now()
         if call.attempts >= _MAX_ATTEMPTS or now + _MIN_REMAINING_S >= call.deadline:
             return False
-        if attempt.result is AttemptResult.NOT_SENT:
+        if attempt.result in (AttemptResult.NOT_SENT, AttemptResult.ENDPOINT_LEFT):
             return True
         if attempt.result is AttemptResult.DEADLINE_PASSED:
             return False
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -43,6 +43,8 @@
     """The complete answer was forwarded to the caller."""
     NOT_SENT = "not sent"
     """No connection could be opened."""
+    ENDPOINT_LEFT = "endpoint left"
+    """The endpoint began to leave before the request was sent."""
     NOT_RUN = "not run"
     """The endpoint says that it did not run the request."""
     LACKS_ADAPTER = "lacks adapter"
@@ -93,14 +95,25 @@
 
 @final
 class Sender:
-    """Sends requests to endpoints."""
+    """Sends requests to endpoints.
+
+    Parameters
+    ----------
+    accepts_work
+        Returns whether an endpoint that was chosen earlier still takes new work.
+    """
 
     def __init__(
-        self, connector: Connector, protocol: GatewayProtocol, clock: Clock
+        self,
+        connector: Connector,
+        protocol: GatewayProtocol,
+        clock: Clock,
+        accepts_work: Callable[[ListedEndpoint], bool],
     ) -> None:
         self._connector = connector
         self._protocol = protocol
         self._clock = clock
+        self._accepts_work = accepts_work
 
     async def is_reachable(self, endpoint: ListedEndpoint) -> bool:
         """Return whether a new connection to an endpoint can be opened."""
@@ -135,6 +148,9 @@
         except ConnectError as error:
             return Attempt(result=AttemptResult.NOT_SENT, detail=str(error))
         try:
+            # The endpoint may have begun to leave while the connection was opened.
+            if not self._accepts_work(context.endpoint):
+                return Attempt(result=AttemptResult.ENDPOINT_LEFT)
             return await self._exchange(
                 exchange, call, context, stream, withholds_failure, on_first_event
             )
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -127,10 +127,12 @@
         self.script = list(script)
         self.sent: list[OutgoingRequest] = []
         self.exchanges: list[ScriptedExchange] = []
+        self.while_connecting: Callable[[Address], None] = lambda _: None
 
     async def open(self, address: Address, *, fresh: bool) -> Exchange:
         # A connection beyond the script only checks that the endpoint is up.
         behaviour = self.script.pop(0) if self.script else Behaviour()
+        self.while_connecting(address)
         if behaviour.refuses_connection:
             raise ConnectError("refused")
         exchange = ScriptedExchange(behaviour, self.sent)
@@ -173,12 +175,13 @@
 
 @attrs.define
 class GatewayHarness:
-    """A gateway with its scripted connector, clock and crash suspects."""
+    """A gateway with its scripted connector, clock, suspects and endpoints."""
 
     gateway: Gateway
     connector: ScriptedConnector
     clock: ManualClock
     suspects: CrashSuspects
+    directory: EndpointDirectory
 
     def send_request(self, path: str, **headers: str) -> RecordingReply:
         """Send one request and return the response that its caller receives."""
@@ -275,7 +278,7 @@
                 clock=clock,
                 protocol=dialect,
                 metrics=GatewayMetrics(),
-                sender=Sender(connector, dialect, clock),
+                sender=Sender(connector, dialect, clock, directory.accepts_work),
                 allowances=SharedAllowances(
                     schedule=lambda: schedule_for(1, PACE), instance_count=lambda: 1
                 ),
@@ -290,6 +293,6 @@
                 accepts_requests=lambda: takes_requests,
             )
         )
-        return GatewayHarness(gateway, connector, clock, suspects)
+        return GatewayHarness(gateway, connector, clock, suspects, directory)
 
     return build
--- a/testing/gateway/test_forwarding.py
+++ b/testing/gateway/test_forwarding.py
@@ -4,8 +4,12 @@
 
 from collections.abc import Callable
 
+import attrs
 import pytest
 
+from chiveslip.gateway.endpoints import EndpointState
+from chiveslip.gateway.endpoints import ListedEndpoint
+from chiveslip.settings.fields import Address
 from testing.gateway.conftest import DOWN
 from testing.gateway.conftest import FAILS
 from testing.gateway.conftest import KEY
@@ -238,3 +242,57 @@
     scene = make_gateway(SHEDS, TRUNCATED)
     scene.send_request("/once/x")
     assert all(exchange.closed for exchange in scene.connector.exchanges)
+
+
+def _begin_to_leave(harness: GatewayHarness, endpoint: ListedEndpoint) -> None:
+    harness.directory.put(attrs.evolve(endpoint, state=EndpointState.LEAVING))
+
+
+def _disappear(harness: GatewayHarness, endpoint: ListedEndpoint) -> None:
+    harness.directory.remove(endpoint.id)
+
+
+def _restart(harness: GatewayHarness, endpoint: ListedEndpoint) -> None:
+    harness.directory.put(attrs.evolve(endpoint, started=endpoint.started + 1))
+
+
+@pytest.mark.parametrize("leave", [_begin_to_leave, _disappear, _restart])
+@pytest.mark.parametrize(
+    ("path", "script", "connections", "sent"),
+    [
+        pytest.param("/once/x", [GOOD, GOOD], 2, 1, id="once"),
+        pytest.param("/freely/x", [GOOD, GOOD], 2, 1, id="freely"),
+        pytest.param("/stream/x", [GOOD, GOOD], 2, 1, id="stream"),
+        pytest.param("/freely/x", [RESETS, GOOD, GOOD], 3, 2, id="retry"),
+        pytest.param(
+            "/resumable/x",
+            [Behaviour(chunks=EVENTS[:1], is_truncated=True), GOOD, GOOD],
+            3,
+            2,
+            id="resumed-stream",
+        ),
+    ],
+)
+def test_request_is_not_sent_to_an_endpoint_that_left_while_connecting(
+    make_gateway: SceneOf,
+    path: str,
+    script: list[Behaviour],
+    connections: int,
+    sent: int,
+    leave: Callable[[GatewayHarness, ListedEndpoint], None],
+) -> None:
+    harness = make_gateway(*script)
+    opened = []
+
+    def leave_during_the_connection_before_the_last(address: Address) -> None:
+        opened.append(address)
+        if len(opened) == connections - 1:
+            endpoints = harness.directory.by_id.values()
+            leave(harness, next(e for e in endpoints if e.address == address))
+
+    harness.connector.while_connecting = leave_during_the_connection_before_the_last
+    reply = harness.send_request(path)
+    assert (reply.status, reply.is_complete) == (200, True)
+    assert len(harness.connector.sent) == sent
+    # Later connections only check whether the endpoint of a failed attempt is up.
+    assert len(set(opened[:connections])) == connections
