Take changes of the store from peers as soon as own reads lag

Cause: an instance pulled changes from a peer only once peers had been ahead for 1.15 s, and each exchange with a peer that was no further started that time again. In a large fleet in which a third cannot read the store, nearly every round has such an exchange, so the time hardly ever passed. The waiting time itself covered the pause between two reads also when the own read had failed or hung. Class of fault: a timer that is reset by evidence that says nothing about its subject.

Change: `store.catch_up` remembers when each newer revision was first mentioned, whatever other peers say; changes are overdue at once if the last read failed, else 0.3 s after the read that should have delivered them began. Revisions in exchanges that peers begin count as well. One slow peer does not hold up a pull for longer than 0.3 s.

--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -11,6 +11,7 @@
 import asyncio
 import random
 import time
+from enum import Enum
 from typing import cast
 from typing import final
 
@@ -27,6 +28,7 @@
 from chiveslip.fleet.gossip_schedule import GossipScheduleSettings
 from chiveslip.fleet.gossip_schedule import schedule_for
 from chiveslip.fleet.membership import Membership
+from chiveslip.fleet.store_pulls import StorePulls
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -41,6 +43,9 @@
 from chiveslip.gateway.metrics import GatewayMetrics
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.settings.fields import Address
+from chiveslip.store.catch_up import PeerCatchUp
+from chiveslip.store.client import Changes
+from chiveslip.store.client import Item
 from chiveslip.store.mirror import StoreMirror
 
 SEED = 20261204
@@ -83,18 +88,53 @@
     sent_bytes: int = 0
 
 
+class StorePath(Enum):
+    """How a member's reads of the store end."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+@attrs.define
+class FleetStore:
+    """The items of the store that the members read."""
+
+    revision: int = 1
+    items: list[Item] = attrs.field(factory=list)
+
+    def put(self, key: str, value: bytes) -> int:
+        """Acknowledge a change and return its revision."""
+        self.revision += 1
+        self.items.append(Item(key=key, value=value, revision=self.revision))
+        return self.revision
+
+
 @attrs.define(eq=False)
 class Member:
-    """The gossip of one gateway."""
+    """The gossip of one gateway, and its reads of the store."""
 
     name: str
     parts: GossipParts
     messages: GossipMessages
     gossip: Gossip
+    store_pulls: StorePulls
+    store_path: StorePath = StorePath.SERVED
     next_round_at: float = 0.0
+    next_read_at: float = 0.0
     is_running: bool = True
     traffic: Traffic = attrs.field(factory=Traffic)
 
+    def read_store(self, store: FleetStore, now: float) -> None:
+        """Read the changes of the store if a read is due and served."""
+        mirror = self.parts.mirror
+        is_served = self.store_path is StorePath.SERVED and now >= self.next_read_at
+        if not is_served or store.revision <= mirror.revision:
+            return
+        items = [item for item in store.items if item.revision > mirror.revision]
+        mirror.apply_changes(Changes(items=items, revision=store.revision))
+        self.next_read_at = now + self.parts.schedule().batch_delay_s
+
     def live_members(self, now: float) -> list[str]:
         """Return the names of the members that this member considers live."""
         return self.parts.membership.live_members(now)
@@ -115,6 +155,9 @@
             raise PeerError(f"no member is running at {address.host}")
         member.messages.apply(request)
         reply = member.messages.build_reply(request)
+        await member.store_pulls.pull_if_overdue(
+            Address(self._sender, 1), request.store_revision
+        )
         sender_traffic = self._fleet.members[self._sender].traffic
         sender_traffic.exchanges += 1
         sender_traffic.sent_bytes += request.ByteSize()
@@ -122,6 +165,13 @@
         member.traffic.sent_bytes += reply.ByteSize()
         return reply
 
+    async def changes(self, address: Address, after: int) -> wire.ChangesReply:
+        """Return the changes of the store that a member has after a revision."""
+        member = self._fleet.members.get(address.host)
+        if member is None or not member.is_running:
+            raise PeerError(f"no member is running at {address.host}")
+        return member.parts.mirror.build_changes_reply(after)
+
 
 @final
 class LargeFleet:
@@ -130,6 +180,7 @@
     def __init__(self, size: int) -> None:
         self.clock = ManualClock()
         self.random = random.Random(SEED)
+        self.store = FleetStore()
         self.members: dict[str, Member] = {}
         names = [f"m{number}" for number in range(size)]
         self._seeds = tuple(Address(name, 1) for name in names[:3])
@@ -140,6 +191,8 @@
         """Advance the clock by `seconds` and run the gossip rounds that are due."""
         end = self.clock.now() + seconds
         while self.clock.now() < end:
+            for member in self.running_members():
+                member.read_store(self.store, self.clock.now())
             for member in self.members.values():
                 if member.is_running and member.next_round_at <= self.clock.now():
                     asyncio.run(member.gossip.run_round())
@@ -199,14 +252,28 @@
             clock=clock,
         )
         messages = GossipMessages(parts, self.random)
+        peers = cast(GatewayPeers, InProcessPeers(self, name))
+        store_pulls = StorePulls(
+            mirror=parts.mirror,
+            catch_up=PeerCatchUp(
+                own_revision=lambda: parts.mirror.revision,
+                read_began_at=lambda: self.members[name].next_read_at,
+                is_store_lost=lambda: (
+                    self.members[name].store_path is StorePath.REFUSED
+                ),
+            ),
+            peers=peers,
+            clock=clock,
+        )
         gossip = Gossip(
             messages=messages,
             parts=parts,
-            peers=cast(GatewayPeers, InProcessPeers(self, name)),
+            peers=peers,
+            store_pulls=store_pulls,
             seeds=self._seeds,
             generator=self.random,
         )
-        return Member(name, parts, messages, gossip)
+        return Member(name, parts, messages, gossip, store_pulls)
 
 
 def record_typical_use(fleet: LargeFleet) -> None:
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -29,6 +29,7 @@
 from chiveslip.fleet.gossip_schedule import schedule_for
 from chiveslip.fleet.member_log import MemberLog
 from chiveslip.fleet.membership import Membership
+from chiveslip.fleet.store_pulls import StorePulls
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.catalogue import Catalogue
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
@@ -52,6 +53,7 @@
 from chiveslip.generated.settings import Settings
 from chiveslip.services.endpoint_selector import EndpointSelector
 from chiveslip.services.health import EndpointHealth
+from chiveslip.store.catch_up import PeerCatchUp
 from chiveslip.store.client import KeyValueStore
 from chiveslip.store.mirror import Listener
 from chiveslip.store.mirror import StoreMirror
@@ -195,14 +197,27 @@
         self._peers = GatewayPeers(
             self._membership.address_of, settings.fleet.peer_timeout
         )
+        store_pulls = StorePulls(
+            mirror=self._mirror,
+            catch_up=PeerCatchUp(
+                own_revision=lambda: self._mirror.revision,
+                read_began_at=lambda: self._reader.read_began_at,
+                is_store_lost=lambda: self._reader.is_lost,
+            ),
+            peers=self._peers,
+            clock=clock,
+        )
         self._gossip = Gossip(
             messages=messages,
             parts=parts,
             peers=self._peers,
+            store_pulls=store_pulls,
             seeds=settings.fleet.seeds,
             generator=self._random,
         )
-        service = GatewayPeerService(messages, parts, self._mirror.build_changes_reply)
+        service = GatewayPeerService(
+            messages, parts, store_pulls, self._mirror.build_changes_reply
+        )
         self._peer_server = Server([service])
         load_requests = LoadRequests(
             instance=settings.instance.id,
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -15,9 +15,11 @@
 from chiveslip.fleet.gateway_peers import GatewayPeers
 from chiveslip.fleet.gossip_messages import GossipMessages
 from chiveslip.fleet.gossip_messages import GossipParts
+from chiveslip.fleet.store_pulls import StorePulls
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated.peer_grpc import GatewayPeerBase
 from chiveslip.settings.fields import Address
+from chiveslip.tasks import TaskSet
 
 
 @final
@@ -36,12 +38,14 @@
         messages: GossipMessages,
         parts: GossipParts,
         peers: GatewayPeers,
+        store_pulls: StorePulls,
         seeds: tuple[Address, ...],
         generator: random.Random,
     ) -> None:
         self._messages = messages
         self._parts = parts
         self._peers = peers
+        self._store_pulls = store_pulls
         self._seeds = seeds
         self._random = generator
         self._rounds = 0
@@ -112,25 +116,15 @@
             reply = await self._peers.exchange(address, request)
             self._messages.apply(reply)
             self._parts.metrics.exchanges.labels("answered").inc()
-            await self._pull_store_changes(address, reply.store_revision)
         except PeerError as error:
             self._parts.metrics.exchanges.labels("failed").inc()
             self._log.debug(
                 "Gossip exchange failed.", peer=str(address), cause=str(error)
             )
+            return
         finally:
             self._in_flight.discard(address)
-
-    async def _pull_store_changes(self, address: Address, revision: int) -> None:
-        """Pull changes of the store from a peer that has newer ones."""
-        mirror = self._parts.mirror
-        max_store_lag_s = self._parts.schedule().max_store_lag_s
-        if not mirror.record_peer_revision(
-            revision, max_store_lag_s, self._parts.clock.now()
-        ):
-            return
-        reply = await self._peers.changes(address, mirror.revision)
-        mirror.apply_peer_reply(reply, str(address))
+        await self._store_pulls.pull_if_overdue(address, reply.store_revision)
 
 
 @final
@@ -141,11 +135,14 @@
         self,
         messages: GossipMessages,
         parts: GossipParts,
+        store_pulls: StorePulls,
         changes_after: Callable[[int], wire.ChangesReply],
     ) -> None:
         self._messages = messages
         self._parts = parts
+        self._store_pulls = store_pulls
         self._changes_after = changes_after
+        self._tasks = TaskSet("gossip")
 
     async def Exchange(  # noqa: N802
         self, stream: Stream[wire.Gossip, wire.Gossip]
@@ -156,6 +153,10 @@
             return
         self._messages.apply(request)
         await stream.send_message(self._messages.build_reply(request))
+        sender = self._parts.membership.address_of(request.sender.instance)
+        if sender is not None:
+            pull = self._store_pulls.pull_if_overdue(sender, request.store_revision)
+            self._tasks.start(pull)
 
     async def Load(  # noqa: N802
         self, stream: Stream[wire.LoadRequest, wire.LoadReply]
--- a/src/chiveslip/fleet/gossip_schedule.py
+++ b/src/chiveslip/fleet/gossip_schedule.py
@@ -30,9 +30,6 @@
 # Upper limit of one watch of the store in a large fleet: half of the time within which
 # an instance has to catch up after its connection to the store stops delivering data.
 _MAX_WATCH_S = 2.5
-# Time for the instance's own watch to deliver changes that a peer already has, in
-# addition to the longer pause between two watches.
-_BASE_STORE_LAG_S = 0.3
 
 
 @attrs.frozen(kw_only=True)
@@ -72,9 +69,6 @@
         Delay in seconds after a read of the store that brought a change.
     max_watch_s
         Longest wait in seconds of one watch of the store.
-    max_store_lag_s
-        Time in seconds for which a peer must have had newer changes of the store
-        before they are pulled from it.
     """
 
     interval_s: float
@@ -85,7 +79,6 @@
     heartbeat_timeout_s: float
     batch_delay_s: float
     max_watch_s: float
-    max_store_lag_s: float
 
 
 def schedule_for(members: int, settings: GossipScheduleSettings) -> GossipSchedule:
@@ -100,7 +93,6 @@
             heartbeat_timeout_s=settings.heartbeat_timeout_s,
             batch_delay_s=settings.batch_delay_s,
             max_watch_s=settings.max_watch_s,
-            max_store_lag_s=_BASE_STORE_LAG_S,
         )
     interval_s = settings.interval_s * _INTERVAL_FACTOR
     multiplying_rounds = math.ceil(math.log(members) / math.log(2 * _FAN_OUT + 1))
@@ -125,5 +117,4 @@
         ),
         batch_delay_s=batch_delay_s,
         max_watch_s=max_watch_s,
-        max_store_lag_s=_BASE_STORE_LAG_S + batch_delay_s - settings.batch_delay_s,
     )
--- a/src/chiveslip/store/mirror.py
+++ b/src/chiveslip/store/mirror.py
@@ -34,7 +34,6 @@
         self._removals: collections.OrderedDict[str, Item] = collections.OrderedDict()
         self._revision = 0
         self._removals_complete_from = 0
-        self._behind_since: float | None = None
         self._listeners: list[Listener] = []
 
     @property
@@ -72,21 +71,6 @@
             self._put(item, source)
         if changes.revision >= self._revision:
             self._revision = changes.revision
-            self._behind_since = None
-
-    def record_peer_revision(
-        self, peer_revision: int, max_lag_s: float, now: float
-    ) -> bool:
-        """Record the revision of a peer, and return whether this mirror lags.
-
-        It lags if peers have had newer changes for at least `max_lag_s` seconds.
-        """
-        if peer_revision <= self._revision:
-            self._behind_since = None
-            return False
-        if self._behind_since is None:
-            self._behind_since = now
-        return now - self._behind_since >= max_lag_s
 
     def apply_peer_reply(self, reply: wire.ChangesReply, peer: str) -> None:
         """Apply the changes or the snapshot that a peer sent."""
--- a/src/chiveslip/store/reader.py
+++ b/src/chiveslip/store/reader.py
@@ -51,6 +51,8 @@
         self._needs_snapshot = True
         self._unreachable_since: float | None = clock.now()
         self._reconnected_at = float("-inf")
+        self._has_failed = False
+        self._read_began_at = clock.now()
         self._log = logs.get_logger("store")
 
     @property
@@ -58,6 +60,16 @@
         """Local time in seconds at which the store last became reachable, or -inf."""
         return self._reconnected_at
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last read failed."""
+        return self._has_failed
+
+    @property
+    def read_began_at(self) -> float:
+        """Local time in seconds at which the current or the next read begins."""
+        return self._read_began_at
+
     @property
     def outage_s(self) -> float:
         """Time in seconds for which the store has been unreachable, 0 if reachable."""
@@ -82,6 +94,7 @@
                 )
 
     async def _read_once(self) -> None:
+        self._read_began_at = self._clock.now()
         if self._needs_snapshot:
             self._mirror.apply_snapshot(await self._store.read_all())
             self._needs_snapshot = False
@@ -90,9 +103,12 @@
         self._mirror.apply_changes(changes)
         if changes.items:
             # Endpoints change often; without the delay each change costs a request.
-            await asyncio.sleep(self._batch_delay_s())
+            delay_s = self._batch_delay_s()
+            self._read_began_at = self._clock.now() + delay_s
+            await asyncio.sleep(delay_s)
 
     def _record_success(self) -> None:
+        self._has_failed = False
         if self._unreachable_since is None:
             return
         lost_s = round(self._clock.now() - self._unreachable_since, 3)
@@ -103,6 +119,7 @@
         )
 
     def _record_failure(self, error: StoreError) -> None:
+        self._has_failed = True
         if self._unreachable_since is not None:
             return
         self._unreachable_since = self._clock.now()
--- a/testing/store/test_mirror.py
+++ b/testing/store/test_mirror.py
@@ -81,11 +81,3 @@
     younger.apply_snapshot(Changes(items=[build_item("k", "1", 6)], revision=20))
     older.apply_peer_reply(younger.build_changes_reply(older.revision), "peer")
     assert values_by_key(older) == {"k": b"1"}
-
-
-def test_mirror_lags_only_after_the_maximum_lag() -> None:
-    mirror = StoreMirror()
-    assert not mirror.record_peer_revision(5, 0.3, 0.0)
-    assert mirror.record_peer_revision(5, 0.3, 0.4)
-    mirror.apply_changes(Changes(items=[], revision=5))
-    assert not mirror.record_peer_revision(5, 0.3, 0.5)
