Check the endpoint of a call again before it is sent

Callers saw: on the product's own interface, a completion that waited for its permit or for a connection was sent to an engine that had begun to leave meanwhile; a call to a plain service was sent as long as the endpoint was listed at all, and refused instead of tried elsewhere if it was not.

Cause: the same as on the gateway's path: the engine's entry was not looked at after the waits, and the service's look asked for its presence, not for its state.

Change: once the connection is open, the current list must have the endpoint as live, at the same address and for the same service. If not, the next endpoint is tried; nothing was sent, so this takes no retry and withdraws no record.

--- a/src/chiveslip/configuration/model.py
+++ b/src/chiveslip/configuration/model.py
@@ -194,6 +194,20 @@
     revision: int
     endpoints: dict[str, Endpoint]
 
+    def accepts_calls(self, chosen: Endpoint) -> bool:
+        """Return whether an endpoint that was chosen earlier still accepts new calls.
+
+        An id or an address that has been used again since belongs to another endpoint.
+        """
+        listed = self.endpoints.get(chosen.id)
+        return (
+            listed is not None
+            and listed.state is State.LIVE
+            and listed.address == chosen.address
+            and listed.kind is chosen.kind
+            and listed.serves == chosen.serves
+        )
+
     def live_service_endpoints(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a plain service that accept new calls."""
         return [
--- a/src/chiveslip/dispatch/engine_calls.py
+++ b/src/chiveslip/dispatch/engine_calls.py
@@ -282,7 +282,7 @@
                 result_codes.NO_ENDPOINT, str(error), False
             ) from error
         try:
-            self._check_before_sending()
+            self._check_before_sending(engine)
             self._trace.endpoint = engine.id
             self._was_sent = True
             await exchange.send(self._build_request(version))
@@ -313,10 +313,13 @@
         finally:
             exchange.close()
 
-    def _check_before_sending(self) -> None:
+    def _check_before_sending(self, engine: Endpoint) -> None:
         if self._tools.clock.now() >= self._call.deadline:
             detail = "The deadline passed before the call was sent."
             raise call_refused(result_codes.DEADLINE_BEFORE_START, detail)
+        if not self._tools.endpoints().accepts_calls(engine):
+            detail = f"{engine.id} no longer accepts calls."
+            raise _attempt_failed(result_codes.NO_ENDPOINT, detail, False)
         configuration = self._tools.configuration()
         if configuration is None:
             raise call_refused(
--- a/src/chiveslip/dispatch/service_calls.py
+++ b/src/chiveslip/dispatch/service_calls.py
@@ -268,6 +268,10 @@
             now = self._tools.clock.now()
             selector.health.record_failure(endpoint.id, now, is_unreachable=True)
             raise _NotSentError(str(error)) from error
+        # The endpoint may have begun to leave while the connection was opened.
+        if not self._tools.endpoints().accepts_calls(endpoint):
+            exchange.close()
+            raise _NotSentError(f"{endpoint.id} no longer accepts calls.")
         selector.record_start(endpoint.id)
         succeeded = False
         try:
@@ -291,7 +295,7 @@
     async def _exchange(
         self, exchange: Exchange, endpoint: Endpoint
     ) -> tuple[ResponseHead, bytes]:
-        self._check_before_sending(endpoint)
+        self._check_before_sending()
         self._trace.endpoint = endpoint.id
         self._trace.tokens = self._route.tokens
         await exchange.send(
@@ -305,14 +309,10 @@
         body = await exchange.body(_MAX_RESPONSE_BYTES, self._remaining_s)
         return head, body
 
-    def _check_before_sending(self, endpoint: Endpoint) -> None:
+    def _check_before_sending(self) -> None:
         if self._remaining_s <= 0:
             detail = "The deadline passed before the call was sent."
             raise call_refused(result_codes.DEADLINE_BEFORE_START, detail)
-        if endpoint.id not in self._tools.endpoints().endpoints:
-            raise call_refused(
-                result_codes.NO_ENDPOINT, f"{endpoint.id} is no longer listed."
-            )
         if self._caller is None:
             return
         configuration = self._tools.configuration()
