Check the right to order between connecting and sending

Cause: a coordinator asked whether it may order before it opened the connection, which can take up to a second. The right, a lease's margin or the engine could be gone by then. The product's own interface asked for the ownership, but not whether the engine is still listed at that address.

Change: the order is checked once the connection is open. An order that is not sent is answered `withheld` (also a label of chiveslip_orders) and frees its adapter slot.

The tests failed before: with the check taken out, the order arrives after the coordinator changed, and after the engine left.

--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -11,6 +11,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from enum import Enum
 from typing import cast
 from typing import final
@@ -74,7 +75,7 @@
         raise EngineControlError("this fleet has no engines")
 
     async def send_order(
-        self, engine: ListedEndpoint, order: EngineOrder
+        self, engine: ListedEndpoint, order: EngineOrder, may_send: Callable[[], bool]
     ) -> OrderAnswer:
         """Raise `EngineControlError`."""
         raise EngineControlError("this fleet has no engines")
--- a/src/chiveslip/engines/permits.py
+++ b/src/chiveslip/engines/permits.py
@@ -255,6 +255,12 @@
             and ownership.term == term
         )
 
+    def _may_order(self, engine: Endpoint, term: int) -> bool:
+        """Return whether this instance may send an order to an engine right now."""
+        listed = self._fleet.endpoints.endpoints.get(engine.id)
+        is_listed = listed is not None and listed.address == engine.address
+        return is_listed and self._is_owner(engine.id, term)
+
     async def _follow_ownership(self) -> None:
         while True:
             await self._reconcile()
@@ -295,7 +301,7 @@
             endpoint=endpoint,
             scheduler=scheduler,
             tools=self._tools,
-            is_owner=lambda: self._is_owner(endpoint.id, term),
+            may_order=lambda: self._may_order(endpoint, term),
             revision=revision,
         )
         self._owned[endpoint.id] = _OwnedEngine(task, term)
--- a/src/chiveslip/engines/task.py
+++ b/src/chiveslip/engines/task.py
@@ -108,9 +108,9 @@
 
     Parameters
     ----------
-    is_owner
-        Whether this instance still owns the engine; called directly before every
-        order is sent.
+    may_order
+        Whether this instance still owns the engine and the engine is still listed;
+        called directly before every order is sent.
     """
 
     def __init__(
@@ -119,13 +119,13 @@
         endpoint: Endpoint,
         scheduler: EngineScheduler,
         tools: EngineTools,
-        is_owner: Callable[[], bool],
+        may_order: Callable[[], bool],
         revision: int,
     ) -> None:
         self._endpoint = endpoint
         self._scheduler = scheduler
         self._tools = tools
-        self._is_owner = is_owner
+        self._may_order = may_order
         self._revision = revision
         self._mailbox: asyncio.Queue[_Message] = asyncio.Queue()
         self._pending: dict[str, asyncio.Future[PermitResult]] = {}
@@ -272,8 +272,10 @@
         try:
             # Checked directly before sending, because the lease may have expired while
             # the order waited for its charge and its connection.
-            if not self._is_owner():
-                raise OrderError("this instance no longer owns the engine")
+            if not self._may_order():
+                raise OrderError(
+                    "this instance no longer owns the engine, or it is no longer listed"
+                )
             self._tools.audit.add(
                 AuditKind.ORDER,
                 revision=self._revision,
--- a/src/chiveslip/gateway/engine_control.py
+++ b/src/chiveslip/gateway/engine_control.py
@@ -4,6 +4,7 @@
 
 import abc
 import enum
+from collections.abc import Callable
 
 import attrs
 
@@ -92,6 +93,8 @@
     REFUSED = "refused"
     WRONG_ENGINE = "other engine"
     """A different engine answers at this address."""
+    WITHHELD = "withheld"
+    """Not sent: it was no longer allowed once the connection was open."""
 
 
 class EngineControl(abc.ABC):
@@ -109,10 +112,16 @@
 
     @abc.abstractmethod
     async def send_order(
-        self, engine: ListedEndpoint, order: EngineOrder
+        self, engine: ListedEndpoint, order: EngineOrder, may_send: Callable[[], bool]
     ) -> OrderAnswer:
         """Send an order to an engine.
 
+        Parameters
+        ----------
+        may_send
+            Returns whether the order is still allowed; called once the connection is
+            open, directly before the order is sent.
+
         Raises
         ------
         EngineControlError
--- a/src/chiveslip/gateway/engine_coordinator.py
+++ b/src/chiveslip/gateway/engine_coordinator.py
@@ -244,6 +244,11 @@
         is_allowed = self._clock.now() >= engine.orders_allowed_from
         return is_allowed and self._rights.is_coordinator_of(engine.listed.id)
 
+    def _may_send(self, engine: _CoordinatedEngine) -> bool:
+        """Return whether an order may be sent to an engine right now."""
+        is_coordinated = self._engines.get(engine.listed.id) is engine
+        return is_coordinated and self._can_order(engine)
+
     def _expected_load_s(self, engine: _CoordinatedEngine, adapter: Adapter) -> float:
         """Return the time in seconds until an adapter ordered now is usable."""
         now = self._clock.now()
@@ -389,7 +394,9 @@
         )
         self._rights.record_own_order(engine.listed.id, engine.fence)
         try:
-            answer = await self._control.send_order(engine.listed, order)
+            answer = await self._control.send_order(
+                engine.listed, order, lambda: self._may_send(engine)
+            )
         except EngineControlError as error:
             self._log.warning(
                 "No answer to an order.",
--- a/src/chiveslip/platform/replicas.py
+++ b/src/chiveslip/platform/replicas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from typing import Any
 from typing import final
 
@@ -41,6 +42,10 @@
 }
 
 
+class _WithheldError(Exception):
+    """The request was no longer allowed once the connection was open."""
+
+
 def read_endpoint(key: str, value: bytes) -> ListedEndpoint:
     """Return the endpoint that a replica registered.
 
@@ -107,7 +112,7 @@
             path="/chiveslip/report",
             headers={_EXPECTED_INSTANCE: engine.id},
         )
-        status, body = await self._send(engine, outgoing)
+        status, body = await self._send(engine, outgoing, lambda: True)
         if status != 200:
             raise EngineControlError(f"report: expected status 200, received {status}")
         try:
@@ -133,7 +138,7 @@
             raise EngineControlError(f"report: {error}") from error
 
     async def send_order(
-        self, engine: ListedEndpoint, order: EngineOrder
+        self, engine: ListedEndpoint, order: EngineOrder, may_send: Callable[[], bool]
     ) -> OrderAnswer:
         """Send an order to an engine."""
         model, _, name = order.target.partition("/")
@@ -155,17 +160,26 @@
             headers={"Content-Type": _JSON_CONTENT_TYPE, _EXPECTED_INSTANCE: engine.id},
             body=json.dumps(body).encode(),
         )
-        status, _ = await self._send(engine, outgoing)
+        try:
+            status, _ = await self._send(engine, outgoing, may_send)
+        except _WithheldError:
+            return OrderAnswer.WITHHELD
         return _ORDER_ANSWERS_BY_STATUS.get(status, OrderAnswer.REFUSED)
 
     async def _send(
-        self, engine: ListedEndpoint, outgoing: OutgoingRequest
+        self,
+        engine: ListedEndpoint,
+        outgoing: OutgoingRequest,
+        may_send: Callable[[], bool],
     ) -> tuple[int, bytes]:
+        """Send a request if `may_send` still allows it once the connection is open."""
         try:
             exchange = await self._connector.open(engine.address, fresh=False)
         except ConnectError as error:
             raise EngineControlError(str(error)) from error
         try:
+            if not may_send():
+                raise _WithheldError
             await exchange.send(outgoing)
             head = await exchange.head(_TIMEOUT_S)
             body = await exchange.body(_MAX_BODY_BYTES, _TIMEOUT_S)
--- a/testing/gateway/test_engine_coordinator.py
+++ b/testing/gateway/test_engine_coordinator.py
@@ -61,6 +61,7 @@
         self.fence = 0
         self.received: list[EngineOrder] = []
         self.answers: list[OrderAnswer | None] = []
+        self.while_connecting: Callable[[], None] = lambda: None
 
     async def read_report(self, engine: ListedEndpoint) -> EngineReport:
         return EngineReport(
@@ -75,8 +76,11 @@
         )
 
     async def send_order(
-        self, engine: ListedEndpoint, order: EngineOrder
+        self, engine: ListedEndpoint, order: EngineOrder, may_send: Callable[[], bool]
     ) -> OrderAnswer:
+        self.while_connecting()
+        if not may_send():
+            return OrderAnswer.WITHHELD
         self.received.append(order)
         if self.answers:
             answer = self.answers.pop(0)
@@ -445,3 +449,23 @@
     assert harness.load(unloading) is not LoadOutcome.USABLE
     (state,) = harness.coordinator.engine_states()
     assert unloading not in {name for name, _ in state.adapters}
+
+
+def test_order_is_withheld_if_the_coordinator_changed_while_connecting(
+    make_harness: MakeHarness,
+) -> None:
+    harness = make_harness(FIRST)
+    harness.run(2.0)
+    harness.engine.while_connecting = lambda: harness.live_instances.remove(FIRST)
+    assert harness.load() is LoadOutcome.FAILED
+    assert harness.engine.received == []
+
+
+def test_order_is_withheld_if_the_engine_left_while_connecting(
+    make_harness: MakeHarness,
+) -> None:
+    harness = make_harness(FIRST)
+    harness.run(2.0)
+    harness.engine.while_connecting = lambda: harness.coordinator.update_engines([])
+    assert harness.load() is LoadOutcome.FAILED
+    assert harness.engine.received == []
--- a/testing/platform/test_replicas.py
+++ b/testing/platform/test_replicas.py
@@ -153,7 +153,16 @@
 )
 def test_status_is_mapped_to_an_order_answer(status: int, answer: OrderAnswer) -> None:
     control = ReplicaControl(FixedResponseConnector(status, b""), ManualClock())
-    assert asyncio.run(control.send_order(ENGINE, build_order())) is answer
+    order = build_order()
+    assert asyncio.run(control.send_order(ENGINE, order, lambda: True)) is answer
+
+
+def test_order_is_not_sent_if_it_is_no_longer_allowed_once_connected() -> None:
+    connector = FixedResponseConnector(202, b"")
+    control = ReplicaControl(connector, ManualClock())
+    answer = asyncio.run(control.send_order(ENGINE, build_order(), lambda: False))
+    assert answer is OrderAnswer.WITHHELD
+    assert not connector.sent_requests
 
 
 def build_order(target: str = "m/a3", version: int = 1) -> EngineOrder:
@@ -185,7 +194,8 @@
     order: EngineOrder, fields: dict[str, Any]
 ) -> None:
     connector = FixedResponseConnector(202, b"")
-    asyncio.run(ReplicaControl(connector, ManualClock()).send_order(ENGINE, order))
+    control = ReplicaControl(connector, ManualClock())
+    asyncio.run(control.send_order(ENGINE, order, lambda: True))
     request = connector.sent_requests[0]
     assert request.headers["X-Expected-Instance"] == "i-7f"
     common_fields = {
