Let one engine of a large fleet fetch several adapters at once

Cause: each coordinator limited its fetches, and estimated their time, by its share of what the weight store delivers at full speed. That figure (`gateway.adapter_loads`, 8) is of a small deployment, and a coordinator of one engine of 30 got a share of 0.27: one fetch at a time, the next expected to take twice as long, the one after that three times. Requests waited for their turn, and then for an estimate that was too long. Class of fault: a limit for all that does not grow with what it is shared by.

Change: the store is taken to deliver one fetch for each engine at least, and each instance may use an eighth of it even if its share is smaller, as few fetch much at a time. In a fleet of six the shares stay, but for nine engines instead of eight fetches.

Measured: with one engine of 30 the fourth concurrent fetch is expected after 0.27 s, before after 1.0 s. Three cases of test_engine_of_a_large_fleet_fetches_several_adapters_at_full_speed fail before.

--- a/src/chiveslip/gateway/engine_coordinator.py
+++ b/src/chiveslip/gateway/engine_coordinator.py
@@ -110,7 +110,6 @@
         self._clock = clock
         self._metrics = metrics
         self._engines: dict[str, _CoordinatedEngine] = {}
-        self._fleet_engine_count = 0
         self._model_load_limiter = ModelLoadLimiter()
         self._log = logs.get_logger("orders")
 
@@ -139,7 +138,6 @@
         """Start and stop coordinating engines according to the live instances."""
         if self._rights.update_live_instances():
             self._engines.clear()
-        self._fleet_engine_count = len(engines)
         live_count = self._rights.live_count
         by_id = {engine.id: (engine, capacity) for engine, capacity in engines}
         own = (
@@ -160,7 +158,7 @@
                 self._log.info("Started coordinating.", engine=name, alive=live_count)
                 continue
             known.listed, known.capacity = listed, capacity
-        self._load_times.set_engine_share(self._engine_share())
+        self._load_times.update_engines(len(self._engines), len(engines))
 
     async def read_reports(self) -> None:
         """Read the engine reports that are due."""
@@ -348,11 +346,7 @@
         The store completes as many per second when more are in progress, so the
         shares add up to more than it serves at full speed: it is never idle.
         """
-        fetches = self._load_times.max_full_speed_fetches * _FETCH_OVERCOMMIT
-        return max(math.ceil(fetches * self._engine_share()), 1)
-
-    def _engine_share(self) -> float:
-        return len(self._engines) / max(self._fleet_engine_count, 1)
+        return math.ceil(self._load_times.own_full_speed_fetches * _FETCH_OVERCOMMIT)
 
     async def _free_slot(self, engine: _CoordinatedEngine) -> bool:
         now = self._clock.now()
--- a/src/chiveslip/gateway/load_times.py
+++ b/src/chiveslip/gateway/load_times.py
@@ -19,6 +19,8 @@
 _LATE_FACTOR = 1.1
 _TIMELY_FACTOR = 0.97
 _MAX_CORRECTION = 1.6
+# Share of the store's full-speed fetches that every instance may use.
+_MIN_STORE_SHARE = 1 / 8
 
 
 @final
@@ -32,7 +34,8 @@
     reload_s
         Time in seconds of a reload from an engine's own copy.
     max_full_speed_fetches
-        Concurrent fetches, over all engines, that the store serves at full speed.
+        Concurrent fetches, over all engines, that the store serves at full speed;
+        the number of engines if that is larger.
     """
 
     def __init__(
@@ -44,20 +47,29 @@
         self._copies: dict[str, collections.OrderedDict[Adapter, None]] = {}
         self._fetch_ends: list[float] = []
         self._correction = 1.0
-        self._engine_share = 1.0
+        self._own_engines = 1
+        self._all_engines = 1
 
-    @property
-    def max_full_speed_fetches(self) -> int:
-        """Concurrent fetches, over all engines, that run at full speed."""
-        return self._max_full_speed_fetches
-
-    def set_engine_share(self, share: float) -> None:
-        """Set the fraction of all engines that this instance coordinates.
+    def update_engines(self, own_engines: int, all_engines: int) -> None:
+        """Set how many engines this instance coordinates, and how many there are.
 
         Other instances fetch in proportion to theirs, and all share the store's
         throughput.
         """
-        self._engine_share = share
+        self._own_engines = own_engines
+        self._all_engines = all_engines
+
+    @property
+    def own_full_speed_fetches(self) -> float:
+        """Concurrent fetches of this instance that are expected to run at full speed.
+
+        These are a share of those of the store, which serves at least one for each
+        engine. Among many instances few fetch much at a time, so each may use more
+        than its share.
+        """
+        all_fetches = max(self._max_full_speed_fetches, self._all_engines)
+        share = self._own_engines / max(self._all_engines, 1)
+        return max(share * all_fetches, all_fetches * _MIN_STORE_SHARE, 1.0)
 
     def has_copy(self, engine: str, adapter: Adapter) -> bool:
         """Return whether the engine certainly has a copy of an adapter."""
@@ -73,7 +85,7 @@
         if adapter in self._copies.get(engine, ()):
             return self._reload_s * self._correction
         fetches = sum(end > now for end in self._fetch_ends) + 1
-        crowding = fetches / max(self._engine_share * self._max_full_speed_fetches, 1.0)
+        crowding = fetches / self.own_full_speed_fetches
         return self._fetch_s * max(crowding, 1.0) * self._correction
 
     def record_load(self, engine: str, adapter: Adapter, now: float) -> float:
--- a/testing/gateway/test_engine_coordinator.py
+++ b/testing/gateway/test_engine_coordinator.py
@@ -61,9 +61,12 @@
         self.fence = 0
         self.received: list[EngineOrder] = []
         self.answers: list[OrderAnswer | None] = []
+        self.report_fails = False
         self.while_connecting: Callable[[], None] = lambda: None
 
     async def read_report(self, engine: ListedEndpoint) -> EngineReport:
+        if self.report_fails:
+            raise EngineControlError("no report")
         return EngineReport(
             started=1,
             accepted_orders=self.accepted_orders,
@@ -399,6 +402,26 @@
     assert times.expected_load_s("engine", ("m/0", 1), 0.0) == pytest.approx(0.025)
 
 
+@pytest.mark.parametrize(
+    ("own_engines", "all_engines", "running", "expected_s"),
+    [
+        pytest.param(1, 6, 0, 0.25, id="idle"),
+        pytest.param(2, 9, 3, 0.25 * 4 / 2, id="share-of-a-small-fleet"),
+        pytest.param(1, 30, 3, 0.25 * 4 / (30 / 8), id="one-engine-of-30"),
+        pytest.param(1, 70, 3, 0.25, id="one-engine-of-70"),
+    ],
+)
+def test_engine_of_a_large_fleet_fetches_several_adapters_at_full_speed(
+    own_engines: int, all_engines: int, running: int, expected_s: float
+) -> None:
+    times = LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=8)
+    times.update_engines(own_engines, all_engines)
+    for index in range(running):
+        times.record_load("engine", (f"m/{index}", 1), 0.0)
+    estimate_s = times.expected_load_s("engine", ("m/x", 1), 0.0)
+    assert estimate_s == pytest.approx(expected_s)
+
+
 def test_late_loads_lengthen_estimates_to_a_limit() -> None:
     times = LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=8)
     for _ in range(100):
