Stop repeating refused unloads, and correct a count that is too high

Cause: (1) an engine that is told to unload an adapter in use drops it when its requests end, and refuses other orders until then. The coordinator repeated the unload for each waiting request, every 5 ms at times. (2) The number of orders that an engine has accepted was never lowered from its report. An order counted here that the engine did not count made every later order a conflict.

Change: after an unload that is refused or under way, the next one is sent 0.25 s later at the earliest. A report requested one second or more after the last accepted order replaces the count. No order is sent without the expected count.

The tests failed before: 20 requests sent 20 unloads, now one; a count that is too high made the next load fail, also after 3 s.

--- a/src/chiveslip/gateway/engine_coordinator.py
+++ b/src/chiveslip/gateway/engine_coordinator.py
@@ -19,6 +19,7 @@
 from chiveslip.clock import Clock
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
 from chiveslip.gateway.adapter_slots import MAX_CONCURRENT_FETCHES
+from chiveslip.gateway.adapter_slots import REPORT_LAG_S
 from chiveslip.gateway.adapter_slots import AdapterSlots
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -43,6 +44,9 @@
 # An engine with enough adapters in transit refuses further loads with a conflict.
 _MAX_CONFLICTS = 4
 _CONFLICT_PAUSE_S = 0.06
+# An engine that drops an adapter once its requests have ended refuses other unloads
+# until then; the requests of the users' sheets last one or two seconds.
+_UNLOAD_RETRY_S = 0.25
 
 
 class LoadOutcome(enum.Enum):
@@ -87,6 +91,8 @@
     last_report_at: float = float("-inf")
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     queued_loads: int = 0
+    last_order_at: float = float("-inf")
+    unloads_allowed_from: float = float("-inf")
 
 
 @final
@@ -350,12 +356,16 @@
 
     async def _free_slot(self, engine: _CoordinatedEngine) -> bool:
         now = self._clock.now()
+        if now < engine.unloads_allowed_from:
+            return False
         in_use = self._view.adapters_in_use(engine.listed.id, now)
         engine.slots.record_use(in_use, now)
         victim = engine.slots.select_victim(in_use, now)
         if victim is None:
             return False
         answer = await self._send_order(engine, Operation.UNLOAD, victim[0])
+        if answer in (OrderAnswer.IN_PROGRESS, OrderAnswer.CONFLICT):
+            engine.unloads_allowed_from = self._clock.now() + _UNLOAD_RETRY_S
         if answer is OrderAnswer.IN_PROGRESS:
             # A request that no instance has reported yet uses the adapter.
             engine.slots.record_unloading(victim, self._clock.now())
@@ -374,7 +384,7 @@
         target: str,
         version: int = 0,
     ) -> OrderAnswer | None:
-        if not self._can_order(engine):
+        if not self._can_order(engine) or engine.accepted_orders is None:
             return None
         if engine.fence == 0:
             engine.fence = self._rights.allocate_fence(engine.listed.id)
@@ -423,6 +433,7 @@
                 after_orders=engine.accepted_orders,
                 places=len(engine.slots),
             )
+            engine.last_order_at = self._clock.now()
             if engine.accepted_orders is not None:
                 engine.accepted_orders += 1
             return
@@ -465,10 +476,11 @@
         engine.last_report_at = requested_at
         engine.models = report.models
         engine.slots.apply_report(report, requested_at)
-        # A report lags, so its count of accepted orders can only be too low.
-        engine.accepted_orders = max(
-            engine.accepted_orders or 0, report.accepted_orders
-        )
+        # A report lags, so its count of accepted orders may be too low. A later one is
+        # right, also if an order was counted here that the engine did not count.
+        is_recent = requested_at <= engine.last_order_at + REPORT_LAG_S
+        known_orders = (engine.accepted_orders or 0) if is_recent else 0
+        engine.accepted_orders = max(known_orders, report.accepted_orders)
         engine.running = report.running
         engine.waiting = report.waiting
         engine.cache_used = report.cache_used
--- a/testing/gateway/test_engine_coordinator.py
+++ b/testing/gateway/test_engine_coordinator.py
@@ -492,3 +492,46 @@
     harness.engine.while_connecting = lambda: harness.coordinator.update_engines([])
     assert harness.load() is LoadOutcome.FAILED
     assert harness.engine.received == []
+
+
+def test_count_of_orders_that_is_too_high_is_corrected(
+    make_harness: MakeHarness,
+) -> None:
+    harness = make_harness(FIRST)
+    harness.run(2.0)
+    assert harness.load("m/a") is LoadOutcome.USABLE
+    # The engine carried out an order that it did not count.
+    harness.engine.accepted_orders = 0
+    harness.run(3.0)
+    assert harness.load("m/b") is LoadOutcome.USABLE
+
+
+def test_unloads_are_not_repeated_while_the_engine_drops_an_adapter_in_use(
+    make_harness: MakeHarness,
+) -> None:
+    harness = make_harness(FIRST)
+    harness.run(2.0)
+    for name in ("m/a", "m/b", "m/c"):
+        assert harness.load(name) is LoadOutcome.USABLE
+    harness.run(2.0)
+    harness.engine.received.clear()
+    harness.engine.answers = [OrderAnswer.IN_PROGRESS, *[OrderAnswer.CONFLICT] * 20]
+    for number in range(20):
+        assert harness.load(f"m/x{number}") is LoadOutcome.NO_ROOM
+    assert len(harness.engine.received) == 1
+    harness.clock.advance(0.3)
+    assert harness.load("m/y") is LoadOutcome.NO_ROOM
+    assert len(harness.engine.received) == 2
+
+
+def test_no_order_is_sent_without_the_expected_count_of_orders(
+    make_harness: MakeHarness,
+) -> None:
+    """The engine could not tell that another instance has sent orders."""
+    harness = make_harness(FIRST)
+    harness.run(2.0)
+    harness.engine.answers = [None]
+    assert harness.load("m/a") is LoadOutcome.FAILED
+    harness.engine.report_fails = True
+    assert harness.load("m/b") is LoadOutcome.FAILED
+    assert all(order.after_orders is not None for order in harness.engine.received)
