--- a/bench/stale_placement.py
+++ b/bench/stale_placement.py
@@ -76,6 +76,13 @@
     fetch_s: float = 0.25
 
 
+FEW_SLOTS = LargeDeployment()
+# Prefill speed, not slots, limits the requests that these engines serve in time.
+MANY_SLOTS = LargeDeployment(
+    instances=91, engines=30, slots=64, adapter_slots=17, prompt_tokens=1_200.0
+)
+
+
 @attrs.define(eq=False)
 class _SimulatedEngine:
     listed: ListedEndpoint
@@ -276,18 +283,21 @@
 
 def main() -> None:
     """Run the simulation for several report ages and print a table."""
-    print("report age s | fetches | first token p50, p95, p99 ms")
-    for age_s in (0.0, 1.0, 2.2, 4.0):
-        simulation = StalePlacementSimulation(LargeDeployment(report_age_s=age_s), SEED)
-        first_token_s = simulation.run()
-        quantiles_ms = [
-            first_token_s[int(len(first_token_s) * fraction)] * 1000
-            for fraction in (0.5, 0.95, 0.99)
-        ]
-        print(
-            f"{age_s} | {simulation.fetches} "
-            f"| {quantiles_ms[0]:.0f}, {quantiles_ms[1]:.0f}, {quantiles_ms[2]:.0f}"
-        )
+    print("engines | slots | report age s | fetches | first token p50, p95, p99 ms")
+    for deployment in (FEW_SLOTS, MANY_SLOTS):
+        for age_s in (0.0, 1.0, 2.2, 4.0):
+            simulation = StalePlacementSimulation(
+                attrs.evolve(deployment, report_age_s=age_s), SEED
+            )
+            first_token_s = simulation.run()
+            p50, p95, p99 = (
+                first_token_s[int(len(first_token_s) * fraction)] * 1000
+                for fraction in (0.5, 0.95, 0.99)
+            )
+            print(
+                f"{deployment.engines} | {deployment.slots} | {age_s} "
+                f"| {simulation.fetches} | {p50:.0f}, {p95:.0f}, {p99:.0f}"
+            )
 
 
 if __name__ == "__main__":
--- a/testing/bench/test_stale_placement.py
+++ b/testing/bench/test_stale_placement.py
@@ -4,18 +4,14 @@
 
 import pytest
 
+from bench.stale_placement import FEW_SLOTS
+from bench.stale_placement import MANY_SLOTS
 from bench.stale_placement import LargeDeployment
 from bench.stale_placement import StalePlacementSimulation
 
 # The users' target for the time to the first token.
 FIRST_TOKEN_TARGET_S = 0.808
 
-FEW_SLOTS = LargeDeployment()
-# Prefill speed, not slots, limits the requests that these engines serve in time.
-MANY_SLOTS = LargeDeployment(
-    instances=91, engines=30, slots=64, adapter_slots=17, prompt_tokens=1_200.0
-)
-
 
 @pytest.mark.parametrize("seed", [1, 20261204])
 @pytest.mark.parametrize(
