Switch off both checks of leaving endpoints in the fault matrix's proof

Seen: the whole check, beside load, failed one test: test_cell_detects_disabled_mechanism[leaving-ignored]. The proof switches a mechanism off and expects its cell to turn red. "Leaving endpoints get no new calls" now has two places, the choice and the check before sending; the switch took out the first one alone, and the second one kept the cell green.

Change: the switch takes out both. The cell, its checks and its bound are as they were, and it turns red again.

--- a/testing/simulation/switches.py
+++ b/testing/simulation/switches.py
@@ -119,7 +119,7 @@
 
 
 def leaving_ignored(patch: Patch) -> None:
-    """Send new calls to endpoints that are leaving."""
+    """Send calls to endpoints that are leaving: at the choice and before sending."""
 
     def all_live(endpoints: EndpointList) -> EndpointList:
         live = {
@@ -129,7 +129,13 @@
         return EndpointList(revision=endpoints.revision, endpoints=live)
 
     live_service_endpoints = EndpointList.live_service_endpoints
+    accepts_calls = EndpointList.accepts_calls
     rank_engines = placement.rank_engines
+    patch.setattr(
+        EndpointList,
+        "accepts_calls",
+        lambda self, chosen: accepts_calls(all_live(self), chosen),
+    )
     patch.setattr(
         EndpointList,
         "live_service_endpoints",
