Use the operator's figure for concurrent fetches as it is set

Change: a figure that is set is used as given. The default is 0: estimated as one for each engine, and at least 8.

The test failed before for the new case: 16 fetches, one engine of 70, the fourth fetch expected after 0.25 s instead of 0.5 s.

--- a/src/chiveslip/gateway/load_times.py
+++ b/src/chiveslip/gateway/load_times.py
@@ -19,6 +19,9 @@
 _LATE_FACTOR = 1.1
 _TIMELY_FACTOR = 0.97
 _MAX_CORRECTION = 1.6
+# Estimate of the store's full-speed fetches for a few engines; one for each engine if
+# there are more.
+_MIN_ESTIMATED_FETCHES = 8
 # Share of the store's full-speed fetches that every instance may use.
 _MIN_STORE_SHARE = 1 / 8
 
@@ -34,8 +37,8 @@
     reload_s
         Time in seconds of a reload from an engine's own copy.
     max_full_speed_fetches
-        Concurrent fetches, over all engines, that the store serves at full speed;
-        the number of engines if that is larger.
+        Concurrent fetches, over all engines, that the store serves at full speed; 0 to
+        estimate them from the number of engines.
     """
 
     def __init__(
@@ -63,11 +66,11 @@
     def own_full_speed_fetches(self) -> float:
         """Concurrent fetches of this instance that are expected to run at full speed.
 
-        These are a share of those of the store, which serves at least one for each
-        engine. Among many instances few fetch much at a time, so each may use more
-        than its share.
+        These are a share of those of the store. Among many instances few fetch much
+        at a time, so each may use more than its share.
         """
-        all_fetches = max(self._max_full_speed_fetches, self._all_engines)
+        estimate = max(self._all_engines, _MIN_ESTIMATED_FETCHES)
+        all_fetches = self._max_full_speed_fetches or estimate
         share = self._own_engines / max(self._all_engines, 1)
         return max(share * all_fetches, all_fetches * _MIN_STORE_SHARE, 1.0)
 
--- a/testing/gateway/test_engine_coordinator.py
+++ b/testing/gateway/test_engine_coordinator.py
@@ -403,18 +403,25 @@
 
 
 @pytest.mark.parametrize(
-    ("own_engines", "all_engines", "running", "expected_s"),
+    ("store_fetches", "own_engines", "all_engines", "running", "expected_s"),
     [
-        pytest.param(1, 6, 0, 0.25, id="idle"),
-        pytest.param(2, 9, 3, 0.25 * 4 / 2, id="share-of-a-small-fleet"),
-        pytest.param(1, 30, 3, 0.25 * 4 / (30 / 8), id="one-engine-of-30"),
-        pytest.param(1, 70, 3, 0.25, id="one-engine-of-70"),
+        pytest.param(0, 1, 6, 0, 0.25, id="idle"),
+        pytest.param(0, 2, 9, 3, 0.25 * 4 / 2, id="share-of-a-small-fleet"),
+        pytest.param(0, 1, 30, 3, 0.25 * 4 / (30 / 8), id="one-engine-of-30"),
+        pytest.param(0, 1, 70, 3, 0.25, id="one-engine-of-70"),
+        pytest.param(16, 1, 70, 3, 0.25 * 4 / 2, id="figure-of-the-operator"),
     ],
 )
 def test_engine_of_a_large_fleet_fetches_several_adapters_at_full_speed(
-    own_engines: int, all_engines: int, running: int, expected_s: float
+    store_fetches: int,
+    own_engines: int,
+    all_engines: int,
+    running: int,
+    expected_s: float,
 ) -> None:
-    times = LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=8)
+    times = LoadTimes(
+        fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=store_fetches
+    )
     times.update_engines(own_engines, all_engines)
     for index in range(running):
         times.record_load("engine", (f"m/{index}", 1), 0.0)
