Log how each answer of an endpoint was framed and how it ended

No line told the hypotheses on the incident of broken answers apart: neither the framing of an answer, nor whether its connection was closed, reset or ended by a limit of ours, nor whether a stream ended within an event.

Change: each exchange knows its ResponseEnd; 'Attempt failed.' has framing, ending, position and received_bytes, 'Ended.' has answer_ends for all attempts (also of answers taken for whole), traces of the product's own path have a step 'response end', and chiveslip_answer_ends_total counts them. What is taken for whole is unchanged.

Measured: the whole test suite, 16 failures of one fake without the new property, mended; its part and testing/gateway pass after that.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -23,9 +23,14 @@
 from tornado.httputil import RequestStartLine
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import IOStream
+from tornado.iostream import StreamBufferFullError
 from tornado.iostream import StreamClosedError
+from tornado.iostream import UnsatisfiableReadError
 
 from chiveslip.clock import Clock
+from chiveslip.dispatch.response_end import Ending
+from chiveslip.dispatch.response_end import Framing
+from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.engines.protocol import REQUEST_ID_HEADER
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.settings.fields import Address
@@ -78,6 +83,11 @@
     def reused(self) -> bool:
         """Whether the connection carried an earlier exchange."""
 
+    @property
+    @abc.abstractmethod
+    def end(self) -> ResponseEnd | None:
+        """How the response ended, or None while it is being received."""
+
     @abc.abstractmethod
     async def send(self, outgoing: OutgoingRequest) -> None:
         """Send the request; from here on the endpoint may run it.
@@ -162,22 +172,26 @@
 
     Attributes
     ----------
-    has_known_length
-        Whether the framing of the body shows where it ends.
+    framing
+        Framing of the body, or None before the head is received.
+    received_bytes
+        Bytes of the body that were received.
     is_crossed
         Whether the last response on the connection belongs to another request.
     max_idle_s
         How long the connection may stay idle afterwards, or None to close it.
     """
 
-    def __init__(self, request_id: str) -> None:
+    def __init__(self, request_id: str, method: str) -> None:
         self.head: asyncio.Future[ResponseHead] = asyncio.Future()
         self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue(maxsize=16)
         self.is_complete = False
-        self.has_known_length = False
+        self.framing: Framing | None = None
+        self.received_bytes = 0
         self.is_crossed = False
         self.max_idle_s: float | None = _MAX_IDLE_S
         self._request_id = request_id
+        self._method = method
 
     def headers_received(
         self,
@@ -191,13 +205,12 @@
         if self.is_crossed:
             return
         self.max_idle_s = _parse_max_idle_s(headers)
-        chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
-        no_body = status in (204, 304)
-        self.has_known_length = chunked or "Content-Length" in headers or no_body
+        self.framing = _parse_framing(self._method, status, headers)
         self.head.set_result(ResponseHead(status=status, headers=headers))
 
     async def data_received(self, chunk: bytes) -> None:
         if not self.is_crossed:
+            self.received_bytes += len(chunk)
             await self.chunks.put(chunk)
 
     def finish(self) -> None:
@@ -213,6 +226,16 @@
         return echoed == self._request_id
 
 
+def _parse_framing(method: str, status: int, headers: HTTPHeaders) -> Framing:
+    if method == "HEAD" or status in (204, 304):
+        return Framing.NO_BODY
+    if "chunked" in headers.get("Transfer-Encoding", "").lower():
+        return Framing.CHUNKS
+    if "Content-Length" in headers:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 def _parse_max_idle_s(headers: HTTPHeaders) -> float | None:
     """Return how long the connection may stay idle in seconds, or None to close it."""
     if "close" in headers.get("Connection", "").lower():
@@ -235,8 +258,9 @@
         self._stream = stream
         self._pool = pool
         self._address = address
-        self._receiver = _Receiver("")
+        self._receiver = _Receiver("", "")
         self._reader: asyncio.Task[None] | None = None
+        self._end: ResponseEnd | None = None
         self._is_fully_read = False
 
     @property
@@ -244,9 +268,14 @@
         """Whether the connection carried an earlier exchange."""
         return self._reused
 
+    @property
+    def end(self) -> ResponseEnd | None:
+        """How the response ended, or None while it is being received."""
+        return self._end
+
     async def send(self, outgoing: OutgoingRequest) -> None:
         """Send the request; from here on the endpoint may run it."""
-        self._receiver = _Receiver(outgoing.request_id)
+        self._receiver = _Receiver(outgoing.request_id, outgoing.method)
         connection = HTTP1Connection(self._stream, True, _PARAMETERS)
         headers = HTTPHeaders({"Host": str(self._address)})
         headers.update(outgoing.headers)
@@ -268,6 +297,7 @@
             async with asyncio.timeout(max(timeout_s, 0.0)):
                 return await asyncio.shield(self._receiver.head)
         except TimeoutError as error:
+            self._record_end(Ending.LIMIT)
             raise ResponseTimeoutError("no response within the timeout") from error
 
     async def chunks(self, max_idle_s: float) -> AsyncIterator[bytes]:
@@ -277,6 +307,7 @@
                 async with asyncio.timeout(max(max_idle_s, 0.0)):
                     chunk = await self._receiver.chunks.get()
             except TimeoutError as error:
+                self._record_end(Ending.LIMIT)
                 raise ResponseTimeoutError(
                     "no data was received within the timeout"
                 ) from error
@@ -300,6 +331,7 @@
 
     async def _read(self, connection: HTTP1Connection) -> None:
         receiver = self._receiver
+        ending = Ending.INVALID
         try:
             await connection.read_response(receiver)
             for _ in range(_MAX_CROSSED_RESPONSES):
@@ -309,15 +341,20 @@
                 next_response = HTTP1Connection(self._stream, True, _PARAMETERS)
                 next_response.finish()
                 await next_response.read_response(receiver)
-            if not receiver.has_known_length:
+            if receiver.framing is Framing.CONNECTION:
                 # Such a body ends with the connection; a reset truncates it.
                 receiver.is_complete = (
                     receiver.is_complete and self._stream.error is None
                 )
             receiver.is_complete = receiver.is_complete and not receiver.is_crossed
-        except (StreamClosedError, HTTPInputError, ValueError, AssertionError):
+            ending = self._find_ending()
+        except StreamClosedError:
+            receiver.is_complete = False
+            ending = self._find_connection_ending()
+        except (HTTPInputError, ValueError, AssertionError):
             receiver.is_complete = False
         finally:
+            self._record_end(ending)
             if not receiver.head.done():
                 receiver.head.set_exception(
                     ExchangeInterruptedError(
@@ -330,6 +367,29 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await receiver.chunks.put(None)
 
+    def _find_ending(self) -> Ending:
+        if self._receiver.framing is Framing.CONNECTION:
+            return self._find_connection_ending()
+        # Tornado returns without finishing the response if its bytes are invalid.
+        return Ending.FRAMING if self._receiver.is_complete else Ending.INVALID
+
+    def _find_connection_ending(self) -> Ending:
+        error = self._stream.error
+        if error is None:
+            return Ending.CLOSE
+        if isinstance(error, (UnsatisfiableReadError, StreamBufferFullError)):
+            return Ending.LIMIT
+        return Ending.RESET
+
+    def _record_end(self, ending: Ending) -> None:
+        if self._end is not None:
+            return
+        self._end = ResponseEnd(
+            framing=self._receiver.framing,
+            ending=ending,
+            received_bytes=self._receiver.received_bytes,
+        )
+
 
 @attrs.frozen
 class _Idle:
--- a/src/chiveslip/dispatch/engine_calls.py
+++ b/src/chiveslip/dispatch/engine_calls.py
@@ -311,8 +311,13 @@
             await self._cancel(engine)
             raise
         finally:
+            self._add_response_end(exchange)
             exchange.close()
 
+    def _add_response_end(self, exchange: Exchange) -> None:
+        if exchange.end is not None:
+            self._add_step(Step.RESPONSE_END, str(exchange.end))
+
     def _check_before_sending(self, engine: Endpoint) -> None:
         if self._tools.clock.now() >= self._call.deadline:
             detail = "The deadline passed before the call was sent."
@@ -426,6 +431,7 @@
                 cause = str(error)
                 continue
             finally:
+                self._add_response_end(exchange)
                 exchange.close()
             return
         refusal = Refusal(code=result_codes.ANSWER_TRUNCATED, detail=cause)
--- a/src/chiveslip/dispatch/outcome.py
+++ b/src/chiveslip/dispatch/outcome.py
@@ -24,6 +24,7 @@
     DISPATCH = "dispatch"
     FIRST_BYTE = "first byte"
     MID_STREAM = "mid-stream"
+    RESPONSE_END = "response end"
     SETTLE = "settle"
     REPLY = "reply"
 
--- a/src/chiveslip/dispatch/service_calls.py
+++ b/src/chiveslip/dispatch/service_calls.py
@@ -280,6 +280,8 @@
         finally:
             selector.record_end(endpoint.id)
             self._record_health(endpoint.id, succeeded=succeeded)
+            if exchange.end is not None:
+                self._add_step(Step.RESPONSE_END, f"{endpoint.id}: {exchange.end}")
             exchange.close()
         return head, body
 
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -55,6 +55,8 @@
         empty.
     attempt_results
         Results of all attempts, in order.
+    answer_ends
+        How the answers of endpoints ended, in order, as text for the log.
     attempt_times
         Times of all attempts, in order.
     estimate_s
@@ -82,6 +84,7 @@
     attempted_endpoints: list[str] = attrs.field(factory=list)
     retryable_endpoint: str = ""
     attempt_results: list[str] = attrs.field(factory=list)
+    answer_ends: list[str] = attrs.field(factory=list)
     attempt_times: list[AttemptTimes] = attrs.field(factory=list)
     estimate_s: float | None = None
     load_wait_s: float = 0.0
--- a/src/chiveslip/gateway/event_stream.py
+++ b/src/chiveslip/gateway/event_stream.py
@@ -4,12 +4,53 @@
 
 from typing import final
 
+from chiveslip.dispatch.response_end import EventPosition
+
 _EVENT_END = b"\n\n"
+_EVENT_ENDS = (b"\n\n", b"\n\r\n")
+_LINE_ENDS = b"\r\n"
+# The end of an event may be split over two chunks at any of its bytes.
+_MAX_SPLIT_BYTES = 2
 _ID_FIELD = b"id:"
 # A larger event is forwarded in parts, after which the stream cannot be resumed.
 _MAX_EVENT_BYTES = 1 << 20
 
 
+@final
+class EventTracker:
+    """Follows a stream's chunks and knows whether an event is incomplete."""
+
+    def __init__(self) -> None:
+        self._last_bytes = b""
+        self._has_event = False
+        self._is_within = False
+
+    @property
+    def position(self) -> EventPosition:
+        """Where the last byte lies."""
+        if self._is_within:
+            return EventPosition.WITHIN
+        return EventPosition.BETWEEN if self._has_event else EventPosition.BEFORE_FIRST
+
+    def feed(self, chunk: bytes) -> None:
+        """Add a chunk."""
+        data = self._last_bytes + chunk
+        end = find_last_event_end(data)
+        if end > 0:
+            self._has_event = True
+            self._is_within = False
+        self._is_within = self._is_within or bool(data[end:].strip(_LINE_ENDS))
+        self._last_bytes = data[-_MAX_SPLIT_BYTES:]
+
+
+def find_last_event_end(data: bytes) -> int:
+    """Return the number of bytes up to the end of the last whole event, or 0.
+
+    An event ends with an empty line. Lines end with LF or CRLF.
+    """
+    return max(data.rfind(end) + len(end) if end in data else 0 for end in _EVENT_ENDS)
+
+
 @final
 class EventSplitter:
     """Buffers a stream's chunks, releases whole events and tracks the last event id.
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -337,6 +337,7 @@
         self, call: Call, endpoint: ListedEndpoint, attempt: Attempt
     ) -> None:
         now = self._dependencies.clock.now()
+        self._telemetry.record_answer_end(call, attempt)
         result = attempt.result
         if result is AttemptResult.ANSWERED:
             self._dependencies.endpoint_health.record_success(endpoint.id)
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -52,6 +52,13 @@
             ("service", "result"),
             registry=registry,
         )
+        self.answer_ends = Counter(
+            "chiveslip_answer_ends",
+            "Answers of endpoints by framing, what ended them, and position in a "
+            "stream.",
+            ("framing", "ending", "position"),
+            registry=registry,
+        )
         self.load_wait = Histogram(
             "chiveslip_load_wait_seconds",
             "Time that requests waited for their adapter.",
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -22,10 +22,13 @@
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.connection import ResponseHead
 from chiveslip.dispatch.connection import ResponseTimeoutError
+from chiveslip.dispatch.response_end import EventPosition
+from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
+from chiveslip.gateway.event_stream import EventTracker
 from chiveslip.gateway.protocol import ForwardingContext
 from chiveslip.gateway.protocol import GatewayProtocol
 from chiveslip.gateway.routing import RetryPolicy
@@ -59,6 +62,16 @@
     """The deadline passed after the request was sent."""
 
 
+_STREAM_RESULTS = frozenset(
+    {
+        AttemptResult.ANSWERED,
+        AttemptResult.UNKNOWN,
+        AttemptResult.TRUNCATED,
+        AttemptResult.DEADLINE_PASSED,
+    }
+)
+
+
 @attrs.frozen(kw_only=True)
 class Attempt:
     """A finished attempt.
@@ -69,12 +82,18 @@
         The endpoint's failure, if it was withheld for a retry.
     detail
         Cause of a failure.
+    end
+        How the endpoint's answer ended, or None if none was awaited.
+    position
+        Where a stream of events ended, or None if the answer was none.
     """
 
     result: AttemptResult
     head: ResponseHead | None = None
     body: bytes = b""
     detail: str = ""
+    end: ResponseEnd | None = None
+    position: EventPosition | None = None
 
 
 @attrs.define(kw_only=True)
@@ -151,8 +170,21 @@
             # The endpoint may have begun to leave while the connection was opened.
             if not self._accepts_work(context.endpoint):
                 return Attempt(result=AttemptResult.ENDPOINT_LEFT)
-            return await self._exchange(
-                exchange, call, context, stream, withholds_failure, on_first_event
+            tracker = EventTracker()
+            attempt = await self._exchange(
+                exchange,
+                call,
+                context,
+                stream,
+                tracker,
+                withholds_failure,
+                on_first_event,
+            )
+            is_stream = call.route.is_stream and attempt.result in _STREAM_RESULTS
+            return attrs.evolve(
+                attempt,
+                end=exchange.end,
+                position=tracker.position if is_stream else None,
             )
         finally:
             exchange.close()
@@ -163,6 +195,7 @@
         call: Call,
         context: ForwardingContext,
         stream: StreamState,
+        tracker: EventTracker,
         withholds_failure: bool,
         on_first_event: Callable[[], None],
     ) -> Attempt:
@@ -201,7 +234,7 @@
             )
         if call.route.is_stream and head.status < 300:
             return await self._forward_stream(
-                exchange, head, call, stream, on_first_event
+                exchange, head, call, stream, tracker, on_first_event
             )
         return await self._forward_whole(
             exchange, head, call, stream, withholds_failure
@@ -241,6 +274,7 @@
         head: ResponseHead,
         call: Call,
         stream: StreamState,
+        tracker: EventTracker,
         on_first_event: Callable[[], None],
     ) -> Attempt:
         sends_whole_events = call.route.retry_policy is RetryPolicy.RESUMABLE
@@ -250,6 +284,7 @@
                 if not has_events:
                     has_events = True
                     on_first_event()
+                tracker.feed(chunk)
                 part = stream.splitter.feed(chunk) if sends_whole_events else chunk
                 if part:
                     self._start_answer(call, head, stream)
--- a/src/chiveslip/gateway/telemetry.py
+++ b/src/chiveslip/gateway/telemetry.py
@@ -54,9 +54,22 @@
             endpoint=endpoint,
             result=attempt.result.value,
             detail=attempt.detail,
+            **_describe_end(attempt),
             after_s=_round_seconds(self._clock.now() - call.arrived_at),
         )
 
+    def record_answer_end(self, call: Call, attempt: Attempt) -> None:
+        """Record how an endpoint's answer ended."""
+        if attempt.end is None:
+            return
+        description = _describe_end(attempt)
+        self._metrics.answer_ends.labels(
+            description["framing"], description["ending"], description["position"]
+        ).inc()
+        call.answer_ends.append(
+            ", ".join(str(value) for value in description.values() if value != "")
+        )
+
     def record_crash_suspect(self, fingerprint: str, endpoint: str) -> None:
         """Log that an endpoint crashed while it ran a request."""
         self._log.warning(
@@ -110,6 +123,7 @@
             units=call.units,
             endpoints=call.attempted_endpoints,
             results=call.attempt_results,
+            answer_ends=call.answer_ends,
             chosen_s=[
                 _round_seconds(times.chosen_at - call.arrived_at)
                 for times in call.attempt_times
@@ -136,5 +150,17 @@
     return _TRUNCATED if call.first_event_at is not None else _REFUSED
 
 
+def _describe_end(attempt: Attempt) -> dict[str, str | int]:
+    end = attempt.end
+    if end is None:
+        return {"framing": "", "ending": "", "position": "", "received_bytes": 0}
+    return {
+        "framing": "" if end.framing is None else end.framing.value,
+        "ending": end.ending.value,
+        "position": "" if attempt.position is None else attempt.position.value,
+        "received_bytes": end.received_bytes,
+    }
+
+
 def _round_seconds(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 3)
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -19,6 +19,9 @@
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.connection import ResponseHead
 from chiveslip.dispatch.connection import ResponseTimeoutError
+from chiveslip.dispatch.response_end import Ending
+from chiveslip.dispatch.response_end import Framing
+from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.dispatch.retry_budget import RetryBudget
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.engines.protocol import OutgoingRequest
@@ -97,6 +100,15 @@
     def reused(self) -> bool:
         return False
 
+    @property
+    def end(self) -> ResponseEnd | None:
+        is_truncated = self._behaviour.is_truncated
+        return ResponseEnd(
+            framing=Framing.CHUNKS,
+            ending=Ending.RESET if is_truncated else Ending.FRAMING,
+            received_bytes=sum(len(chunk) for chunk in self._behaviour.chunks),
+        )
+
     async def send(self, outgoing: OutgoingRequest) -> None:
         self._sent.append(outgoing)
 
--- a/testing/platform/test_replicas.py
+++ b/testing/platform/test_replicas.py
@@ -14,6 +14,9 @@
 from chiveslip.dispatch.connection import Exchange
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.connection import ResponseHead
+from chiveslip.dispatch.response_end import Ending
+from chiveslip.dispatch.response_end import Framing
+from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.engine_control import EngineControlError
@@ -95,6 +98,14 @@
     def reused(self) -> bool:
         return False
 
+    @property
+    def end(self) -> ResponseEnd | None:
+        return ResponseEnd(
+            framing=Framing.LENGTH,
+            ending=Ending.FRAMING,
+            received_bytes=len(self._body),
+        )
+
     async def send(self, outgoing: OutgoingRequest) -> None:
         self.sent_requests.append(outgoing)
 
--- a/testing/simulation/endpoints.py
+++ b/testing/simulation/endpoints.py
@@ -18,6 +18,9 @@
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.connection import ResponseHead
 from chiveslip.dispatch.connection import ResponseTimeoutError
+from chiveslip.dispatch.response_end import Ending
+from chiveslip.dispatch.response_end import Framing
+from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.settings.fields import Address
 from testing.simulation.network import SimulatedNetwork
@@ -302,6 +305,7 @@
         self._head: asyncio.Future[ResponseHead] = asyncio.Future()
         self._chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
         self._is_complete = False
+        self._received_bytes = 0
         self._silent = False
         self._closed = False
 
@@ -310,6 +314,15 @@
         """Whether the connection carried an earlier exchange."""
         return False
 
+    @property
+    def end(self) -> ResponseEnd | None:
+        """How the answer ended."""
+        return ResponseEnd(
+            framing=Framing.CHUNKS,
+            ending=Ending.FRAMING if self._is_complete else Ending.RESET,
+            received_bytes=self._received_bytes,
+        )
+
     async def send(self, outgoing: OutgoingRequest) -> None:
         """Send the request."""
         await self._network.wait_while_paused(self._instance_id)
@@ -344,6 +357,7 @@
             await self._network.wait_while_paused(self._instance_id)
             if chunk is None:
                 break
+            self._received_bytes += len(chunk)
             yield chunk
         if not self._is_complete:
             raise ExchangeInterruptedError("the answer was truncated")
