Take a stream for whole only after a whole event

Cause: a stream with neither a length nor chunks ends with its connection, and the reader took every orderly close for its end. What was left of an event was even flushed to the caller before the answer was ended. Nobody looked at the bytes: framing alone decided, in the connection's reader, and each way of serving had its own addition.

Change: dispatch/response_end.py decides for all readers, on what the response shows: the framing, what ended it, and the position in a stream of events. A stream within an event, and one without framing before its first event, was broken off: its caller is cut off, or refused if nothing was sent, and a route that may be resumed goes on elsewhere. Callers get whole events only, also on routes that cannot be resumed; events may end with CRLF. A body of another type on a streaming route is judged as a body.

Tests that answered a stream with bytes that are no events answer with events now; what they check is unchanged.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -31,6 +31,7 @@
 from chiveslip.dispatch.response_end import Ending
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
+from chiveslip.dispatch.response_end import find_body_fault
 from chiveslip.engines.protocol import REQUEST_ID_HEADER
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.settings.fields import Address
@@ -185,7 +186,7 @@
     def __init__(self, request_id: str, method: str) -> None:
         self.head: asyncio.Future[ResponseHead] = asyncio.Future()
         self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue(maxsize=16)
-        self.is_complete = False
+        self.is_finished = False
         self.framing: Framing | None = None
         self.received_bytes = 0
         self.is_crossed = False
@@ -214,7 +215,7 @@
             await self.chunks.put(chunk)
 
     def finish(self) -> None:
-        self.is_complete = True
+        self.is_finished = True
 
     def _is_own_response(self, status: int, headers: HTTPHeaders) -> bool:
         if not self._request_id:
@@ -314,8 +315,10 @@
             if chunk is None:
                 break
             yield chunk
-        if not self._receiver.is_complete:
-            raise ExchangeInterruptedError("the response was truncated")
+        assert self._end is not None
+        fault = find_body_fault(self._end)
+        if fault is not None:
+            raise ExchangeInterruptedError(fault)
         self._is_fully_read = True
 
     def close(self) -> None:
@@ -331,7 +334,7 @@
 
     async def _read(self, connection: HTTP1Connection) -> None:
         receiver = self._receiver
-        ending = Ending.INVALID
+        ending, detail = Ending.INVALID, ""
         try:
             await connection.read_response(receiver)
             for _ in range(_MAX_CROSSED_RESPONSES):
@@ -341,25 +344,17 @@
                 next_response = HTTP1Connection(self._stream, True, _PARAMETERS)
                 next_response.finish()
                 await next_response.read_response(receiver)
-            if receiver.framing is Framing.CONNECTION:
-                # Such a body ends with the connection; a reset truncates it.
-                receiver.is_complete = (
-                    receiver.is_complete and self._stream.error is None
-                )
-            receiver.is_complete = receiver.is_complete and not receiver.is_crossed
             ending = self._find_ending()
         except StreamClosedError:
-            receiver.is_complete = False
             ending = self._find_connection_ending()
-        except (HTTPInputError, ValueError, AssertionError):
-            receiver.is_complete = False
+            detail = str(self._stream.error or "")
+        except (HTTPInputError, ValueError, AssertionError) as error:
+            detail = str(error)
         finally:
-            self._record_end(ending)
+            self._record_end(ending, detail)
             if not receiver.head.done():
                 receiver.head.set_exception(
-                    ExchangeInterruptedError(
-                        "the connection was closed before a response"
-                    )
+                    ExchangeInterruptedError(f"no response was received: {self._end}")
                 )
                 # Marks the exception as retrieved, in case nothing awaits it.
                 receiver.head.exception()
@@ -368,10 +363,13 @@
                 await receiver.chunks.put(None)
 
     def _find_ending(self) -> Ending:
-        if self._receiver.framing is Framing.CONNECTION:
-            return self._find_connection_ending()
+        receiver = self._receiver
         # Tornado returns without finishing the response if its bytes are invalid.
-        return Ending.FRAMING if self._receiver.is_complete else Ending.INVALID
+        if receiver.is_crossed or not receiver.is_finished:
+            return Ending.INVALID
+        if receiver.framing is Framing.CONNECTION:
+            return self._find_connection_ending()
+        return Ending.FRAMING
 
     def _find_connection_ending(self) -> Ending:
         error = self._stream.error
@@ -381,13 +379,14 @@
             return Ending.LIMIT
         return Ending.RESET
 
-    def _record_end(self, ending: Ending) -> None:
+    def _record_end(self, ending: Ending, detail: str = "") -> None:
         if self._end is not None:
             return
         self._end = ResponseEnd(
             framing=self._receiver.framing,
             ending=ending,
             received_bytes=self._receiver.received_bytes,
+            detail=detail,
         )
 
 
--- a/src/chiveslip/dispatch/engine_stream.py
+++ b/src/chiveslip/dispatch/engine_stream.py
@@ -12,6 +12,7 @@
 from chiveslip.dispatch.events import InvalidStreamError
 from chiveslip.dispatch.events import StreamEvent
 from chiveslip.dispatch.events import parse_used_tokens
+from chiveslip.dispatch.response_end import find_marked_stream_fault
 
 Write = Callable[[bytes], Awaitable[None]]
 
@@ -71,8 +72,10 @@
             batch = [e.raw for e in events if self._accept_event(e)]
             if batch:
                 await self._write(b"".join(batch))
-        if not self._done:
-            raise ExchangeInterruptedError("the stream ended without its end marker")
+        assert exchange.end is not None
+        fault = find_marked_stream_fault(exchange.end, has_end_marker=self._done)
+        if fault is not None:
+            raise ExchangeInterruptedError(fault)
 
     def _accept_event(self, event: StreamEvent) -> bool:
         """Update the state for an event; return whether to relay the event."""
--- a/src/chiveslip/dispatch/response_end.py
+++ b/src/chiveslip/dispatch/response_end.py
@@ -1,4 +1,7 @@
-"""How a response of an endpoint ended."""
+"""How a response of an endpoint ended, and whether that makes it complete.
+
+Every reader of responses asks this module; none decides by itself.
+"""
 
 from __future__ import annotations
 
@@ -51,14 +54,57 @@
         Framing of the body, or None if no head was received.
     received_bytes
         Bytes of the body that were received.
+    detail
+        Text of the error that ended it, or empty.
     """
 
     framing: Framing | None
     ending: Ending
     received_bytes: int
+    detail: str = ""
 
     def __str__(self) -> str:
         framing = "no head" if self.framing is None else self.framing.value
         return (
             f"framing {framing}, ended by {self.ending.value}, {self.received_bytes} B"
         )
+
+
+def find_body_fault(end: ResponseEnd) -> str | None:
+    """Return why a body is not complete, or None if it is.
+
+    A body with a length or chunks is complete when its framing shows the end. One
+    without either is complete when its connection was closed, not when it was reset.
+    """
+    if end.ending is Ending.FRAMING:
+        return None
+    if end.framing is Framing.CONNECTION and end.ending is Ending.CLOSE:
+        return None
+    return f"the response was truncated: {end}"
+
+
+def find_stream_fault(end: ResponseEnd, position: EventPosition) -> str | None:
+    """Return why a stream of events is not complete, or None if it is.
+
+    A stream that ends within an event was broken off, whatever its framing shows. One
+    without framing needs a whole event, because a connection that is closed after the
+    head alone shows nothing.
+    """
+    fault = find_body_fault(end)
+    if fault is not None:
+        return fault
+    if position is EventPosition.WITHIN:
+        return f"the stream ended within an event: {end}"
+    if position is EventPosition.BEFORE_FIRST and end.framing is Framing.CONNECTION:
+        return f"the stream ended before its first event: {end}"
+    return None
+
+
+def find_marked_stream_fault(end: ResponseEnd, *, has_end_marker: bool) -> str | None:
+    """Return why a stream whose last event is an end marker is not complete, or None.
+
+    The marker alone decides: it is sent after all other events.
+    """
+    if has_end_marker:
+        return None
+    return f"the stream ended without its end marker: {end}"
--- a/src/chiveslip/gateway/event_stream.py
+++ b/src/chiveslip/gateway/event_stream.py
@@ -6,49 +6,13 @@
 
 from chiveslip.dispatch.response_end import EventPosition
 
-_EVENT_END = b"\n\n"
 _EVENT_ENDS = (b"\n\n", b"\n\r\n")
 _LINE_ENDS = b"\r\n"
-# The end of an event may be split over two chunks at any of its bytes.
-_MAX_SPLIT_BYTES = 2
 _ID_FIELD = b"id:"
 # A larger event is forwarded in parts, after which the stream cannot be resumed.
 _MAX_EVENT_BYTES = 1 << 20
-
-
-@final
-class EventTracker:
-    """Follows a stream's chunks and knows whether an event is incomplete."""
-
-    def __init__(self) -> None:
-        self._last_bytes = b""
-        self._has_event = False
-        self._is_within = False
-
-    @property
-    def position(self) -> EventPosition:
-        """Where the last byte lies."""
-        if self._is_within:
-            return EventPosition.WITHIN
-        return EventPosition.BETWEEN if self._has_event else EventPosition.BEFORE_FIRST
-
-    def feed(self, chunk: bytes) -> None:
-        """Add a chunk."""
-        data = self._last_bytes + chunk
-        end = find_last_event_end(data)
-        if end > 0:
-            self._has_event = True
-            self._is_within = False
-        self._is_within = self._is_within or bool(data[end:].strip(_LINE_ENDS))
-        self._last_bytes = data[-_MAX_SPLIT_BYTES:]
-
-
-def find_last_event_end(data: bytes) -> int:
-    """Return the number of bytes up to the end of the last whole event, or 0.
-
-    An event ends with an empty line. Lines end with LF or CRLF.
-    """
-    return max(data.rfind(end) + len(end) if end in data else 0 for end in _EVENT_ENDS)
+# The end of an event may be split over two chunks at any of its bytes.
+_MAX_SPLIT_BYTES = 2
 
 
 @final
@@ -67,6 +31,8 @@
     def __init__(self, last_event_id: str = "") -> None:
         self._buffer = b""
         self._last_event_id = last_event_id
+        self._has_event = False
+        self._is_within_released_part = False
         self._has_released_part = False
 
     @property
@@ -79,33 +45,44 @@
         """Whether only whole events have been released."""
         return not self._has_released_part
 
+    @property
+    def position(self) -> EventPosition:
+        """Where the last byte of the response lies."""
+        if self._is_within_released_part or self._buffer.strip(_LINE_ENDS):
+            return EventPosition.WITHIN
+        return EventPosition.BETWEEN if self._has_event else EventPosition.BEFORE_FIRST
+
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return the whole events that it completes."""
         data = self._buffer + chunk
-        end = data.rfind(_EVENT_END)
-        if end < 0:
-            if len(data) > _MAX_EVENT_BYTES:
-                self._has_released_part = True
-                self._buffer = b""
-                return data
-            self._buffer = data
-            return b""
-        whole, self._buffer = (
-            data[: end + len(_EVENT_END)],
-            data[end + len(_EVENT_END) :],
-        )
+        end = _find_last_event_end(data)
+        if end == 0:
+            return self._release_part_if_huge(data)
+        whole, self._buffer = data[:end], data[end:]
+        self._has_event = True
+        self._is_within_released_part = False
         self._record_last_id(whole)
         return whole
 
-    def discard_partial_event(self) -> None:
-        """Discard the buffered part of an event after the stream was truncated."""
+    def begin_response(self) -> None:
+        """Discard what a truncated response left of an event, before the next one."""
         self._buffer = b""
+        self._has_event = False
 
     def flush(self) -> bytes:
         """Return and clear what a complete stream left after its last event."""
         rest, self._buffer = self._buffer, b""
         return rest
 
+    def _release_part_if_huge(self, data: bytes) -> bytes:
+        if len(data) <= _MAX_EVENT_BYTES:
+            self._buffer = data
+            return b""
+        self._has_released_part = True
+        self._is_within_released_part = True
+        part, self._buffer = data[:-_MAX_SPLIT_BYTES], data[-_MAX_SPLIT_BYTES:]
+        return part
+
     def _record_last_id(self, events: bytes) -> None:
         start = events.rfind(b"\n" + _ID_FIELD)
         if start >= 0:
@@ -116,3 +93,11 @@
             return
         line = events[start : events.find(b"\n", start)]
         self._last_event_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
+
+
+def _find_last_event_end(data: bytes) -> int:
+    """Return the number of bytes up to the end of the last whole event, or 0.
+
+    An event ends with an empty line; lines end with LF or CRLF.
+    """
+    return max(data.rfind(end) + len(end) if end in data else 0 for end in _EVENT_ENDS)
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -405,7 +405,7 @@
                 return False
             if self._dependencies.crash_suspects.is_blocked(call.fingerprint, now):
                 return False
-            stream.splitter.discard_partial_event()
+            stream.splitter.begin_response()
         return self._dependencies.retry_budget.take_retry(
             call.service, self._dependencies.live_instance_count(), now
         )
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -24,19 +24,20 @@
 from chiveslip.dispatch.connection import ResponseTimeoutError
 from chiveslip.dispatch.response_end import EventPosition
 from chiveslip.dispatch.response_end import ResponseEnd
+from chiveslip.dispatch.response_end import find_body_fault
+from chiveslip.dispatch.response_end import find_stream_fault
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
-from chiveslip.gateway.event_stream import EventTracker
 from chiveslip.gateway.protocol import ForwardingContext
 from chiveslip.gateway.protocol import GatewayProtocol
-from chiveslip.gateway.routing import RetryPolicy
 
 _MAX_BODY_BYTES = 8 << 20
 # An endpoint that gives up at the deadline it was sent still answers; its answer may
 # take this long to arrive.
 _DEADLINE_GRACE_S = 0.12
+_EVENT_STREAM = "text/event-stream"
 
 
 class AttemptResult(enum.Enum):
@@ -62,16 +63,6 @@
     """The deadline passed after the request was sent."""
 
 
-_STREAM_RESULTS = frozenset(
-    {
-        AttemptResult.ANSWERED,
-        AttemptResult.UNKNOWN,
-        AttemptResult.TRUNCATED,
-        AttemptResult.DEADLINE_PASSED,
-    }
-)
-
-
 @attrs.frozen(kw_only=True)
 class Attempt:
     """A finished attempt.
@@ -170,22 +161,10 @@
             # The endpoint may have begun to leave while the connection was opened.
             if not self._accepts_work(context.endpoint):
                 return Attempt(result=AttemptResult.ENDPOINT_LEFT)
-            tracker = EventTracker()
             attempt = await self._exchange(
-                exchange,
-                call,
-                context,
-                stream,
-                tracker,
-                withholds_failure,
-                on_first_event,
-            )
-            is_stream = call.route.is_stream and attempt.result in _STREAM_RESULTS
-            return attrs.evolve(
-                attempt,
-                end=exchange.end,
-                position=tracker.position if is_stream else None,
+                exchange, call, context, stream, withholds_failure, on_first_event
             )
+            return attrs.evolve(attempt, end=exchange.end)
         finally:
             exchange.close()
 
@@ -195,7 +174,6 @@
         call: Call,
         context: ForwardingContext,
         stream: StreamState,
-        tracker: EventTracker,
         withholds_failure: bool,
         on_first_event: Callable[[], None],
     ) -> Attempt:
@@ -234,7 +212,7 @@
             )
         if call.route.is_stream and head.status < 300:
             return await self._forward_stream(
-                exchange, head, call, stream, tracker, on_first_event
+                exchange, head, call, stream, on_first_event
             )
         return await self._forward_whole(
             exchange, head, call, stream, withholds_failure
@@ -274,33 +252,43 @@
         head: ResponseHead,
         call: Call,
         stream: StreamState,
-        tracker: EventTracker,
         on_first_event: Callable[[], None],
     ) -> Attempt:
-        sends_whole_events = call.route.retry_policy is RetryPolicy.RESUMABLE
-        has_events = False
+        splits_events = _is_event_stream(head)
+        has_data = False
         try:
             async for chunk in exchange.chunks(self._remaining_s(call)):
-                if not has_events:
-                    has_events = True
+                if not has_data:
+                    has_data = True
                     on_first_event()
-                tracker.feed(chunk)
-                part = stream.splitter.feed(chunk) if sends_whole_events else chunk
+                part = stream.splitter.feed(chunk) if splits_events else chunk
                 if part:
                     self._start_answer(call, head, stream)
                     await call.reply.write(part)
         except ResponseTimeoutError as error:
             return self._build_interrupted_attempt(
-                stream, error, AttemptResult.DEADLINE_PASSED
+                stream, str(error), AttemptResult.DEADLINE_PASSED
             )
         except ExchangeInterruptedError as error:
-            return self._build_interrupted_attempt(stream, error, AttemptResult.UNKNOWN)
+            return self._build_interrupted_attempt(
+                stream, str(error), AttemptResult.UNKNOWN
+            )
+        assert exchange.end is not None
+        fault = (
+            find_stream_fault(exchange.end, stream.splitter.position)
+            if splits_events
+            else find_body_fault(exchange.end)
+        )
+        if fault is not None:
+            return self._build_interrupted_attempt(stream, fault, AttemptResult.UNKNOWN)
         self._start_answer(call, head, stream)
-        rest = stream.splitter.flush() if sends_whole_events else b""
+        rest = stream.splitter.flush()
         if rest:
             await call.reply.write(rest)
         call.reply.end()
-        return Attempt(result=AttemptResult.ANSWERED, head=head)
+        return Attempt(
+            result=AttemptResult.ANSWERED, head=head, position=stream.splitter.position
+        )
 
     def _start_answer(
         self, call: Call, head: ResponseHead, stream: StreamState
@@ -312,10 +300,10 @@
         call.reply.start(head.status, headers)
 
     def _build_interrupted_attempt(
-        self, stream: StreamState, error: Exception, result_before_head: AttemptResult
+        self, stream: StreamState, detail: str, result_before_head: AttemptResult
     ) -> Attempt:
         result = AttemptResult.TRUNCATED if stream.has_head else result_before_head
-        return Attempt(result=result, detail=str(error))
+        return Attempt(result=result, detail=detail, position=stream.splitter.position)
 
     def _build_timeout_attempt(
         self, call: Call, error: ResponseTimeoutError
@@ -332,3 +320,9 @@
 
     def _remaining_s(self, call: Call) -> float:
         return max(call.deadline + _DEADLINE_GRACE_S - self._clock.now(), 0.0)
+
+
+def _is_event_stream(head: ResponseHead) -> bool:
+    """Return whether the body consists of events; so it does if no type is named."""
+    content_type = head.headers.get("Content-Type", _EVENT_STREAM)
+    return content_type.partition(";")[0].strip().lower() == _EVENT_STREAM
--- a/testing/gateway/test_broken_answers.py
+++ b/testing/gateway/test_broken_answers.py
@@ -103,6 +103,14 @@
         assert not is_passed_off_as_whole(reply), size
 
 
+@pytest.mark.parametrize("path", STREAM_PATHS)
+async def test_caller_of_a_broken_stream_receives_whole_events_only(
+    exchange: Callable[..., object], path: str
+) -> None:
+    reply = await exchange(path, [*by_connection(EVENTS[:-3], 0), CLOSE], [RESET])
+    assert (reply.body, reply.is_truncated) == (FIRST, True)
+
+
 @pytest.mark.parametrize("path", STREAM_PATHS)
 @pytest.mark.parametrize("end", [CLOSE, RESET], ids=["closed", "reset"])
 async def test_unframed_stream_without_an_event_is_not_passed_off_as_whole(
--- a/testing/gateway/test_event_stream.py
+++ b/testing/gateway/test_event_stream.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from chiveslip.dispatch.response_end import EventPosition
 from chiveslip.gateway.event_stream import EventSplitter
 
 ONE = b"id: 1\ndata: a\n\n"
@@ -31,10 +32,48 @@
     assert splitter.last_event_id == last_event_id
 
 
+@pytest.mark.parametrize(
+    ("chunks", "position"),
+    [
+        pytest.param([], EventPosition.BEFORE_FIRST, id="nothing"),
+        pytest.param([b"\n"], EventPosition.BEFORE_FIRST, id="empty-line"),
+        pytest.param([ONE[:1]], EventPosition.WITHIN, id="first-byte"),
+        pytest.param([ONE[:-1]], EventPosition.WITHIN, id="last-byte-missing"),
+        pytest.param([ONE], EventPosition.BETWEEN, id="whole-event"),
+        pytest.param([ONE[:-1], b"\n"], EventPosition.BETWEEN, id="end-in-parts"),
+        pytest.param([ONE, b"\n"], EventPosition.BETWEEN, id="further-empty-line"),
+        pytest.param([ONE, TWO[:3]], EventPosition.WITHIN, id="within-the-second"),
+        pytest.param([b"data: x\r\n\r\n"], EventPosition.BETWEEN, id="crlf"),
+        pytest.param(
+            [b"data: x\r\n\r", b"\n"], EventPosition.BETWEEN, id="crlf-in-parts"
+        ),
+        pytest.param([b"data: x\r\n"], EventPosition.WITHIN, id="one-crlf"),
+        pytest.param([b"x" * (1 << 21)], EventPosition.WITHIN, id="huge-event"),
+        pytest.param(
+            [b"x" * (1 << 21) + b"\n", b"\n"], EventPosition.BETWEEN, id="huge-whole"
+        ),
+    ],
+)
+def test_position_tells_whether_an_event_is_incomplete(
+    chunks: list[bytes], position: EventPosition
+) -> None:
+    splitter = EventSplitter()
+    for chunk in chunks:
+        splitter.feed(chunk)
+    assert splitter.position is position
+
+
+def test_response_that_resumes_a_stream_has_no_event_at_first() -> None:
+    splitter = EventSplitter()
+    splitter.feed(ONE + TWO[:4])
+    splitter.begin_response()
+    assert splitter.position is EventPosition.BEFORE_FIRST
+
+
 def test_partial_event_is_discarded_before_a_resumption() -> None:
     splitter = EventSplitter()
     splitter.feed(ONE + TWO[:4])
-    splitter.discard_partial_event()
+    splitter.begin_response()
     assert splitter.feed(TWO) == TWO
     assert splitter.can_resume
 
--- a/testing/gateway/test_forwarding.py
+++ b/testing/gateway/test_forwarding.py
@@ -26,6 +26,7 @@
 ENCODED = Behaviour(headers={"Content-Encoding": "gzip"})
 UNCONFIRMED_503 = Behaviour(status=503)
 EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n")
+STREAMED = Behaviour(chunks=EVENTS)
 
 SceneOf = Callable[..., GatewayHarness]
 
@@ -69,7 +70,7 @@
         pytest.param("/freely/x", [RESETS, RESETS], 502, 2, id="freely-max-runs"),
         pytest.param("/stream/x", [RESETS], 502, 1, id="stream-reset-is-unknown"),
         pytest.param(
-            "/resumable/x", [RESETS, GOOD], 200, 2, id="resumable-reset-is-retried"
+            "/resumable/x", [RESETS, STREAMED], 200, 2, id="resumable-reset-is-retried"
         ),
         pytest.param("/nowhere/x", [], 404, 0, id="no-route"),
     ],
@@ -262,11 +263,11 @@
     [
         pytest.param("/once/x", [GOOD, GOOD], 2, 1, id="once"),
         pytest.param("/freely/x", [GOOD, GOOD], 2, 1, id="freely"),
-        pytest.param("/stream/x", [GOOD, GOOD], 2, 1, id="stream"),
+        pytest.param("/stream/x", [STREAMED, STREAMED], 2, 1, id="stream"),
         pytest.param("/freely/x", [RESETS, GOOD, GOOD], 3, 2, id="retry"),
         pytest.param(
             "/resumable/x",
-            [Behaviour(chunks=EVENTS[:1], is_truncated=True), GOOD, GOOD],
+            [Behaviour(chunks=EVENTS[:1], is_truncated=True), STREAMED, STREAMED],
             3,
             2,
             id="resumed-stream",
