Forget that a late response was finished before reading the own one

A response to an earlier request may arrive late, at the place of the own one, and is skipped. That it was finished stayed recorded: an own response whose chunks became invalid after it was taken for complete, and its truncated body was given to the caller.

Found by reading who decides that a response is whole. The test failed before: no error was raised for a late response followed by chunks with an invalid size.

Change: each head of a response resets the record.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -202,6 +202,8 @@
         status = start_line.code if isinstance(start_line, ResponseStartLine) else 0
         if 100 <= status < 200 or self.head.done():
             return
+        # A crossed response before this one may have been finished.
+        self.is_finished = False
         self.is_crossed = not self._is_own_response(status, headers)
         if self.is_crossed:
             return
--- a/testing/dispatch/test_connection.py
+++ b/testing/dispatch/test_connection.py
@@ -98,6 +98,10 @@
         pytest.param([WITHOUT_LENGTH, RESET], id="without-content-length-and-reset"),
         pytest.param([CHUNKED, CLOSE], id="chunks-without-end"),
         pytest.param([CHUNKED, b"zz\r\n", CLOSE], id="invalid-chunk-size"),
+        pytest.param(
+            [response(b"other", request_id="r0"), CHUNKED, b"zz\r\n", CLOSE],
+            id="invalid-chunk-size-after-a-late-response",
+        ),
         pytest.param(
             [b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine"],
             id="without-request-id",
