Bound each response as a whole, in time and in bytes

An endpoint that sends a byte now and then held its caller beyond the deadline, for as long as it liked; so did reports, orders and reads of the store, each with the slot, the allowance or the task that waited.

Cause: every wait for a piece of a body got the whole remaining time anew, and the time for the head came on top. A refusal's body was read to its end before the next endpoint was asked. A caller that stopped reading held its endpoint without limit. Bytes were bounded at 64 MB by the HTTP library, for all but plain bodies.

Change: Exchange.send takes ResponseLimits for head and body together; the exchange keeps the time and counts the bytes, late responses to other requests included. The gateway ends an answer at the caller's deadline and the grace of the endpoint, also while it waits for the caller; the body of a refusal is skipped within 50 ms. A stream with an end marker ends at the marker, whatever follows. A plain answer that comes too late is 504 as before the head, not 502. The end of a response says that a limit ended it.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import contextlib
+import math
 import socket
 from collections.abc import AsyncIterator
 from typing import final
@@ -32,13 +33,16 @@
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.dispatch.response_end import find_body_fault
+from chiveslip.dispatch.response_limits import ResponseLimits
+from chiveslip.dispatch.response_limits import ResponseTimer
 from chiveslip.engines.protocol import REQUEST_ID_HEADER
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.settings.fields import Address
 
 _MAX_CHUNK_BYTES = 64 * 1024
 _MAX_HEAD_BYTES = 64 * 1024
-_MAX_BODY_BYTES = 64 * 1024 * 1024
+# Above the limits of all callers of `Exchange.send`, which are checked before.
+_MAX_BODY_BYTES = 1 << 40
 # Shorter than the shortest idle timeout (5 s) that endpoints are known to apply
 # without announcing it.
 _MAX_IDLE_S = 4.0
@@ -65,7 +69,7 @@
 
 
 class ResponseTimeoutError(ExchangeInterruptedError):
-    """The endpoint sent no data for too long."""
+    """The response was not received in time."""
 
 
 @attrs.frozen(kw_only=True)
@@ -90,9 +94,14 @@
         """How the response ended, or None while it is being received."""
 
     @abc.abstractmethod
-    async def send(self, outgoing: OutgoingRequest) -> None:
+    async def send(self, outgoing: OutgoingRequest, limits: ResponseLimits) -> None:
         """Send the request; from here on the endpoint may run it.
 
+        Parameters
+        ----------
+        limits
+            Bounds of the response; its time begins now.
+
         Raises
         ------
         ExchangeInterruptedError
@@ -100,49 +109,56 @@
         """
 
     @abc.abstractmethod
-    async def head(self, timeout_s: float) -> ResponseHead:
+    async def head(self, max_wait_s: float = math.inf) -> ResponseHead:
         """Wait for the status and headers of the response.
 
         Raises
         ------
         ResponseTimeoutError
-            If they are not received within `timeout_s` seconds.
+            If they are not received within `max_wait_s` seconds, or within the limits.
         ExchangeInterruptedError
             If the connection is closed before that.
         """
 
     @abc.abstractmethod
-    def chunks(self, max_idle_s: float) -> AsyncIterator[bytes]:
+    def chunks(self, max_idle_s: float = math.inf) -> AsyncIterator[bytes]:
         """Yield the body as it is received.
 
         Raises
         ------
         ResponseTimeoutError
-            If no data is received for `max_idle_s` seconds.
+            If no data is received for `max_idle_s` seconds, or the time of the limits
+            has passed.
         ExchangeInterruptedError
-            If the body is truncated.
+            If the body is truncated, or larger than the limits allow.
         """
 
     @abc.abstractmethod
     def close(self) -> None:
         """End the exchange; keep the connection only if it is known to be idle."""
 
-    async def body(self, max_bytes: int, max_idle_s: float) -> bytes:
+    async def body(self) -> bytes:
         """Return the whole body.
 
         Raises
         ------
         ExchangeInterruptedError
-            If the body is truncated, or larger than `max_bytes` bytes.
+            If the body is truncated, or exceeds the limits.
         """
-        parts = []
-        size = 0
-        async for chunk in self.chunks(max_idle_s):
-            size += len(chunk)
-            if size > max_bytes:
-                raise ExchangeInterruptedError("the response body is too large")
-            parts.append(chunk)
-        return b"".join(parts)
+        return b"".join([chunk async for chunk in self.chunks()])
+
+    async def skip_rest(self, max_s: float) -> None:
+        """Skip the rest of the body, so that the connection can be reused.
+
+        Parameters
+        ----------
+        max_s
+            Time in seconds after which the connection is given up instead.
+        """
+        with contextlib.suppress(ExchangeInterruptedError, TimeoutError):
+            async with asyncio.timeout(max_s):
+                async for _ in self.chunks():
+                    pass
 
 
 class Connector(abc.ABC):
@@ -177,13 +193,15 @@
         Framing of the body, or None before the head is received.
     received_bytes
         Bytes of the body that were received.
+    is_too_large
+        Whether the response exceeds the limit on bytes.
     is_crossed
         Whether the last response on the connection belongs to another request.
     max_idle_s
         How long the connection may stay idle afterwards, or None to close it.
     """
 
-    def __init__(self, request_id: str, method: str) -> None:
+    def __init__(self, request_id: str, method: str, max_bytes: int) -> None:
         self.head: asyncio.Future[ResponseHead] = asyncio.Future()
         self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue(maxsize=16)
         self.is_finished = False
@@ -191,8 +209,11 @@
         self.received_bytes = 0
         self.is_crossed = False
         self.max_idle_s: float | None = _MAX_IDLE_S
+        self.is_too_large = False
         self._request_id = request_id
         self._method = method
+        self._max_bytes = max_bytes
+        self._all_bytes = 0
 
     def headers_received(
         self,
@@ -209,9 +230,17 @@
             return
         self.max_idle_s = _parse_max_idle_s(headers)
         self.framing = _parse_framing(self._method, status, headers)
+        if self.framing is Framing.LENGTH:
+            # An invalid length is refused by Tornado after this.
+            length = headers["Content-Length"]
+            self._check_size(
+                int(length) if length.isascii() and length.isdigit() else 0
+            )
         self.head.set_result(ResponseHead(status=status, headers=headers))
 
     async def data_received(self, chunk: bytes) -> None:
+        self._all_bytes += len(chunk)
+        self._check_size(self._all_bytes)
         if not self.is_crossed:
             self.received_bytes += len(chunk)
             await self.chunks.put(chunk)
@@ -219,6 +248,11 @@
     def finish(self) -> None:
         self.is_finished = True
 
+    def _check_size(self, size: int) -> None:
+        if size > self._max_bytes:
+            self.is_too_large = True
+            raise HTTPInputError(f"the body is larger than {self._max_bytes} bytes")
+
     def _is_own_response(self, status: int, headers: HTTPHeaders) -> bool:
         if not self._request_id:
             return True
@@ -261,7 +295,8 @@
         self._stream = stream
         self._pool = pool
         self._address = address
-        self._receiver = _Receiver("", "")
+        self._receiver = _Receiver("", "", 0)
+        self._timer = ResponseTimer(ResponseLimits(max_s=0.0, max_body_bytes=0))
         self._reader: asyncio.Task[None] | None = None
         self._end: ResponseEnd | None = None
         self._is_fully_read = False
@@ -276,9 +311,12 @@
         """How the response ended, or None while it is being received."""
         return self._end
 
-    async def send(self, outgoing: OutgoingRequest) -> None:
+    async def send(self, outgoing: OutgoingRequest, limits: ResponseLimits) -> None:
         """Send the request; from here on the endpoint may run it."""
-        self._receiver = _Receiver(outgoing.request_id, outgoing.method)
+        self._receiver = _Receiver(
+            outgoing.request_id, outgoing.method, limits.max_body_bytes
+        )
+        self._timer = ResponseTimer(limits)
         connection = HTTP1Connection(self._stream, True, _PARAMETERS)
         headers = HTTPHeaders({"Host": str(self._address)})
         headers.update(outgoing.headers)
@@ -294,26 +332,21 @@
             ) from error
         self._reader = asyncio.create_task(self._read(connection))
 
-    async def head(self, timeout_s: float) -> ResponseHead:
+    async def head(self, max_wait_s: float = math.inf) -> ResponseHead:
         """Wait for the status and headers of the response."""
         try:
-            async with asyncio.timeout(max(timeout_s, 0.0)):
+            async with asyncio.timeout(self._timer.remaining_s(max_wait_s)):
                 return await asyncio.shield(self._receiver.head)
         except TimeoutError as error:
             self._record_end(Ending.LIMIT)
-            raise ResponseTimeoutError("no response within the timeout") from error
+            raise ResponseTimeoutError(
+                f"no response within the timeout: {self._end}"
+            ) from error
 
-    async def chunks(self, max_idle_s: float) -> AsyncIterator[bytes]:
+    async def chunks(self, max_idle_s: float = math.inf) -> AsyncIterator[bytes]:
         """Yield the body as it is received."""
         while True:
-            try:
-                async with asyncio.timeout(max(max_idle_s, 0.0)):
-                    chunk = await self._receiver.chunks.get()
-            except TimeoutError as error:
-                self._record_end(Ending.LIMIT)
-                raise ResponseTimeoutError(
-                    "no data was received within the timeout"
-                ) from error
+            chunk = await self._next_chunk(max_idle_s)
             if chunk is None:
                 break
             yield chunk
@@ -323,6 +356,20 @@
             raise ExchangeInterruptedError(fault)
         self._is_fully_read = True
 
+    async def _next_chunk(self, max_idle_s: float) -> bytes | None:
+        wait_s = self._timer.remaining_s(max_idle_s)
+        try:
+            # A timeout does not end a wait for bytes that are there already.
+            if wait_s <= 0:
+                raise TimeoutError
+            async with asyncio.timeout(wait_s):
+                return await self._receiver.chunks.get()
+        except TimeoutError as error:
+            self._record_end(Ending.LIMIT)
+            raise ResponseTimeoutError(
+                f"the response did not end within the timeout: {self._end}"
+            ) from error
+
     def close(self) -> None:
         """End the exchange; keep the connection only if it is known to be idle."""
         if self._is_fully_read and self._reader is not None and self._reader.done():
@@ -366,6 +413,8 @@
 
     def _find_ending(self) -> Ending:
         receiver = self._receiver
+        if receiver.is_too_large:
+            return Ending.LIMIT
         # Tornado returns without finishing the response if its bytes are invalid.
         if receiver.is_crossed or not receiver.is_finished:
             return Ending.INVALID
--- a/src/chiveslip/dispatch/engine_calls.py
+++ b/src/chiveslip/dispatch/engine_calls.py
@@ -35,6 +35,7 @@
 from chiveslip.dispatch.reply import Call
 from chiveslip.dispatch.reply import CallerDisconnectedError
 from chiveslip.dispatch.reply import Reply
+from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.dispatch.retry_budget import RetryBudget
 from chiveslip.dispatch.suspects import CrashedEndpoint
 from chiveslip.dispatch.suspects import CrashSuspects
@@ -53,6 +54,9 @@
 from chiveslip.results import ResultCode
 
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+_MAX_STREAM_BYTES = 64 * 1024 * 1024
+# Time for the end of the body after the end marker, to keep the connection.
+_MAX_TRAILER_S = 0.05
 _MAX_RESUMES = 3
 _CANCEL_TIMEOUT_S = 1.0
 _NOT_LOADED_STATUS = 404
@@ -285,7 +289,9 @@
             self._check_before_sending(engine)
             self._trace.endpoint = engine.id
             self._was_sent = True
-            await exchange.send(self._build_request(version))
+            await exchange.send(
+                self._build_request(version), self._build_limits(self._remaining_s)
+            )
             self._add_step(Step.DISPATCH, f"sent to {engine.id}")
             # From here on tokens may be generated, so the reservation remains charged
             # until the engine reports the used tokens.
@@ -314,6 +320,12 @@
             self._add_response_end(exchange)
             exchange.close()
 
+    def _build_limits(self, max_s: float) -> ResponseLimits:
+        max_bytes = _MAX_RESPONSE_BYTES
+        if self._completion.stream:
+            max_bytes = _MAX_STREAM_BYTES
+        return ResponseLimits(max_s=max_s, max_body_bytes=max_bytes)
+
     def _add_response_end(self, exchange: Exchange) -> None:
         if exchange.end is not None:
             self._add_step(Step.RESPONSE_END, str(exchange.end))
@@ -346,7 +358,7 @@
     async def _receive(
         self, exchange: Exchange, engine: Endpoint, version: AdapterVersion
     ) -> None:
-        head = await exchange.head(self._remaining_s)
+        head = await exchange.head()
         if head.status == _NOT_LOADED_STATUS or head.status >= 500:
             self._used_tokens = 0.0
             detail = f"{engine.id} answered {head.status}"
@@ -356,7 +368,7 @@
         if self._completion.stream and head.status == 200:
             await self._receive_stream(exchange, engine, version)
             return
-        body = await exchange.body(_MAX_RESPONSE_BYTES, self._remaining_s)
+        body = await exchange.body()
         self._used_tokens = float(
             parse_used_tokens(body) or self._completion.reserved_tokens
         )
@@ -393,6 +405,8 @@
         counted = self._completion.prompt_tokens + self._relay.relayed_events
         self._used_tokens = float(counted if usage is None else usage)
         await self._reply.finish()
+        if exchange.end is None:
+            await exchange.skip_rest(_MAX_TRAILER_S)
 
     async def _relay_to_end(
         self, exchange: Exchange, engine: Endpoint, version: AdapterVersion
@@ -419,7 +433,7 @@
                 outgoing = self._tools.protocol.build_resume_request(
                     self._call.id, version, last_event
                 )
-                await exchange.send(outgoing)
+                await exchange.send(outgoing, self._build_limits(self._remaining_s))
                 head = await exchange.head(self._max_idle_s)
                 if head.status != 200:
                     cause = f"resume answered {head.status}"
@@ -442,9 +456,10 @@
             exchange = await self._tools.pool.open(engine.address, fresh=True)
             try:
                 await exchange.send(
-                    self._tools.protocol.build_cancel_request(self._call.id)
+                    self._tools.protocol.build_cancel_request(self._call.id),
+                    self._build_limits(_CANCEL_TIMEOUT_S),
                 )
-                await exchange.head(_CANCEL_TIMEOUT_S)
+                await exchange.head()
             finally:
                 exchange.close()
 
--- a/src/chiveslip/dispatch/engine_stream.py
+++ b/src/chiveslip/dispatch/engine_stream.py
@@ -72,6 +72,8 @@
             batch = [e.raw for e in events if self._accept_event(e)]
             if batch:
                 await self._write(b"".join(batch))
+            if self._done:
+                return
         assert exchange.end is not None
         fault = find_marked_stream_fault(exchange.end, has_end_marker=self._done)
         if fault is not None:
--- a/src/chiveslip/dispatch/service_calls.py
+++ b/src/chiveslip/dispatch/service_calls.py
@@ -31,6 +31,7 @@
 from chiveslip.dispatch.outcome import call_refused
 from chiveslip.dispatch.reply import Call
 from chiveslip.dispatch.reply import Reply
+from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.dispatch.retry_budget import RetryBudget
 from chiveslip.generated import result_codes
 from chiveslip.idempotency.claims import Claim
@@ -301,14 +302,15 @@
         self._trace.endpoint = endpoint.id
         self._trace.tokens = self._route.tokens
         await exchange.send(
-            self._tools.protocol.build_request(self._call, self._caller)
+            self._tools.protocol.build_request(self._call, self._caller),
+            ResponseLimits(max_s=self._remaining_s, max_body_bytes=_MAX_RESPONSE_BYTES),
         )
         self._add_step(Step.DISPATCH, f"sent to {endpoint.id}")
-        head = await exchange.head(self._remaining_s)
+        head = await exchange.head()
         if not self._tools.protocol.is_answer_to(self._call, head):
             raise ExchangeInterruptedError("the endpoint answered another request")
         self._add_step(Step.FIRST_BYTE, f"status {head.status}")
-        body = await exchange.body(_MAX_RESPONSE_BYTES, self._remaining_s)
+        body = await exchange.body()
         return head, body
 
     def _check_before_sending(self) -> None:
--- a/src/chiveslip/engines/task.py
+++ b/src/chiveslip/engines/task.py
@@ -20,6 +20,7 @@
 from chiveslip.dispatch.connection import ConnectError
 from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.connection import ExchangeInterruptedError
+from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.engines.fair_queue import Waiter
 from chiveslip.engines.protocol import EngineProtocol
 from chiveslip.engines.protocol import InvalidReportError
@@ -282,11 +283,11 @@
                 subject=f"{self._endpoint.id}: {subject}",
                 cause=f"fencing number {fencing}",
             )
-            await exchange.send(outgoing)
-            head = await exchange.head(self._tools.times.load_timeout_s)
-            body = await exchange.body(
-                _MAX_REPORT_BYTES, self._tools.times.report_interval_s
+            await exchange.send(
+                outgoing, self._build_limits(self._tools.times.load_timeout_s)
             )
+            head = await exchange.head()
+            body = await exchange.body()
         except ExchangeInterruptedError as error:
             raise OrderError(str(error)) from error
         finally:
@@ -318,17 +319,21 @@
     async def _fetch_report(self) -> bytes:
         exchange = await self._tools.pool.open(self._endpoint.address, fresh=False)
         try:
-            await exchange.send(self._tools.protocol.build_report_request())
-            head = await exchange.head(self._tools.times.report_interval_s)
-            body = await exchange.body(
-                _MAX_REPORT_BYTES, self._tools.times.report_interval_s
+            await exchange.send(
+                self._tools.protocol.build_report_request(),
+                self._build_limits(self._tools.times.report_interval_s),
             )
+            head = await exchange.head()
+            body = await exchange.body()
         finally:
             exchange.close()
         if head.status != 200:
             raise InvalidReportError(f"expected status 200, got {head.status}")
         return body
 
+    def _build_limits(self, max_s: float) -> ResponseLimits:
+        return ResponseLimits(max_s=max_s, max_body_bytes=_MAX_REPORT_BYTES)
+
     def _record_report_failure(self, cause: str) -> None:
         self._failed_reports += 1
         self._log.warning(
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 from collections.abc import Callable
 from typing import final
@@ -26,6 +27,7 @@
 from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.dispatch.response_end import find_body_fault
 from chiveslip.dispatch.response_end import find_stream_fault
+from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -34,6 +36,11 @@
 from chiveslip.gateway.protocol import GatewayProtocol
 
 _MAX_BODY_BYTES = 8 << 20
+_MAX_STREAM_BYTES = 64 << 20
+# The body of a refusal is read only to keep its connection.
+_MAX_REFUSAL_BODY_S = 0.05
+# Time after the end of an endpoint's answer for the caller to take the last bytes.
+_WRITE_GRACE_S = 0.1
 # An endpoint that gives up at the deadline it was sent still answers; its answer may
 # take this long to arrive.
 _DEADLINE_GRACE_S = 0.12
@@ -161,10 +168,18 @@
             # The endpoint may have begun to leave while the connection was opened.
             if not self._accepts_work(context.endpoint):
                 return Attempt(result=AttemptResult.ENDPOINT_LEFT)
-            attempt = await self._exchange(
-                exchange, call, context, stream, withholds_failure, on_first_event
-            )
+            async with asyncio.timeout(self._remaining_s(call) + _WRITE_GRACE_S):
+                attempt = await self._exchange(
+                    exchange, call, context, stream, withholds_failure, on_first_event
+                )
             return attrs.evolve(attempt, end=exchange.end)
+        except TimeoutError:
+            # All waits for the endpoint end earlier.
+            return self._build_interrupted_attempt(
+                stream,
+                "the caller did not read the answer until the deadline",
+                AttemptResult.DEADLINE_PASSED,
+            )
         finally:
             exchange.close()
 
@@ -189,8 +204,8 @@
         call.was_sent = True
         call.attempt_times[-1].sent_at = self._clock.now()
         try:
-            await exchange.send(outgoing)
-            head = await exchange.head(self._remaining_s(call))
+            await exchange.send(outgoing, self._build_limits(call))
+            head = await exchange.head()
         except ResponseTimeoutError as error:
             return self._build_timeout_attempt(call, error)
         except ExchangeInterruptedError as error:
@@ -198,8 +213,7 @@
         metadata = self._protocol.parse_answer(head.status, head.headers)
         if metadata.did_not_run:
             call.was_sent = False
-            # Reading the body keeps the connection reusable.
-            await self._read_body(exchange, call)
+            await exchange.skip_rest(_MAX_REFUSAL_BODY_S)
             lacks_adapter = metadata.lacks_adapter
             result = (
                 AttemptResult.LACKS_ADAPTER if lacks_adapter else AttemptResult.NOT_RUN
@@ -226,11 +240,12 @@
         stream: StreamState,
         withholds_failure: bool,
     ) -> Attempt:
-        body = await self._read_body(exchange, call)
-        if body is None:
-            return Attempt(
-                result=AttemptResult.UNKNOWN, detail="the answer was truncated"
-            )
+        try:
+            body = await exchange.body()
+        except ResponseTimeoutError as error:
+            return self._build_timeout_attempt(call, error)
+        except ExchangeInterruptedError as error:
+            return Attempt(result=AttemptResult.UNKNOWN, detail=str(error))
         if stream.has_head:
             return Attempt(
                 result=AttemptResult.TRUNCATED,
@@ -257,7 +272,7 @@
         splits_events = _is_event_stream(head)
         has_data = False
         try:
-            async for chunk in exchange.chunks(self._remaining_s(call)):
+            async for chunk in exchange.chunks():
                 if not has_data:
                     has_data = True
                     on_first_event()
@@ -312,11 +327,13 @@
         result = AttemptResult.DEADLINE_PASSED if has_passed else AttemptResult.UNKNOWN
         return Attempt(result=result, detail=str(error))
 
-    async def _read_body(self, exchange: Exchange, call: Call) -> bytes | None:
-        try:
-            return await exchange.body(_MAX_BODY_BYTES, self._remaining_s(call))
-        except ExchangeInterruptedError:
-            return None
+    def _build_limits(self, call: Call) -> ResponseLimits:
+        return ResponseLimits(
+            max_s=self._remaining_s(call),
+            max_body_bytes=(
+                _MAX_STREAM_BYTES if call.route.is_stream else _MAX_BODY_BYTES
+            ),
+        )
 
     def _remaining_s(self, call: Call) -> float:
         return max(call.deadline + _DEADLINE_GRACE_S - self._clock.now(), 0.0)
--- a/src/chiveslip/platform/replicas.py
+++ b/src/chiveslip/platform/replicas.py
@@ -11,6 +11,7 @@
 from chiveslip.dispatch.connection import ConnectError
 from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.connection import ExchangeInterruptedError
+from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -30,8 +31,7 @@
 _JSON_CONTENT_TYPE = "application/json"
 # A replica answers a report or an order within milliseconds. One that takes longer than
 # this has a problem that a longer wait does not solve.
-_TIMEOUT_S = 0.6
-_MAX_BODY_BYTES = 1 << 20
+_RESPONSE_LIMITS = ResponseLimits(max_s=0.6, max_body_bytes=1 << 20)
 
 _ORDER_ANSWERS_BY_STATUS = {
     202: OrderAnswer.IN_PROGRESS,
@@ -180,9 +180,9 @@
         try:
             if not may_send():
                 raise _WithheldError
-            await exchange.send(outgoing)
-            head = await exchange.head(_TIMEOUT_S)
-            body = await exchange.body(_MAX_BODY_BYTES, _TIMEOUT_S)
+            await exchange.send(outgoing, _RESPONSE_LIMITS)
+            head = await exchange.head()
+            body = await exchange.body()
         except ExchangeInterruptedError as error:
             raise EngineControlError(str(error)) from error
         finally:
--- a/src/chiveslip/platform/store.py
+++ b/src/chiveslip/platform/store.py
@@ -11,6 +11,7 @@
 from chiveslip.dispatch.connection import ConnectError
 from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.connection import ExchangeInterruptedError
+from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.platform import fields
 from chiveslip.platform.fields import UnreadableError
@@ -84,9 +85,14 @@
         except ConnectError as error:
             raise StoreError(str(error)) from error
         try:
-            await exchange.send(outgoing)
-            head = await exchange.head(wait_s + self._timeout_s)
-            body = await exchange.body(_MAX_BODY_BYTES, self._timeout_s)
+            await exchange.send(
+                outgoing,
+                ResponseLimits(
+                    max_s=wait_s + self._timeout_s, max_body_bytes=_MAX_BODY_BYTES
+                ),
+            )
+            head = await exchange.head()
+            body = await exchange.body()
         except ExchangeInterruptedError as error:
             raise StoreError(f"{path}: {error}") from error
         finally:
--- a/testing/dispatch/test_connection.py
+++ b/testing/dispatch/test_connection.py
@@ -12,6 +12,7 @@
 from chiveslip.dispatch.connection import ConnectionPool
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.connection import ResponseTimeoutError
+from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.settings.fields import Address
 from testing.raw_endpoint import CLOSE
@@ -24,6 +25,7 @@
 pytestmark = pytest.mark.xdist_group("sockets")
 
 TIMEOUT_S = 10.0
+LIMITS = ResponseLimits(max_s=TIMEOUT_S, max_body_bytes=1 << 20)
 
 
 def response(
@@ -53,9 +55,9 @@
         method="GET", path="/", headers={"X-Request-Id": "r1"}, request_id="r1"
     )
     try:
-        await exchange.send(outgoing)
-        await exchange.head(TIMEOUT_S)
-        return await exchange.body(1 << 20, TIMEOUT_S)
+        await exchange.send(outgoing, LIMITS)
+        await exchange.head()
+        return await exchange.body()
     finally:
         exchange.close()
 
@@ -124,7 +126,7 @@
     endpoint = await start_endpoint([])
     pool = ConnectionPool(ManualClock(), TIMEOUT_S)
     exchange = await pool.open(endpoint.address, fresh=False)
-    await exchange.send(OutgoingRequest(method="GET", path="/"))
+    await exchange.send(OutgoingRequest(method="GET", path="/"), LIMITS)
     with pytest.raises(ResponseTimeoutError):
         await exchange.head(0.01)
     exchange.close()
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import AsyncIterator
 from collections.abc import Callable
@@ -23,6 +24,7 @@
 from chiveslip.dispatch.response_end import Ending
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
+from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.dispatch.retry_budget import RetryBudget
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.engines.protocol import OutgoingRequest
@@ -110,10 +112,10 @@
             received_bytes=sum(len(chunk) for chunk in self._behaviour.chunks),
         )
 
-    async def send(self, outgoing: OutgoingRequest) -> None:
+    async def send(self, outgoing: OutgoingRequest, limits: ResponseLimits) -> None:
         self._sent.append(outgoing)
 
-    async def head(self, timeout_s: float) -> ResponseHead:
+    async def head(self, max_wait_s: float = math.inf) -> ResponseHead:
         if self._behaviour.resets_before_head:
             raise ExchangeInterruptedError("reset")
         if self._behaviour.is_silent:
@@ -123,7 +125,7 @@
             headers["X-Server-Signature"] = "sig"
         return ResponseHead(status=self._behaviour.status, headers=headers)
 
-    async def chunks(self, max_idle_s: float) -> AsyncIterator[bytes]:
+    async def chunks(self, max_idle_s: float = math.inf) -> AsyncIterator[bytes]:
         for chunk in self._behaviour.chunks:
             yield chunk
         if self._behaviour.is_truncated:
--- a/testing/platform/test_replicas.py
+++ b/testing/platform/test_replicas.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 from typing import Any
 
 import pytest
@@ -17,6 +18,7 @@
 from chiveslip.dispatch.response_end import Ending
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
+from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.engine_control import EngineControlError
@@ -106,15 +108,15 @@
             received_bytes=len(self._body),
         )
 
-    async def send(self, outgoing: OutgoingRequest) -> None:
+    async def send(self, outgoing: OutgoingRequest, limits: ResponseLimits) -> None:
         self.sent_requests.append(outgoing)
 
-    async def head(self, timeout_s: float) -> ResponseHead:
+    async def head(self, max_wait_s: float = math.inf) -> ResponseHead:
         if not self._status:
             raise ExchangeInterruptedError("reset")
         return ResponseHead(status=self._status, headers=HTTPHeaders())
 
-    async def chunks(self, max_idle_s: float):
+    async def chunks(self, max_idle_s: float = math.inf):
         yield self._body
 
     def close(self) -> None:
--- a/testing/simulation/endpoints.py
+++ b/testing/simulation/endpoints.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import json
+import math
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from typing import final
@@ -21,6 +22,8 @@
 from chiveslip.dispatch.response_end import Ending
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
+from chiveslip.dispatch.response_limits import ResponseLimits
+from chiveslip.dispatch.response_limits import ResponseTimer
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.settings.fields import Address
 from testing.simulation.network import SimulatedNetwork
@@ -308,6 +311,7 @@
         self._received_bytes = 0
         self._silent = False
         self._closed = False
+        self._timer = ResponseTimer(ResponseLimits(max_s=0.0, max_body_bytes=0))
 
     @property
     def reused(self) -> bool:
@@ -323,8 +327,9 @@
             received_bytes=self._received_bytes,
         )
 
-    async def send(self, outgoing: OutgoingRequest) -> None:
+    async def send(self, outgoing: OutgoingRequest, limits: ResponseLimits) -> None:
         """Send the request."""
+        self._timer = ResponseTimer(limits)
         await self._network.wait_while_paused(self._instance_id)
         headers = ", ".join(f"{n}: {v}" for n, v in sorted(outgoing.headers.items()))
         self._write_transcript(
@@ -336,21 +341,21 @@
         if self._network.can_reach(self._instance_id, self._endpoint.name):
             self._endpoint.start_request(self, outgoing)
 
-    async def head(self, timeout_s: float) -> ResponseHead:
+    async def head(self, max_wait_s: float = math.inf) -> ResponseHead:
         """Return the head of the answer."""
         try:
-            async with asyncio.timeout(max(timeout_s, 0.0)):
+            async with asyncio.timeout(self._timer.remaining_s(max_wait_s)):
                 head = await asyncio.shield(self._head)
         except TimeoutError as error:
             raise ResponseTimeoutError("no head of the answer in time") from error
         await self._network.wait_while_paused(self._instance_id)
         return head
 
-    async def chunks(self, max_idle_s: float) -> AsyncIterator[bytes]:
+    async def chunks(self, max_idle_s: float = math.inf) -> AsyncIterator[bytes]:
         """Yield the parts of the body."""
         while True:
             try:
-                async with asyncio.timeout(max(max_idle_s, 0.0)):
+                async with asyncio.timeout(self._timer.remaining_s(max_idle_s)):
                     chunk = await self._chunks.get()
             except TimeoutError as error:
                 raise ResponseTimeoutError("no data of the answer in time") from error
