--- a/src/chiveslip/platform/store.py
+++ b/src/chiveslip/platform/store.py
@@ -25,6 +25,7 @@
 # One watch of all keys needs half as many requests as a watch per prefix.
 _ALL_KEYS_PREFIX = ""
 _MAX_BODY_BYTES = 16 << 20
+_MAX_PAGES = 2000
 _STATUS_GONE = 410
 
 
@@ -50,7 +51,7 @@
         items: list[Item] = []
         revision: int | None = None
         last_key = ""
-        while True:
+        for _ in range(_MAX_PAGES):
             query = {"prefix": _ALL_KEYS_PREFIX} | (
                 {"after": last_key} if last_key else {}
             )
@@ -63,7 +64,13 @@
             items += page_items
             if not page.get("has_more") or not page_items:
                 return Changes(items=items, revision=revision)
+            if page_items[-1].key <= last_key:
+                raise StoreError(
+                    f"the page after key {last_key!r} ends at {page_items[-1].key!r}; "
+                    "expected a later key"
+                )
             last_key = page_items[-1].key
+        raise StoreError(f"the store has more than {_MAX_PAGES} pages of items")
 
     async def watch(self, after_revision: int, wait_s: float) -> Changes:
         """Return the changes after a revision."""
--- a/testing/platform/test_endless_responses.py
+++ b/testing/platform/test_endless_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import json
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
@@ -148,3 +149,21 @@
     await check_given_up(
         read, error, await start_endpoint([OK + b"\r\n" + body, 0.05, end])
     )
+
+
+def page(keys: list[str]) -> bytes:
+    """Return a response with one page of items and a further page announced."""
+    items = [
+        {"key": key, "value": base64.b64encode(b"x").decode(), "revision": 1}
+        for key in keys
+    ]
+    body = json.dumps({"items": items, "has_more": True, "store_revision": 9}).encode()
+    return OK + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+async def test_snapshot_whose_pages_do_not_advance_is_given_up(
+    start_endpoint: StartEndpoint,
+) -> None:
+    endpoint = await start_endpoint([page(["servers/a", "servers/b"])])
+    await check_given_up(read_all, StoreError, endpoint)
+    assert endpoint.requests <= 2
