Refuse unframed JSON bodies that do not parse

A plain answer with neither a length nor chunks ends with its connection; if its endpoint crashed on the way and its system closed the connection in an orderly way, the caller received the first part of the body as a whole one. The framing cannot show this, but the content can: a body that its endpoint calls JSON and that does not parse was cut.

Both ways of serving ask Exchange.body, so both have it, as have reports and reads of the store. Bodies of other types remain whole when their connection is closed.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -33,6 +33,7 @@
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.dispatch.response_end import find_body_fault
+from chiveslip.dispatch.response_end import find_document_fault
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.dispatch.response_limits import ResponseTimer
 from chiveslip.engines.protocol import REQUEST_ID_HEADER
@@ -145,7 +146,13 @@
         ExchangeInterruptedError
             If the body is truncated, or exceeds the limits.
         """
-        return b"".join([chunk async for chunk in self.chunks()])
+        body = b"".join([chunk async for chunk in self.chunks()])
+        content_type = (await self.head()).headers.get("Content-Type", "")
+        assert self.end is not None
+        fault = find_document_fault(self.end, content_type, body)
+        if fault is not None:
+            raise ExchangeInterruptedError(fault)
+        return body
 
     async def skip_rest(self, max_s: float) -> None:
         """Skip the rest of the body, so that the connection can be reused.
--- a/src/chiveslip/dispatch/response_end.py
+++ b/src/chiveslip/dispatch/response_end.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import enum
+import json
 
 import attrs
 
@@ -83,6 +84,25 @@
     return f"the response was truncated: {end}"
 
 
+def find_document_fault(end: ResponseEnd, content_type: str, body: bytes) -> str | None:
+    """Return why a whole body cannot be complete by its content, or None.
+
+    A body of a JSON type that ends with its connection must parse.
+    """
+    media_type = content_type.partition(";")[0].strip().lower()
+    is_json = media_type == "application/json" or media_type.endswith("+json")
+    if end.framing is not Framing.CONNECTION or not is_json:
+        return None
+    try:
+        json.loads(body)
+    except ValueError as error:
+        return f"the response of type {media_type} does not parse ({error}): {end}"
+    except RecursionError:
+        # Too deep to parse here, which shows nothing about its end.
+        return None
+    return None
+
+
 def find_stream_fault(end: ResponseEnd, position: EventPosition) -> str | None:
     """Return why a stream of events is not complete, or None if it is.
 
--- a/testing/dispatch/test_response_end.py
+++ b/testing/dispatch/test_response_end.py
@@ -9,6 +9,7 @@
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.dispatch.response_end import find_body_fault
+from chiveslip.dispatch.response_end import find_document_fault
 from chiveslip.dispatch.response_end import find_marked_stream_fault
 from chiveslip.dispatch.response_end import find_stream_fault
 
@@ -62,3 +63,25 @@
     end = response_end(Framing.CONNECTION, ending)
     assert find_marked_stream_fault(end, has_end_marker=True) is None
     assert find_marked_stream_fault(end, has_end_marker=False) is not None
+
+
+@pytest.mark.parametrize(
+    ("framing", "content_type", "body", "is_complete"),
+    [
+        (Framing.CONNECTION, "application/json", b'{"a": 1}', True),
+        (Framing.CONNECTION, "application/json", b'{"a": 1', False),
+        (Framing.CONNECTION, "application/json; charset=utf-8", b"", False),
+        (Framing.CONNECTION, "application/problem+json", b"{", False),
+        (Framing.CONNECTION, "text/plain", b"{", True),
+        (Framing.CONNECTION, "", b"{", True),
+        (Framing.CONNECTION, "application/json", b"[" * 100_000, True),
+        (Framing.LENGTH, "application/json", b"{", True),
+        (Framing.CHUNKS, "application/json", b"{", True),
+    ],
+)
+def test_unframed_json_must_parse(
+    framing: Framing, content_type: str, body: bytes, is_complete: bool
+) -> None:
+    end = response_end(framing, Ending.CLOSE)
+    fault = find_document_fault(end, content_type, body)
+    assert (fault is None) == is_complete
--- a/testing/gateway/test_broken_answers.py
+++ b/testing/gateway/test_broken_answers.py
@@ -165,3 +165,16 @@
     reply = await exchange(path, [*framed(b"done"[:size], 4), end])
     assert reply.status == status
     assert reply.is_complete
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/freely/x"])
+async def test_unframed_json_body_that_does_not_parse_is_not_passed_off_as_whole(
+    exchange: Callable[..., object], path: str
+) -> None:
+    document = b'{"paid": {"amount": 12}}'
+    head = f"{HEAD}Content-Type: application/json\r\n\r\n".encode()
+    whole = await exchange(path, [head + document, CLOSE])
+    assert (whole.status, whole.body) == (200, document)
+    for size in range(len(document)):
+        reply = await exchange(path, [head + document[:size], CLOSE])
+        assert reply.status == 502, size
