Cut responses and let them go on without end in the fault matrix

No fault of the matrix ended a response without length, so that nothing here could show that a broken one is passed off as whole, or that bytes without end hold a caller.

Change: responses-cut (no length, closed or reset at a random byte) and responses-endless (a byte now and then) at every step, alone and in 60 seeded pairs beside the 300 of before; the checker names a partial body as a violation. Two switches show that the cells can fail: any-end-accepted and bound-per-piece.

--- a/testing/simulation/checker.py
+++ b/testing/simulation/checker.py
@@ -149,7 +149,11 @@
 
 
 def _check_body_complete(call: CallRecord) -> Iterator[str]:
-    value = json.loads(call.body)
+    try:
+        value = json.loads(call.body)
+    except ValueError:
+        yield f"{call.id} received {call.body!r}, a part of an answer"
+        return
     if call.kind == "idempotent" and value.get("ran") != call.id:
         yield f"{call.id} received the answer of {value.get('ran')}"
 
--- a/testing/simulation/endpoints.py
+++ b/testing/simulation/endpoints.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import collections
+import enum
 import json
 import math
+import random
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from typing import final
@@ -22,6 +24,7 @@
 from chiveslip.dispatch.response_end import Ending
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
+from chiveslip.dispatch.response_end import find_body_fault
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.dispatch.response_limits import ResponseTimer
 from chiveslip.engines.protocol import OutgoingRequest
@@ -33,6 +36,18 @@
 TOKEN_INTERVAL_S = 0.02
 LOAD_DURATION_S = 0.25
 _MAX_ANSWER_TOKENS = 12
+# Within the length of the shorter responses, so that most are cut.
+_MAX_CUT_BYTES = 400
+_ENDLESS_INTERVAL_S = 0.2
+
+
+class ResponseFault(enum.Enum):
+    """How the responses of an endpoint end wrongly."""
+
+    CUT = "cut"
+    """Neither length nor chunks; closed or reset after a random number of bytes."""
+    ENDLESS = "endless"
+    """Neither length nor chunks; a byte now and then after the body."""
 
 
 @attrs.frozen(kw_only=True)
@@ -62,6 +77,8 @@
         self.runs: list[EndpointRun] = []
         self.received_requests: list[bytes] = []
         self.mismatched_answers = 0
+        self.response_fault: ResponseFault | None = None
+        self.generator = random.Random(name)
         self.is_alive = True
         self.incarnation = 1
         self._serving: dict[asyncio.Task[None], None] = {}
@@ -307,7 +324,10 @@
         self._network = network
         self._head: asyncio.Future[ResponseHead] = asyncio.Future()
         self._chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
-        self._is_complete = False
+        self._framing = Framing.CHUNKS
+        self._ending = Ending.RESET
+        self._fault: ResponseFault | None = None
+        self._bytes_until_cut = math.inf
         self._received_bytes = 0
         self._silent = False
         self._closed = False
@@ -319,11 +339,11 @@
         return False
 
     @property
-    def end(self) -> ResponseEnd | None:
-        """How the answer ended."""
+    def end(self) -> ResponseEnd:
+        """How the answer ended; a reset until it has."""
         return ResponseEnd(
-            framing=Framing.CHUNKS,
-            ending=Ending.FRAMING if self._is_complete else Ending.RESET,
+            framing=self._framing,
+            ending=self._ending,
             received_bytes=self._received_bytes,
         )
 
@@ -364,8 +384,9 @@
                 break
             self._received_bytes += len(chunk)
             yield chunk
-        if not self._is_complete:
-            raise ExchangeInterruptedError("the answer was truncated")
+        fault = find_body_fault(self.end)
+        if fault is not None:
+            raise ExchangeInterruptedError(fault)
 
     def close(self) -> None:
         """End the exchange."""
@@ -385,21 +406,45 @@
         await asyncio.sleep(0.0015)
         if self._drop_if_unreachable() or self._head.done():
             return
+        self._fault = self._endpoint.response_fault
+        if self._fault is not None:
+            self._framing = Framing.CONNECTION
+        if self._fault is ResponseFault.CUT:
+            self._bytes_until_cut = self._endpoint.generator.randrange(_MAX_CUT_BYTES)
         self._head.set_result(ResponseHead(status=status, headers=HTTPHeaders(headers)))
 
     async def answer_chunk(self, chunk: bytes) -> None:
         """Send a part of the body."""
-        if not self._drop_if_unreachable():
-            self._write_transcript(
-                f"{self._endpoint.name} => {self._instance_id} {chunk!r}"
-            )
+        if self._drop_if_unreachable() or self._bytes_until_cut < 0:
+            return
+        self._write_transcript(
+            f"{self._endpoint.name} => {self._instance_id} {chunk!r}"
+        )
+        if len(chunk) < self._bytes_until_cut:
+            self._bytes_until_cut -= len(chunk)
             self._chunks.put_nowait(chunk)
+            return
+        self._chunks.put_nowait(chunk[: int(self._bytes_until_cut)])
+        self._bytes_until_cut = -1
+        self._end_connection()
 
     async def answer_end(self) -> None:
         """Send the end of the body."""
-        if self._drop_if_unreachable():
+        if self._drop_if_unreachable() or self._bytes_until_cut < 0:
             return
-        self._is_complete = True
+        if self._fault is None:
+            self._ending = Ending.FRAMING
+            self._chunks.put_nowait(None)
+        elif self._fault is ResponseFault.CUT:
+            self._end_connection()
+        while self._fault is ResponseFault.ENDLESS and not self._closed:
+            await asyncio.sleep(_ENDLESS_INTERVAL_S)
+            await self.answer_chunk(b" ")
+
+    def _end_connection(self) -> None:
+        """Close the connection or reset it, by chance."""
+        is_closed = self._endpoint.generator.random() < 0.5
+        self._ending = Ending.CLOSE if is_closed else Ending.RESET
         self._chunks.put_nowait(None)
 
     async def answer_json(
@@ -410,7 +455,8 @@
         headers: dict[str, str] | None = None,
     ) -> None:
         """Send a complete JSON answer."""
-        await self.answer_head(status, headers or {})
+        content_type = {"Content-Type": "application/json"}
+        await self.answer_head(status, content_type | (headers or {}))
         await self.answer_chunk(json.dumps(value).encode())
         await self.answer_end()
 
--- a/testing/simulation/faults.py
+++ b/testing/simulation/faults.py
@@ -6,6 +6,7 @@
 from typing import final
 
 from testing.simulation.cluster import SimulatedCluster
+from testing.simulation.endpoints import ResponseFault
 from testing.simulation.platform import PLATFORM_NAME
 
 TARGET_INSTANCE = "a"
@@ -278,6 +279,37 @@
             cluster.send_idempotent_call(owner, "tiny", path="/bulk", deadline_s=1.0)
 
 
+@final
+class ResponsesCut(Fault):
+    """Responses have no length and are closed or reset at a random byte."""
+
+    def begin(self, cluster: SimulatedCluster) -> None:
+        """Cut the responses of all endpoints."""
+        _set_response_fault(cluster, ResponseFault.CUT)
+
+    def end(self, cluster: SimulatedCluster) -> None:
+        """Let responses be whole."""
+        _set_response_fault(cluster, None)
+
+
+@final
+class ResponsesEndless(Fault):
+    """Responses have no length and go on with a byte now and then."""
+
+    def begin(self, cluster: SimulatedCluster) -> None:
+        """Let the responses of all endpoints go on."""
+        _set_response_fault(cluster, ResponseFault.ENDLESS)
+
+    def end(self, cluster: SimulatedCluster) -> None:
+        """Let responses be whole."""
+        _set_response_fault(cluster, None)
+
+
+def _set_response_fault(cluster: SimulatedCluster, fault: ResponseFault | None) -> None:
+    for endpoint in cluster.endpoints:
+        endpoint.response_fault = fault
+
+
 def _pause(cluster: SimulatedCluster, name: str) -> None:
     cluster.ever_paused.add(name)
     cluster.network.pause(name)
@@ -302,4 +334,6 @@
     "crossed-answer": CrossedAnswer,
     "endpoint-leaving": EndpointLeaving,
     "split-view": SplitView,
+    "responses-cut": ResponsesCut,
+    "responses-endless": ResponsesEndless,
 }
--- a/testing/simulation/switches.py
+++ b/testing/simulation/switches.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -17,11 +19,13 @@
 from chiveslip.configuration.model import EndpointList
 from chiveslip.configuration.model import State
 from chiveslip.configuration.store import ConfigurationStore
+from chiveslip.dispatch import connection
 from chiveslip.dispatch import service_calls
 from chiveslip.dispatch.admission import Admission
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.engine_calls import EngineCall
 from chiveslip.dispatch.engine_stream import StreamRelay
+from chiveslip.dispatch.response_limits import ResponseTimer
 from chiveslip.dispatch.service_calls import ServiceCall
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.engines import placement
@@ -31,6 +35,7 @@
 from chiveslip.idempotency import decision
 from chiveslip.idempotency.decision import Granted
 from chiveslip.services.protocol import PlainHttpProtocol
+from testing.simulation import endpoints
 
 Patch = pytest.MonkeyPatch
 
@@ -192,6 +197,24 @@
     patch.setattr(PlainHttpProtocol, "is_answer_to", lambda *_: True)
 
 
+def any_end_accepted(patch: Patch) -> None:
+    """Treat a body as complete however its connection ended."""
+    patch.setattr(connection, "find_document_fault", lambda *_: None)
+    patch.setattr(endpoints, "find_body_fault", lambda _end: None)
+
+
+def bound_per_piece(patch: Patch) -> None:
+    """Start the time of a response anew with each piece."""
+
+    def remaining_s(self: ResponseTimer, max_wait_s: float = math.inf) -> float:
+        if not hasattr(self, "whole_s"):
+            now = asyncio.get_running_loop().time()
+            self.whole_s = max(self._expires_at - now, 0.0)
+        return min(self.whole_s, max_wait_s)
+
+    patch.setattr(ResponseTimer, "remaining_s", remaining_s)
+
+
 SWITCHES: dict[str, Callable[[Patch], None]] = {
     "no-self-fence": no_self_fence,
     "no-hold-off": no_hold_off,
@@ -208,4 +231,6 @@
     "not-run-unproved": not_run_unproved,
     "suspects-forgotten": suspects_forgotten,
     "echo-ignored": echo_ignored,
+    "any-end-accepted": any_end_accepted,
+    "bound-per-piece": bound_per_piece,
 }
--- a/testing/test_fault_pairs.py
+++ b/testing/test_fault_pairs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 
 import pytest
 
@@ -13,19 +14,36 @@
 
 SEED = 20261204
 PAIR_COUNT = 300
+# Drawn apart, so that the pairs of the other faults stay the same.
+RESPONSE_FAULTS = ("responses-cut", "responses-endless")
+RESPONSE_PAIR_COUNT = 60
 
 
-def _draw_pairs() -> list[tuple[Cell, Cell]]:
-    generator = random.Random(SEED)
-    cells = [
+def _list_cells(faults: Iterable[str]) -> list[Cell]:
+    return [
         Cell(fault, injection_point)
-        for fault in FAULTS
+        for fault in faults
         for injection_point in InjectionPoint
     ]
+
+
+def _draw_pairs() -> list[tuple[Cell, Cell]]:
+    generator = random.Random(SEED)
+    cells = _list_cells(fault for fault in FAULTS if fault not in RESPONSE_FAULTS)
     pairs = [tuple(generator.sample(cells, 2)) for _ in range(PAIR_COUNT)]
     return [(first, second) for first, second in pairs]
 
 
+def _draw_response_pairs() -> list[tuple[Cell, Cell]]:
+    generator = random.Random(SEED)
+    response_cells = _list_cells(RESPONSE_FAULTS)
+    cells = _list_cells(FAULTS)
+    return [
+        (generator.choice(response_cells), generator.choice(cells))
+        for _ in range(RESPONSE_PAIR_COUNT)
+    ]
+
+
 def _repeat_faults() -> list[tuple[Cell, Cell]]:
     return [
         (Cell(fault, InjectionPoint.DISPATCH), Cell(fault, InjectionPoint.MID_STREAM))
@@ -35,7 +53,7 @@
 
 @pytest.mark.parametrize(
     ("first", "second"),
-    _draw_pairs() + _repeat_faults(),
+    _draw_pairs() + _draw_response_pairs() + _repeat_faults(),
     ids=lambda cell: str(cell),
 )
 def test_invariants_hold_under_two_faults(first: Cell, second: Cell) -> None:
--- a/testing/test_switched_off.py
+++ b/testing/test_switched_off.py
@@ -25,6 +25,8 @@
     "not-run-unproved": Cell("crossed-answer", InjectionPoint.ACCEPT),
     "suspects-forgotten": Cell("poison-request", InjectionPoint.ACCEPT),
     "echo-ignored": Cell("crossed-answer", InjectionPoint.DISPATCH),
+    "any-end-accepted": Cell("responses-cut", InjectionPoint.DISPATCH),
+    "bound-per-piece": Cell("responses-endless", InjectionPoint.DISPATCH),
 }
 
 
