End responses of the soak's stand-ins wrongly, and check deadlines

The soak's stand-ins always framed their answers, so a broken one that is passed off as whole could not be found there, nor bytes that hold a caller.

Change: for a while, a share of the answers, reports, orders and store reads of one stand-in has no length and is whole, closed or reset at a random byte, or goes on with a byte, or a line of the head, now and then. Each request must end within its deadline, two seconds and the time for which its gateway was frozen.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -43,7 +43,9 @@
 SETTLE_S = 2.0
 # Time within which every path is served again after the last fault.
 RECOVERY_S = 15.0
-REQUEST_TIMEOUT_S = 6.0
+# The gateway ends each answer by the deadline; frozen ones do so later.
+DEADLINE_S = 4.0
+REQUEST_TIMEOUT_S = 20.0
 
 
 def operator_configuration(version: int, keys: list[str]) -> dict[str, Any]:
@@ -114,7 +116,7 @@
             f"  {len(self._requests)} requests, {served} served, {len(received)} runs"
         )
         return violations + checks.find_violations(
-            self._requests, received, self._withdrawn, KEY_PREFIX
+            self._requests, received, self._withdrawn, KEY_PREFIX, DEADLINE_S
         )
 
     async def _run_client(self, number: int) -> None:
@@ -138,7 +140,7 @@
         headers = {
             "Host": "kiosk.example",
             "X-Request-Id": request_id,
-            "X-Deadline-Remaining": "4000",
+            "X-Deadline-Remaining": str(int(DEADLINE_S * 1000)),
             "Authorization": f"Bearer {request.key}",
         }
         if not path.startswith("/once"):
@@ -153,6 +155,9 @@
         except (OSError, HTTPClientError, StreamClosedError):
             # A broken connection says nothing about the outcome; the status stays 0.
             return request
+        finally:
+            request.took_s = time.monotonic() - request.sent_at
+            request.frozen_s = gateway.frozen_s(request.sent_at)
         # Tornado's client reports a broken connection as status 599.
         request.status = 0 if response.code == 599 else response.code
         request.body = response.body if request.status else b""
@@ -164,6 +169,7 @@
             self._kill_gateway,
             self._stop_gateway,
             self._interrupt_store,
+            self._end_responses_wrongly,
         ]
         faults += [
             self._disturb_connections,
@@ -217,6 +223,14 @@
             # Open connections have lost bytes and cannot be used any longer.
             proxy.reset_all()
 
+    async def _end_responses_wrongly(self) -> None:
+        standin = self._random.choice([self._store, *self._replicas])
+        standin.response_faults.share = self._random.random()
+        try:
+            await asyncio.sleep(self._random.random() * 2)
+        finally:
+            standin.response_faults.share = 0.0
+
     async def _replace_key(self) -> None:
         self._version += self._random.randrange(1, 4)
         self._withdrawn[self._keys.pop()] = time.monotonic()
@@ -227,6 +241,8 @@
 
     def _clear_faults(self) -> None:
         self._store.is_down = False
+        for standin in (self._store, *self._replicas):
+            standin.response_faults.share = 0.0
         for proxy in self._proxies:
             proxy.mode = Mode.PASS
         for gateway in self._gateways:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,11 +12,21 @@
 # A withdrawn key must be refused after this time, also while the store has faults.
 KEY_WITHDRAWAL_LIMIT_S = 10.0
 EVENTS_PER_STREAM = 3
+# For connecting to a gateway that starts, and for scheduling on a busy machine.
+LATENESS_LIMIT_S = 2.0
 
 
 @attrs.define(kw_only=True)
 class SentRequest:
-    """A request and the response to it; status 0 stands for a broken connection."""
+    """A request and the response to it; status 0 stands for a broken connection.
+
+    Attributes
+    ----------
+    took_s
+        Time in seconds until the response or the end of the connection, or None.
+    frozen_s
+        Time in seconds for which its gateway was frozen since the request was sent.
+    """
 
     request_id: str
     path: str
@@ -24,6 +34,8 @@
     sent_at: float
     status: int = 0
     body: bytes = b""
+    took_s: float | None = None
+    frozen_s: float = 0.0
 
 
 def find_violations(
@@ -31,6 +43,7 @@
     received: Iterable[ReceivedRequest],
     withdrawn: dict[str, float],
     key_prefix: str,
+    deadline_s: float,
 ) -> list[str]:
     """Return a description of each violated guarantee.
 
@@ -40,6 +53,8 @@
         Monotonic time in seconds at which each withdrawn key was withdrawn.
     key_prefix
         Prefix of all keys, to find keys that were passed on to an endpoint.
+    deadline_s
+        Time in seconds that each request allowed for its answer.
     """
     runs = collections.Counter(each.headers["X-Request-Id"] for each in received)
     violations = [
@@ -49,6 +64,7 @@
     ]
     for request in requests:
         violations += _request_violations(request, runs[request.request_id], withdrawn)
+        violations += _lateness(request, deadline_s)
     return violations
 
 
@@ -76,6 +92,14 @@
     return violations
 
 
+def _lateness(request: SentRequest, deadline_s: float) -> list[str]:
+    limit_s = deadline_s + request.frozen_s + LATENESS_LIMIT_S
+    if request.took_s is None or request.took_s <= limit_s:
+        return []
+    label = f"{request.request_id} {request.path} ({request.status})"
+    return [f"{label}: ended after {request.took_s:.1f} s, expected {limit_s:.1f} s"]
+
+
 def _is_complete(request: SentRequest) -> bool:
     if request.path.startswith("/once"):
         return request.body == b"done"
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import final
 
@@ -47,6 +48,8 @@
         self._settings = folder / f"{name}.yaml"
         self._log = folder / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
+        self._freezes: list[tuple[float, float]] = []
+        self._frozen_at: float | None = None
         self._settings.write_text(
             _SETTINGS.format(name=name, seeds=seeds, store=store, **attrs.asdict(ports))
         )
@@ -67,6 +70,22 @@
         """Send a signal if the process is running."""
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
+        self._record_freeze(number)
+
+    def frozen_s(self, since: float) -> float:
+        """Return for how long in seconds it was frozen since a monotonic time."""
+        freezes = list(self._freezes)
+        if self._frozen_at is not None:
+            freezes.append((self._frozen_at, time.monotonic()))
+        return sum(max(end - max(begin, since), 0.0) for begin, end in freezes)
+
+    def _record_freeze(self, number: signal.Signals) -> None:
+        now = time.monotonic()
+        if number == signal.SIGSTOP and self._frozen_at is None:
+            self._frozen_at = now
+        elif number == signal.SIGCONT and self._frozen_at is not None:
+            self._freezes.append((self._frozen_at, now))
+            self._frozen_at = None
 
     def kill(self) -> None:
         """Kill the process and wait until it has ended."""
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -14,6 +14,9 @@
 from tornado.web import Application
 from tornado.web import RequestHandler
 
+from testing.platform.response_faults import ResponseFault
+from testing.platform.response_faults import ResponseFaults
+
 
 def _start_server(application: Application) -> tuple[HTTPServer, int]:
     sockets = bind_sockets(0, "127.0.0.1")
@@ -30,6 +33,7 @@
         self.events: list[dict[str, Any]] = []
         self.revision = 100
         self.is_down = False
+        self.response_faults = ResponseFaults("store")
         self.oldest_revision = 0
         self.changed = asyncio.Condition()
         self.server, self.port = _start_server(
@@ -70,6 +74,18 @@
             self.changed.notify_all()
 
 
+async def _finish_json(
+    handler: RequestHandler, document: dict[str, Any], faults: ResponseFaults
+) -> None:
+    """Finish a response with a document, or end it wrongly."""
+    fault = faults.draw()
+    if fault is None:
+        handler.finish(document)
+        return
+    body = json.dumps(document).encode()
+    await faults.send(handler, {"Content-Type": "application/json"}, body, fault)
+
+
 class _StoreHandler(RequestHandler):
     def initialize(self, store: StoreStandIn) -> None:
         self.store = store
@@ -81,7 +97,7 @@
 
 
 class _Range(_StoreHandler):
-    def get(self) -> None:
+    async def get(self) -> None:
         after = self.get_query_argument("after", "")
         items = sorted(
             (item for key, item in self.store.items.items() if key > after),
@@ -89,13 +105,12 @@
         )
         # Two items per page, so that every test reads several pages.
         page = items[:2]
-        self.finish(
-            {
-                "items": page,
-                "has_more": len(items) > len(page),
-                "store_revision": self.store.revision,
-            }
-        )
+        document = {
+            "items": page,
+            "has_more": len(items) > len(page),
+            "store_revision": self.store.revision,
+        }
+        await _finish_json(self, document, self.store.response_faults)
 
 
 class _Watch(_StoreHandler):
@@ -114,7 +129,8 @@
             self.set_status(410)
             return
         events = [event for event in self.store.events if event["revision"] > after]
-        self.finish({"events": events, "store_revision": self.store.revision})
+        document = {"events": events, "store_revision": self.store.revision}
+        await _finish_json(self, document, self.store.response_faults)
 
 
 @attrs.define
@@ -139,6 +155,7 @@
         self.received_orders: list[dict[str, Any]] = []
         # Event number after which the next stream is interrupted.
         self.interrupt_after: int | None = None
+        self.response_faults = ResponseFaults(identity)
         # Event that requests wait for, or None if they are answered at once.
         self.release_event: asyncio.Event | None = None
         self.server, self.port = _start_server(
@@ -178,22 +195,21 @@
 
 
 class _Report(_ReplicaHandler):
-    def get(self) -> None:
-        self.finish(
-            {
-                "models": self.replica.list_models(),
-                "sequence": self.replica.accepted_orders,
-                "born": 1,
-                "running": 0,
-                "waiting": 0,
-                "kv_used": 0,
-                "coming": [],
-            }
-        )
+    async def get(self) -> None:
+        document = {
+            "models": self.replica.list_models(),
+            "sequence": self.replica.accepted_orders,
+            "born": 1,
+            "running": 0,
+            "waiting": 0,
+            "kv_used": 0,
+            "coming": [],
+        }
+        await _finish_json(self, document, self.replica.response_faults)
 
 
 class _Order(_ReplicaHandler):
-    def post(self) -> None:
+    async def post(self) -> None:
         order = json.loads(self.request.body)
         self.replica.received_orders.append(order)
         if order["fencing_token"] < self.replica.fence:
@@ -204,6 +220,7 @@
             self.replica.fence = order["fencing_token"]
             self.replica.accepted_orders += 1
             self._apply_order(order)
+        await _finish_json(self, {}, self.replica.response_faults)
 
     def _apply_order(self, order: dict[str, Any]) -> None:
         adapters = self.replica.models.setdefault(order["model"], set())
@@ -242,11 +259,17 @@
         self.set_header("X-Server-Signature", replica.identity)
         if replica.release_event is not None:
             await replica.release_event.wait()
+        first_event = int(request.headers.get("Last-Event-Id", "0")) + 1
+        fault = replica.response_faults.draw()
+        if fault is not None:
+            await self._answer_wrongly(
+                request, fault, first_event, is_stream=bool(model)
+            )
+            return
         if not model:
             self.finish(b"done")
             return
         self.set_header("Content-Type", "text/event-stream")
-        first_event = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first_event, 4):
             if replica.interrupt_after is not None and number > replica.interrupt_after:
                 replica.interrupt_after = None
@@ -254,3 +277,28 @@
                 return
             self.write(f"id: {number}\ndata: {replica.identity}\n\n")
             await self.flush()
+
+    async def _answer_wrongly(
+        self,
+        request: HTTPServerRequest,
+        fault: ResponseFault,
+        first_event: int,
+        *,
+        is_stream: bool,
+    ) -> None:
+        replica = self.replica
+        headers = {
+            "X-Request-Id": request.headers["X-Request-Id"],
+            "X-Server-Signature": replica.identity,
+        }
+        body = b"done"
+        if is_stream:
+            headers["Content-Type"] = "text/event-stream"
+            body = b"".join(
+                f"id: {number}\ndata: {replica.identity}\n\n".encode()
+                for number in range(first_event, 4)
+            )
+        elif fault is ResponseFault.CLOSED:
+            # Nothing shows that a plain body without length was closed too early.
+            fault = ResponseFault.RESET
+        await replica.response_faults.send(self, headers, body, fault)
