Let the soak's proxy pass a reset on, and end responses wrongly more often

The proxy between gateways and replicas closed the caller's side in an orderly way when the replica's side was reset. The proxy now resets the other side as well, and the fault runs beside the other two series, so that it overlaps them.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -96,6 +96,7 @@
         await self._wait_until_served()
         clients = [asyncio.create_task(self._run_client(n)) for n in range(CLIENTS)]
         faults = [asyncio.create_task(self._inject_faults()) for _ in range(2)]
+        faults.append(asyncio.create_task(self._inject_response_faults()))
         await asyncio.sleep(seconds)
         await _cancel(faults)
         self._clear_faults()
@@ -169,7 +170,6 @@
             self._kill_gateway,
             self._stop_gateway,
             self._interrupt_store,
-            self._end_responses_wrongly,
         ]
         faults += [
             self._disturb_connections,
@@ -223,6 +223,11 @@
             # Open connections have lost bytes and cannot be used any longer.
             proxy.reset_all()
 
+    async def _inject_response_faults(self) -> None:
+        while True:
+            await asyncio.sleep(self._random.random())
+            await self._end_responses_wrongly()
+
     async def _end_responses_wrongly(self) -> None:
         standin = self._random.choice([self._store, *self._replicas])
         standin.response_faults.share = self._random.random()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -42,11 +42,7 @@
     def reset_all(self) -> None:
         """Close all open connections with a TCP reset."""
         for writer in list(self._writers):
-            raw_socket = writer.get_extra_info("socket")
-            if raw_socket is not None:
-                linger = struct.pack("ii", 1, 0)
-                raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.close()
+            _reset(writer)
         self._writers.clear()
 
     def close(self) -> None:
@@ -90,9 +86,21 @@
                     continue
                 writer.write(data)
                 await writer.drain()
-        except (ConnectionError, RuntimeError):
+        except ConnectionError:
+            # A reset must not look like the end of a response without length.
+            _reset(writer)
+        except RuntimeError:
             # One end has disconnected; the finally block closes the other.
             return
         finally:
             self._writers.discard(writer)
             writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a TCP reset."""
+    raw_socket = writer.get_extra_info("socket")
+    if raw_socket is not None and raw_socket.fileno() >= 0:
+        linger = struct.pack("ii", 1, 0)
+        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.close()
