Read a cut document of the configuration service again

A document without length that is cut was taken for whole by the HTTP client, refused as unreadable, and its index was kept as read: the change stayed unknown to the instance until the next one was published or a peer passed it on.

Found by asking every reader who decides that bytes are whole.

Change: the source asks the same judgement as all readers of responses; the framing is parsed in one place.

--- a/src/chiveslip/configuration/service_source.py
+++ b/src/chiveslip/configuration/service_source.py
@@ -12,9 +12,15 @@
 from chiveslip.configuration.source import ConfigurationSource
 from chiveslip.configuration.source import Document
 from chiveslip.configuration.source import SourceError
+from chiveslip.dispatch.response_end import Ending
+from chiveslip.dispatch.response_end import ResponseEnd
+from chiveslip.dispatch.response_end import find_document_fault
+from chiveslip.dispatch.response_end import parse_framing
 from chiveslip.settings.fields import Address
 
 _INDEX_HEADER = "X-Index"
+# All values are documents, whatever type the service names.
+_CONTENT_TYPE = "application/json"
 _MAX_BODY_BYTES = 2 * 1024 * 1024
 
 
@@ -68,6 +74,16 @@
             follow_redirects=False,
         )
         try:
-            return await self._client.fetch(request)
+            response = await self._client.fetch(request)
         except (HTTPClientError, OSError) as error:
             raise SourceError(f"{url}: {error}") from error
+        # Tornado's client takes the end of the connection for the end of the body.
+        end = ResponseEnd(
+            framing=parse_framing("GET", response.code, response.headers),
+            ending=Ending.CLOSE,
+            received_bytes=len(response.body),
+        )
+        fault = find_document_fault(end, _CONTENT_TYPE, response.body)
+        if fault is not None:
+            raise SourceError(f"{url}: {fault}")
+        return response
--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -34,6 +34,7 @@
 from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.dispatch.response_end import find_body_fault
 from chiveslip.dispatch.response_end import find_document_fault
+from chiveslip.dispatch.response_end import parse_framing
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.dispatch.response_limits import ResponseTimer
 from chiveslip.engines.protocol import REQUEST_ID_HEADER
@@ -236,7 +237,7 @@
         if self.is_crossed:
             return
         self.max_idle_s = _parse_max_idle_s(headers)
-        self.framing = _parse_framing(self._method, status, headers)
+        self.framing = parse_framing(self._method, status, headers)
         if self.framing is Framing.LENGTH:
             # An invalid length is refused by Tornado after this.
             length = headers["Content-Length"]
@@ -270,16 +271,6 @@
         return echoed == self._request_id
 
 
-def _parse_framing(method: str, status: int, headers: HTTPHeaders) -> Framing:
-    if method == "HEAD" or status in (204, 304):
-        return Framing.NO_BODY
-    if "chunked" in headers.get("Transfer-Encoding", "").lower():
-        return Framing.CHUNKS
-    if "Content-Length" in headers:
-        return Framing.LENGTH
-    return Framing.CONNECTION
-
-
 def _parse_max_idle_s(headers: HTTPHeaders) -> float | None:
     """Return how long the connection may stay idle in seconds, or None to close it."""
     if "close" in headers.get("Connection", "").lower():
--- a/src/chiveslip/dispatch/response_end.py
+++ b/src/chiveslip/dispatch/response_end.py
@@ -9,6 +9,7 @@
 import json
 
 import attrs
+from tornado.httputil import HTTPHeaders
 
 
 class Framing(enum.Enum):
@@ -71,6 +72,17 @@
         )
 
 
+def parse_framing(method: str, status: int, headers: HTTPHeaders) -> Framing:
+    """Return the framing that the head of a response to a method shows."""
+    if method == "HEAD" or status in (204, 304):
+        return Framing.NO_BODY
+    if "chunked" in headers.get("Transfer-Encoding", "").lower():
+        return Framing.CHUNKS
+    if "Content-Length" in headers:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 def find_body_fault(end: ResponseEnd) -> str | None:
     """Return why a body is not complete, or None if it is.
 
