End gateway-status although a gateway's answer does not end

The command read metrics with a timeout for each piece, so an answer with a byte now and then held it for ever: the test of it was stopped by its own limit of 100 s. Change: it uses the client of the other commands, which bounds the whole answer by 3 s and now by 16 MB.

--- a/src/chiveslip/cli/client.py
+++ b/src/chiveslip/cli/client.py
@@ -11,6 +11,7 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 _TIMEOUT_S = 3.0
+_MAX_BODY_BYTES = 16 << 20
 
 
 class UnreachableError(Exception):
@@ -30,17 +31,27 @@
 
 async def fetch_all(addresses: list[str], path: str) -> dict[str, Any]:
     """Fetch like `fetch`, from a coroutine; all addresses are asked at once."""
-    client = SimpleAsyncHTTPClient(force_instance=True, max_clients=50)
+    bodies = await fetch_bodies(addresses, path)
+    return {address: _parse(address, body) for address, body in bodies.items()}
+
+
+async def fetch_bodies(
+    addresses: list[str], path: str
+) -> dict[str, bytes | UnreachableError]:
+    """Fetch the body at a path from each address; all are asked at once."""
+    client = SimpleAsyncHTTPClient(
+        force_instance=True, max_clients=50, max_body_size=_MAX_BODY_BYTES
+    )
     try:
-        answers = await asyncio.gather(
-            *(_fetch_one(client, a, path) for a in addresses)
-        )
+        bodies = await asyncio.gather(*(_fetch_one(client, a, path) for a in addresses))
     finally:
         client.close()
-    return dict(zip(addresses, answers, strict=True))
+    return dict(zip(addresses, bodies, strict=True))
 
 
-async def _fetch_one(client: SimpleAsyncHTTPClient, address: str, path: str) -> Any:
+async def _fetch_one(
+    client: SimpleAsyncHTTPClient, address: str, path: str
+) -> bytes | UnreachableError:
     request = HTTPRequest(
         f"http://{address}{path}",
         request_timeout=_TIMEOUT_S,
@@ -48,7 +59,15 @@
         follow_redirects=False,
     )
     try:
-        response = await client.fetch(request)
-        return json.loads(response.body)
-    except (HTTPClientError, OSError, ValueError) as error:
+        return (await client.fetch(request)).body
+    except (HTTPClientError, OSError) as error:
+        return UnreachableError(f"{address}: {error}")
+
+
+def _parse(address: str, body: bytes | UnreachableError) -> Any:
+    if isinstance(body, UnreachableError):
+        return body
+    try:
+        return json.loads(body)
+    except ValueError as error:
         return UnreachableError(f"{address}: {error}")
--- a/src/chiveslip/cli/explain_commands.py
+++ b/src/chiveslip/cli/explain_commands.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import urllib.error
-import urllib.request
+import asyncio
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -11,13 +10,14 @@
 import cappa
 from prometheus_client.parser import text_string_to_metric_families
 
+from chiveslip.cli import client
 from chiveslip.cli import departures
 from chiveslip.cli import output
 from chiveslip.cli import request_report
+from chiveslip.cli.client import UnreachableError
 from chiveslip.cli.configuration_commands import AsJson
 from chiveslip.cli.request_report import LogLine
 
-_TIMEOUT_S = 3.0
 # Endpoints serve for at least two seconds after they said that they leave.
 _DEFAULT_LATE_BOUND_S = 2.0
 # Metrics that show the health of a gateway, with their labels in the output.
@@ -110,10 +110,11 @@
         """Run the command."""
         metrics: dict[str, dict[str, float]] = {}
         errors = []
-        for address in self.addresses:
+        bodies = asyncio.run(client.fetch_bodies(self.addresses, "/metrics"))
+        for address, body in bodies.items():
             try:
-                metrics[address] = _fetch_metrics(address)
-            except (OSError, ValueError, urllib.error.URLError) as error:
+                metrics[address] = _parse_metrics(body)
+            except (ValueError, UnreachableError) as error:
                 errors.append(
                     f"{address}: {error}; check that a gateway serves metrics there"
                 )
@@ -127,10 +128,10 @@
             raise output.print_errors(errors, output.EXIT_UNREACHABLE)
 
 
-def _fetch_metrics(address: str) -> dict[str, float]:
-    url = f"http://{address}/metrics"
-    with urllib.request.urlopen(url, timeout=_TIMEOUT_S) as response:
-        text = response.read().decode()
+def _parse_metrics(body: bytes | UnreachableError) -> dict[str, float]:
+    if isinstance(body, UnreachableError):
+        raise body
+    text = body.decode()
     return {
         sample.name: sample.value
         for family in text_string_to_metric_families(text)
