Treat a peer's reply that is no whole message as a failed call

A peer, or another process at its former address, that ended a reply within its message, or sent bytes that are none, raised an assertion of the gRPC library or an error of the parser in the task that had called, which no caller of PeerChannels expects: a round of gossip or a claim ended with an internal error, and the channel stayed in use.

Found by asking every reader who decides that bytes are whole.

Change: these errors become PeerError as all others, and the channel is replaced. The size of a reply stays bounded by the call's time alone, as the library reads what is announced.

--- a/src/chiveslip/fleet/channels.py
+++ b/src/chiveslip/fleet/channels.py
@@ -10,6 +10,7 @@
 from typing import final
 
 import attrs
+from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError
@@ -20,6 +21,18 @@
 
 Reply = TypeVar("Reply")
 
+_CALL_ERRORS = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    OSError,
+    TimeoutError,
+    # grpclib asserts that a reply is as long as announced, and reads no compressed one.
+    AssertionError,
+    NotImplementedError,
+    DecodeError,
+)
+
 
 class PeerError(Exception):
     """A call to a peer failed; whether the peer received it is unknown."""
@@ -76,7 +89,8 @@
         Raises
         ------
         PeerError
-            If no reply came in time, or the peer refused the call.
+            If no reply came in time, the peer refused the call, or its reply is no
+            whole message.
         """
         channel = self._channels.get(address)
         if channel is None:
@@ -84,13 +98,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 return await send(channel, timeout_s)
-        except (
-            GRPCError,
-            ProtocolError,
-            StreamTerminatedError,
-            OSError,
-            TimeoutError,
-        ) as error:
+        except _CALL_ERRORS as error:
             self._drop(address, channel)
             raise PeerError(f"call to {address} failed: {error!r}") from error
 
--- a/testing/fleet/test_channels.py
+++ b/testing/fleet/test_channels.py
@@ -3,18 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import struct
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 import pytest
 from grpclib.client import Channel
+from grpclib.const import Cardinality
+from grpclib.const import Handler
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
+from grpclib.server import Server
+from grpclib.server import Stream
 
 from chiveslip.fleet.channels import ChannelOptions
 from chiveslip.fleet.channels import PeerChannels
 from chiveslip.fleet.channels import PeerError
+from chiveslip.generated import peer_pb2 as wire
+from chiveslip.generated.peer_grpc import GatewayPeerStub
 from chiveslip.settings.fields import Address
 
 PEER = Address("127.0.0.1", 1)
@@ -62,3 +69,62 @@
     assert used[0] is used[1]
     assert used[1] is not used[2]
     channels.close()
+
+
+class BrokenPeer:
+    """Answers each exchange with the same bytes, and ends the reply properly."""
+
+    def __init__(self, parts: list[bytes]) -> None:
+        self._parts = parts
+
+    async def exchange(self, stream: Stream[wire.Gossip, wire.Gossip]) -> None:
+        await stream.recv_message()
+        await stream.send_initial_metadata()
+        for part in self._parts:
+            await stream._stream.send_data(part)
+            await asyncio.sleep(0.02)
+        await stream.send_trailing_metadata(status=Status.OK)
+
+    def __mapping__(self) -> dict[str, Handler]:
+        handler = Handler(
+            self.exchange, Cardinality.UNARY_UNARY, wire.Gossip, wire.Gossip
+        )
+        return {"/chiveslip.GatewayPeer/Exchange": handler}
+
+
+def message(content: bytes, *, announced: int | None = None) -> bytes:
+    size = len(content) if announced is None else announced
+    return struct.pack(">?I", False, size) + content
+
+
+@pytest.mark.xdist_group("sockets")
+@pytest.mark.parametrize(
+    "parts",
+    [
+        pytest.param([], id="no-message"),
+        pytest.param([b"\x00\x00"], id="part-of-the-length"),
+        pytest.param([message(b"\x08", announced=100)], id="part-of-a-message"),
+        pytest.param([message(b"\xff\xff\xff")], id="not-a-message"),
+        pytest.param([b"\x01" + message(b"")[1:]], id="compressed"),
+        pytest.param([message(b"", announced=100), *[b"\x00"] * 99], id="slow-bytes"),
+        pytest.param([message(b"", announced=1 << 31)], id="huge-message"),
+    ],
+)
+async def test_reply_that_is_no_whole_message_is_an_error_of_the_peer(
+    parts: list[bytes],
+) -> None:
+    server = Server([BrokenPeer(parts)])
+    await server.start("127.0.0.1", 0)
+    port = server._server.sockets[0].getsockname()[1]
+    channels = PeerChannels(OPTIONS)
+    with pytest.raises(PeerError):
+        await channels.call(
+            Address("127.0.0.1", port),
+            0.5,
+            lambda channel, t: GatewayPeerStub(channel).Exchange(
+                wire.Gossip(), timeout=t
+            ),
+        )
+    channels.close()
+    server.close()
+    await server.wait_closed()
