--- a/src/chiveslip/gateway/event_stream.py
+++ b/src/chiveslip/gateway/event_stream.py
@@ -6,7 +6,8 @@
 
 from chiveslip.dispatch.response_end import EventPosition
 
-_EVENT_ENDS = (b"\n\n", b"\n\r\n")
+_LF_END = b"\n\n"
+_CRLF_END = b"\n\r\n"
 _LINE_ENDS = b"\r\n"
 _ID_FIELD = b"id:"
 # A larger event is forwarded in parts, after which the stream cannot be resumed.
@@ -100,4 +101,7 @@
 
     An event ends with an empty line; lines end with LF or CRLF.
     """
-    return max(data.rfind(end) + len(end) if end in data else 0 for end in _EVENT_ENDS)
+    lf = data.rfind(_LF_END) + len(_LF_END)
+    crlf = data.rfind(_CRLF_END) + len(_CRLF_END)
+    # A miss gives less than the length of the end.
+    return max(lf if lf >= len(_LF_END) else 0, crlf if crlf >= len(_CRLF_END) else 0)
