Order what the store wrote by its era first

The store may return from an older copy: revisions go back and are given out again. A key that the operator withdrew after such a return was accepted on, an endpoint that began to drain after it went on receiving requests, a replica lost with the copy was used for ever, and each instance read the whole store again and again without a pause.

Cause: the mirror, the reads and the pulls between peers compared revisions alone, and took what the new era wrote for known until its revision had passed the old one.

Change: StoreRevision compares the era (header Store-Era, none is era 0) first, everywhere where a revision was compared, stored or sent; peers send it beside the revision. A later era is read once, after a random, growing delay. What is known does not go back with the store: platform/entry_order.py decides by the content of the values, and the catalogue takes no earlier start of an endpoint and no return of one that leaves. An instance that starts after the return compares its values with those of up to three peers. One line, a gauge and a counter tell of it. The stand-in, the model of the fleet and the soak learn it.

--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -25,6 +25,7 @@
 from chiveslip.fleet.gossip import Gossip
 from chiveslip.fleet.gossip_messages import GossipMessages
 from chiveslip.fleet.gossip_messages import GossipParts
+from chiveslip.fleet.gossip_messages import read_revision
 from chiveslip.fleet.gossip_schedule import GossipSchedule
 from chiveslip.fleet.gossip_schedule import GossipScheduleSettings
 from chiveslip.fleet.gossip_schedule import schedule_for
@@ -47,6 +48,7 @@
 from chiveslip.store.catch_up import PeerCatchUp
 from chiveslip.store.client import Changes
 from chiveslip.store.client import Item
+from chiveslip.store.client import StoreRevision
 from chiveslip.store.mirror import StoreMirror
 
 SEED = 20261204
@@ -101,15 +103,28 @@
 class FleetStore:
     """The items of the store that the members read."""
 
-    revision: int = 1
+    revision: StoreRevision = attrs.field(factory=lambda: StoreRevision(0, 1))
     items: list[Item] = attrs.field(factory=list)
 
-    def put(self, key: str, value: bytes) -> int:
+    def put(self, key: str, value: bytes) -> StoreRevision:
         """Acknowledge a change and return its revision."""
-        self.revision += 1
+        self.revision = attrs.evolve(self.revision, number=self.revision.number + 1)
         self.items.append(Item(key=key, value=value, revision=self.revision))
         return self.revision
 
+    def return_from_copy(self, lost_changes: int) -> StoreRevision:
+        """Lose the last changes and begin a new era; return its first revision."""
+        del self.items[len(self.items) - lost_changes :]
+        number = self.revision.number - lost_changes
+        self.revision = StoreRevision(self.revision.era + 1, number)
+        self.items = [
+            attrs.evolve(
+                item, revision=attrs.evolve(item.revision, era=self.revision.era)
+            )
+            for item in self.items
+        ]
+        return self.revision
+
 
 @attrs.define(eq=False)
 class Member:
@@ -124,6 +139,7 @@
     next_round_at: float = 0.0
     next_read_at: float = 0.0
     is_running: bool = True
+    full_reads: int = 0
     traffic: Traffic = attrs.field(factory=Traffic)
 
     def read_store(self, store: FleetStore, now: float) -> None:
@@ -132,6 +148,11 @@
         is_served = self.store_path is StorePath.SERVED and now >= self.next_read_at
         if not is_served or store.revision <= mirror.revision:
             return
+        if store.revision.era > mirror.revision.era:
+            mirror.apply_snapshot(Changes(items=store.items, revision=store.revision))
+            self.full_reads += 1
+            self.next_read_at = now + self.parts.schedule().batch_delay_s
+            return
         items = [item for item in store.items if item.revision > mirror.revision]
         mirror.apply_changes(Changes(items=items, revision=store.revision))
         self.next_read_at = now + self.parts.schedule().batch_delay_s
@@ -157,7 +178,7 @@
         member.messages.apply(request)
         reply = member.messages.build_reply(request)
         await member.store_pulls.pull_if_overdue(
-            Address(self._sender, 1), request.store_revision
+            Address(self._sender, 1), read_revision(request)
         )
         sender_traffic = self._fleet.members[self._sender].traffic
         sender_traffic.exchanges += 1
@@ -166,7 +187,9 @@
         member.traffic.sent_bytes += reply.ByteSize()
         return reply
 
-    async def changes(self, address: Address, after: int) -> wire.ChangesReply:
+    async def changes(
+        self, address: Address, after: StoreRevision
+    ) -> wire.ChangesReply:
         """Return the changes of the store that a member has after a revision."""
         member = self._fleet.members.get(address.host)
         if member is None or not member.is_running:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -73,6 +73,7 @@
         self._withdrawn: dict[str, float] = {}
         self._requests: list[SentRequest] = []
         self._version = 1
+        self._entries: dict[str, dict[str, Any]] = {}
         self._client = AsyncHTTPClient(force_instance=True, max_clients=200)
 
     async def run(self, seconds: float) -> list[str]:
@@ -87,10 +88,8 @@
             await proxy.start()
             service = "kiosk" if replica.identity.startswith("k") else "llm"
             entry = replica.build_entry(service, address=f"127.0.0.1:{proxy.port}")
-            await self._store.put(f"servers/{replica.identity}", entry)
-        await self._store.put(
-            "op/config", operator_configuration(self._version, self._keys)
-        )
+            self._entries[f"servers/{replica.identity}"] = entry
+        await self._write_store()
         for gateway in self._gateways:
             gateway.start()
         await self._wait_until_served()
@@ -170,6 +169,7 @@
             self._kill_gateway,
             self._stop_gateway,
             self._interrupt_store,
+            self._return_store,
         ]
         faults += [
             self._disturb_connections,
@@ -210,6 +210,26 @@
                 self._store.drop_history()
             self._store.is_down = False
 
+    async def _return_store(self) -> None:
+        """Let the store return from an older copy; its writers write again."""
+        copy = self._store.copy()
+        await asyncio.sleep(self._random.random() * 3)
+        self._store.is_down = True
+        try:
+            await asyncio.sleep(self._random.random())
+            await self._store.return_from_copy(copy)
+        finally:
+            self._store.is_down = False
+        await asyncio.sleep(self._random.random())
+        await self._write_store()
+
+    async def _write_store(self) -> None:
+        for key, entry in self._entries.items():
+            await self._store.put(key, entry)
+        await self._store.put(
+            "op/config", operator_configuration(self._version, self._keys)
+        )
+
     async def _disturb_connections(self) -> None:
         proxy = self._random.choice(self._proxies)
         if self._random.random() < 0.3:
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -55,6 +55,7 @@
 from chiveslip.services.health import EndpointHealth
 from chiveslip.store.catch_up import PeerCatchUp
 from chiveslip.store.client import KeyValueStore
+from chiveslip.store.mirror import EraChange
 from chiveslip.store.mirror import Listener
 from chiveslip.store.mirror import StoreMirror
 from chiveslip.store.reader import StoreReader
@@ -93,6 +94,12 @@
     def make_engine_control(self, connector: Connector, clock: Clock) -> EngineControl:
         """Return the client for the reports and orders of engines."""
 
+    @abc.abstractmethod
+    def choose_store_value(
+        self, key: str, known: bytes | None, copy: bytes | None
+    ) -> bytes | None:
+        """Return the value of a key that holds after the store returned from a copy."""
+
     @abc.abstractmethod
     def make_store_listener(self, catalogue: Catalogue) -> Listener:
         """Return the function that passes changes of the store to the catalogue."""
@@ -143,7 +150,7 @@
             reload_s=settings.gateway.adapter_reload,
             max_full_speed_fetches=settings.gateway.adapter_loads,
         )
-        self._mirror = StoreMirror()
+        self._mirror = StoreMirror(interfaces.choose_store_value)
         self._metrics = GatewayMetrics()
         self._reader = StoreReader(
             interfaces.make_store(connector, settings),
@@ -161,6 +168,7 @@
             clock=clock,
             store_reconnected_at=lambda: self._reader.reconnected_at,
         )
+        self._mirror.add_era_listener(self._record_era)
         self._mirror.add_listener(interfaces.make_store_listener(self._catalogue))
         rights = CoordinatorRights(
             instance=settings.instance.id,
@@ -347,6 +355,17 @@
             await asyncio.sleep(interval_s)
             self._record_round_delay(self._clock.now() - due_at)
 
+    def _record_era(self, change: EraChange) -> None:
+        self._reader.note_return()
+        self._metrics.store_returns.inc()
+        self._log.warning(
+            "Store returned from an older copy.",
+            source=change.source,
+            known=str(change.known),
+            copy=str(change.copy),
+            kept=change.kept_keys,
+        )
+
     def _record_round_delay(self, late_s: float) -> None:
         self._metrics.round_delay.observe(max(late_s, 0.0))
         if late_s >= _LATE_ROUND_S:
@@ -378,6 +397,7 @@
         metrics.live_members.set(len(self._membership.live_members(self._clock.now())))
         metrics.coordinated_engines.set(self._coordinator.engine_count)
         metrics.store_outage.set(self._reader.outage_s)
+        metrics.store_era.set(self._mirror.revision.era)
         metrics.running_requests.set(self._ingress.running_requests)
         table = self._catalogue.table
         if table is not None:
--- a/src/chiveslip/fleet/gateway_peers.py
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -15,6 +15,7 @@
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated.peer_grpc import GatewayPeerStub
 from chiveslip.settings.fields import Address
+from chiveslip.store.client import StoreRevision
 
 # The reply to a load comes when its order was accepted, which may wait for other loads.
 _LOAD_TIMEOUT_S = 2.0
@@ -93,9 +94,11 @@
         outcome = _OUTCOMES_BY_WIRE_VALUE.get(reply.outcome, LoadOutcome.FAILED)
         return LoadResult(outcome=outcome, ready_in_s=reply.ready_after_seconds)
 
-    async def changes(self, address: Address, after: int) -> wire.ChangesReply:
+    async def changes(
+        self, address: Address, after: StoreRevision
+    ) -> wire.ChangesReply:
         """Request the changes of the store after revision `after`."""
-        request = wire.ChangesRequest(after_revision=after)
+        request = wire.ChangesRequest(after_era=after.era, after_revision=after.number)
         return await self._call(
             address, self._timeout_s, lambda stub, t: stub.Changes(request, timeout=t)
         )
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -15,10 +15,12 @@
 from chiveslip.fleet.gateway_peers import GatewayPeers
 from chiveslip.fleet.gossip_messages import GossipMessages
 from chiveslip.fleet.gossip_messages import GossipParts
+from chiveslip.fleet.gossip_messages import read_revision
 from chiveslip.fleet.store_pulls import StorePulls
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated.peer_grpc import GatewayPeerBase
 from chiveslip.settings.fields import Address
+from chiveslip.store.client import StoreRevision
 from chiveslip.tasks import TaskSet
 
 
@@ -124,7 +126,7 @@
             return
         finally:
             self._in_flight.discard(address)
-        await self._store_pulls.pull_if_overdue(address, reply.store_revision)
+        await self._store_pulls.pull_if_overdue(address, read_revision(reply))
 
 
 @final
@@ -136,7 +138,7 @@
         messages: GossipMessages,
         parts: GossipParts,
         store_pulls: StorePulls,
-        changes_after: Callable[[int], wire.ChangesReply],
+        changes_after: Callable[[StoreRevision], wire.ChangesReply],
     ) -> None:
         self._messages = messages
         self._parts = parts
@@ -155,7 +157,7 @@
         await stream.send_message(self._messages.build_reply(request))
         sender = self._parts.membership.address_of(request.sender.instance)
         if sender is not None:
-            pull = self._store_pulls.pull_if_overdue(sender, request.store_revision)
+            pull = self._store_pulls.pull_if_overdue(sender, read_revision(request))
             self._tasks.start(pull)
 
     async def Load(  # noqa: N802
@@ -181,4 +183,5 @@
         request = await stream.recv_message()
         if request is None:
             return
-        await stream.send_message(self._changes_after(request.after_revision))
+        after = StoreRevision(request.after_era, request.after_revision)
+        await stream.send_message(self._changes_after(after))
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -32,6 +32,7 @@
 from chiveslip.gateway.metrics import GatewayMetrics
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.settings.fields import parse_address
+from chiveslip.store.client import StoreRevision
 from chiveslip.store.mirror import StoreMirror
 
 # Every report of an engine repeats the names of its adapters. The cache has room for
@@ -114,7 +115,8 @@
         parts = self._parts
         message = wire.Gossip(
             sender=_build_member(parts.membership.own_update()),
-            store_revision=parts.mirror.revision,
+            store_era=parts.mirror.revision.era,
+            store_revision=parts.mirror.revision.number,
         )
         self._add_allowances(message, now)
         self._add_engines(message)
@@ -277,3 +279,8 @@
 def _parse_adapter(text: str) -> tuple[str, int]:
     name, _, version = text.rpartition("@")
     return (name, int(version)) if version.isdigit() else (text, 0)
+
+
+def read_revision(message: wire.Gossip) -> StoreRevision:
+    """Return the sender's revision of the store; builds without eras send era 0."""
+    return StoreRevision(message.store_era, message.store_revision)
--- a/src/chiveslip/fleet/store_pulls.py
+++ b/src/chiveslip/fleet/store_pulls.py
@@ -10,10 +10,14 @@
 from chiveslip.fleet.gateway_peers import GatewayPeers
 from chiveslip.settings.fields import Address
 from chiveslip.store.catch_up import PeerCatchUp
+from chiveslip.store.client import NO_REVISION
+from chiveslip.store.client import StoreRevision
 from chiveslip.store.mirror import StoreMirror
 
 # A peer that has not answered a pull for this time is slow or gone; another is asked.
 _MAX_PULL_S = 0.3
+# A peer may have begun with the copy itself, so that several are asked.
+_MAX_MERGED_PEERS = 3
 
 
 @final
@@ -33,9 +37,12 @@
         self._peers = peers
         self._clock = clock
         self._pulling_since = float("-inf")
+        self._merged_peers: set[Address] = set()
         self._log = logs.get_logger("store")
 
-    async def pull_if_overdue(self, peer: Address, peer_revision: int) -> None:
+    async def pull_if_overdue(
+        self, peer: Address, peer_revision: StoreRevision
+    ) -> None:
         """Pull the changes of a peer that has newer ones than the own reads delivered.
 
         Parameters
@@ -43,6 +50,8 @@
         peer_revision
             Revision of the store up to which the peer has every change.
         """
+        if peer_revision.era > 0:
+            await self._merge_values(peer)
         now = self._clock.now()
         self._catch_up.record_peer_revision(peer_revision, now)
         is_pulling = now < self._pulling_since + _MAX_PULL_S
@@ -61,3 +70,19 @@
             if self._pulling_since == now:
                 self._pulling_since = float("-inf")
         self._mirror.apply_peer_reply(reply, str(peer))
+
+    async def _merge_values(self, peer: Address) -> None:
+        """Learn from a few peers what the copy lacks that this instance began with."""
+        has_enough = len(self._merged_peers) >= _MAX_MERGED_PEERS
+        if has_enough or peer in self._merged_peers or not self._mirror.revision.era:
+            return
+        self._merged_peers.add(peer)
+        try:
+            reply = await self._peers.changes(peer, NO_REVISION)
+        except PeerError as error:
+            self._merged_peers.discard(peer)
+            self._log.debug(
+                "Pull of store values failed.", peer=str(peer), cause=str(error)
+            )
+            return
+        self._mirror.merge_peer_values(reply, str(peer))
--- a/src/chiveslip/gateway/catalogue.py
+++ b/src/chiveslip/gateway/catalogue.py
@@ -10,6 +10,7 @@
 from chiveslip.audit import AuditTrail
 from chiveslip.clock import Clock
 from chiveslip.gateway.endpoints import EndpointDirectory
+from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.routing import EngineCapacity
@@ -99,8 +100,10 @@
         source
             Where this instance learnt of the change, for the log.
         """
-        self._expired.pop(endpoint.id, None)
         known = self._directory.by_id.get(endpoint.id)
+        if known is not None and not _may_follow(known, endpoint):
+            return
+        self._expired.pop(endpoint.id, None)
         if known is None or known.state is not endpoint.state:
             self._log.info(
                 "Endpoint state changed.",
@@ -163,3 +166,16 @@
         self._log.info("Endpoint gone.", endpoint=endpoint, source=source)
         self._directory.remove(endpoint)
         self._view.forget_engine(endpoint)
+
+
+def _may_follow(known: ListedEndpoint, endpoint: ListedEndpoint) -> bool:
+    """Return whether a description may follow the known one of the same id.
+
+    Starts only become later, and an endpoint that leaves does not return.
+    """
+    if endpoint.started != known.started:
+        return endpoint.started > known.started
+    return (
+        known.state is not EndpointState.LEAVING
+        or endpoint.state is EndpointState.LEAVING
+    )
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -103,6 +103,16 @@
             "Time since the store stopped answering; 0 while it answers.",
             registry=registry,
         )
+        self.store_era = Gauge(
+            "chiveslip_store_era",
+            "How often the store has returned from an older copy, as it says.",
+            registry=registry,
+        )
+        self.store_returns = Counter(
+            "chiveslip_store_returns",
+            "Returns of the store from an older copy that this instance saw.",
+            registry=registry,
+        )
         self.ready_endpoints = Gauge(
             "chiveslip_endpoints",
             "Endpoints that take new work, by service.",
--- a/src/chiveslip/platform/catalogue_updater.py
+++ b/src/chiveslip/platform/catalogue_updater.py
@@ -28,7 +28,7 @@
             self._log.warning(
                 "Unreadable store entry.",
                 key=item.key,
-                revision=item.revision,
+                revision=str(item.revision),
                 cause=str(error),
             )
             if item.key == configuration.CONFIGURATION_KEY:
--- a/src/chiveslip/platform/main.py
+++ b/src/chiveslip/platform/main.py
@@ -22,6 +22,7 @@
 from chiveslip.gateway.engine_control import EngineControl
 from chiveslip.gateway.protocol import GatewayProtocol
 from chiveslip.generated.settings import Settings
+from chiveslip.platform import entry_order
 from chiveslip.platform.catalogue_updater import CatalogueUpdater
 from chiveslip.platform.protocol import PlatformProtocol
 from chiveslip.platform.replicas import ReplicaControl
@@ -54,6 +55,12 @@
         """Return the client for reports and orders of engines."""
         return ReplicaControl(connector, clock)
 
+    def choose_store_value(
+        self, key: str, known: bytes | None, copy: bytes | None
+    ) -> bytes | None:
+        """Return the value of a key that holds after the store returned from a copy."""
+        return entry_order.choose_value(key, known, copy)
+
     def make_store_listener(self, catalogue: Catalogue) -> Listener:
         """Return the listener that updates the catalogue from store entries."""
         return CatalogueUpdater(catalogue).apply_change
--- a/src/chiveslip/platform/store.py
+++ b/src/chiveslip/platform/store.py
@@ -11,6 +11,7 @@
 from chiveslip.dispatch.connection import ConnectError
 from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.connection import ExchangeInterruptedError
+from chiveslip.dispatch.connection import ResponseHead
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.platform import fields
@@ -21,12 +22,14 @@
 from chiveslip.store.client import Item
 from chiveslip.store.client import KeyValueStore
 from chiveslip.store.client import StoreError
+from chiveslip.store.client import StoreRevision
 
 # One watch of all keys needs half as many requests as a watch per prefix.
 _ALL_KEYS_PREFIX = ""
 _MAX_BODY_BYTES = 16 << 20
 _MAX_PAGES = 2000
 _STATUS_GONE = 410
+_ERA_HEADER = "Store-Era"
 
 
 @final
@@ -49,18 +52,24 @@
     async def read_all(self) -> Changes:
         """Return all items, read page by page."""
         items: list[Item] = []
-        revision: int | None = None
+        revision: StoreRevision | None = None
         last_key = ""
         for _ in range(_MAX_PAGES):
             query = {"prefix": _ALL_KEYS_PREFIX} | (
                 {"after": last_key} if last_key else {}
             )
-            page = await self._get("/chiveslip/kv-range", query, 0.0)
+            page, era = await self._get("/chiveslip/kv-range", query, 0.0)
             # The pages are not one snapshot. A change between two pages is received
             # by the watch, which continues from the revision of the first page.
             if revision is None:
-                revision = _read_revision(page)
-            page_items = [_read_item(item) for item in _read_objects(page, "items")]
+                revision = _read_revision(page, era)
+            if era != revision.era:
+                raise StoreError(
+                    f"a page of era {era} follows one of era {revision.era}"
+                )
+            page_items = [
+                _read_item(item, era) for item in _read_objects(page, "items")
+            ]
             items += page_items
             if not page.get("has_more") or not page_items:
                 return Changes(items=items, revision=revision)
@@ -72,20 +81,28 @@
             last_key = page_items[-1].key
         raise StoreError(f"the store has more than {_MAX_PAGES} pages of items")
 
-    async def watch(self, after_revision: int, wait_s: float) -> Changes:
+    async def watch(self, after_revision: StoreRevision, wait_s: float) -> Changes:
         """Return the changes after a revision."""
         query = {
             "prefix": _ALL_KEYS_PREFIX,
-            "after": after_revision,
+            "after": after_revision.number,
             "wait_ms": int(wait_s * 1000),
         }
-        document = await self._get("/chiveslip/kv-watch", query, wait_s)
-        items = [_read_item(event) for event in _read_objects(document, "events")]
-        return Changes(items=items, revision=_read_revision(document))
+        document, era = await self._get("/chiveslip/kv-watch", query, wait_s)
+        if era > after_revision.era:
+            raise HistoryLostError(
+                f"the store is in era {era}; expected era {after_revision.era}"
+            )
+        if era < after_revision.era:
+            raise StoreError(
+                f"an answer of era {era} came late; expected era {after_revision.era}"
+            )
+        items = [_read_item(event, era) for event in _read_objects(document, "events")]
+        return Changes(items=items, revision=_read_revision(document, era))
 
     async def _get(
         self, path: str, query: dict[str, Any], wait_s: float
-    ) -> dict[str, Any]:
+    ) -> tuple[dict[str, Any], int]:
         outgoing = OutgoingRequest(method="GET", path=f"{path}?{urlencode(query)}")
         try:
             exchange = await self._connector.open(self._address, fresh=False)
@@ -111,11 +128,19 @@
         if head.status != 200:
             raise StoreError(f"{path}: expected status 200, received {head.status}")
         try:
-            return fields.parse_object(body)
+            return fields.parse_object(body), _read_era(head)
         except UnreadableError as error:
             raise StoreError(f"{path}: {error}") from error
 
 
+def _read_era(head: ResponseHead) -> int:
+    """Return the store's era; an answer without the header is of era 0."""
+    text = head.headers.get(_ERA_HEADER, "0")
+    if not (text.isascii() and text.isdigit()):
+        raise UnreadableError(f"{_ERA_HEADER}: expected a number, found {text!r}")
+    return int(text)
+
+
 def _read_objects(document: dict[str, Any], name: str) -> list[dict[str, Any]]:
     try:
         return fields.read_objects(document, name)
@@ -123,18 +148,19 @@
         raise StoreError(str(error)) from error
 
 
-def _read_revision(document: dict[str, Any]) -> int:
+def _read_revision(document: dict[str, Any], era: int) -> StoreRevision:
     try:
         # Revision of the whole store, not of one item.
-        return int(fields.read_number(document, "store_revision"))
+        number = int(fields.read_number(document, "store_revision"))
+        return StoreRevision(era, number)
     except UnreadableError as error:
         raise StoreError(str(error)) from error
 
 
-def _read_item(document: dict[str, Any]) -> Item:
+def _read_item(document: dict[str, Any], era: int) -> Item:
     try:
         key = fields.read_string(document, "key")
-        revision = int(fields.read_number(document, "revision"))
+        revision = StoreRevision(era, int(fields.read_number(document, "revision")))
     except UnreadableError as error:
         raise StoreError(str(error)) from error
     if document.get("removed"):
--- a/src/chiveslip/store/catch_up.py
+++ b/src/chiveslip/store/catch_up.py
@@ -14,6 +14,9 @@
 
 import attrs
 
+from chiveslip.store.client import NO_REVISION
+from chiveslip.store.client import StoreRevision
+
 # Time for the own read to deliver changes that a peer already has. A read that takes
 # longer hangs.
 MAX_READ_LAG_S = 0.3
@@ -24,7 +27,7 @@
 
 @attrs.frozen
 class _Mention:
-    revision: int
+    revision: StoreRevision
     at: float
 
 
@@ -46,7 +49,7 @@
     def __init__(
         self,
         *,
-        own_revision: Callable[[], int],
+        own_revision: Callable[[], StoreRevision],
         read_began_at: Callable[[], float],
         is_store_lost: Callable[[], bool],
     ) -> None:
@@ -55,12 +58,12 @@
         self._is_store_lost = is_store_lost
         self._mentions: collections.deque[_Mention] = collections.deque()
 
-    def record_peer_revision(self, revision: int, now: float) -> None:
+    def record_peer_revision(self, revision: StoreRevision, now: float) -> None:
         """Record the revision that a peer has.
 
         A peer without newer changes says nothing about those of other peers.
         """
-        newest = self._mentions[-1].revision if self._mentions else 0
+        newest = self._mentions[-1].revision if self._mentions else NO_REVISION
         if revision <= max(newest, self._own_revision()):
             return
         if len(self._mentions) >= _MAX_MENTIONS:
--- a/src/chiveslip/store/client.py
+++ b/src/chiveslip/store/client.py
@@ -1,6 +1,7 @@
 """Interface for reading a key-value store.
 
-The store has one revision, which increases with each change of any key.
+The store has one revision, which increases with each change of any key. If the store
+returns from an older copy, a new era begins: revisions go back and are given out again.
 """
 
 from __future__ import annotations
@@ -18,6 +19,29 @@
     """The store no longer has all changes after the requested revision."""
 
 
+@attrs.frozen(order=True)
+class StoreRevision:
+    """Revision of the store; a revision orders only what one era wrote.
+
+    Attributes
+    ----------
+    era
+        How often the store has returned from an older copy.
+    number
+        Number of changes in the history of this era.
+    """
+
+    era: int
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.era}.{self.number}"
+
+
+NO_REVISION = StoreRevision(0, 0)
+"""Revision before the first read."""
+
+
 @attrs.frozen(kw_only=True)
 class Item:
     """The value of a key after a change, or the removal of the key.
@@ -32,7 +56,7 @@
 
     key: str
     value: bytes | None
-    revision: int
+    revision: StoreRevision
 
 
 @attrs.frozen(kw_only=True)
@@ -40,7 +64,7 @@
     """Items, and the revision up to which they include every change."""
 
     items: list[Item]
-    revision: int
+    revision: StoreRevision
 
 
 class KeyValueStore(abc.ABC):
@@ -57,7 +81,7 @@
         """
 
     @abc.abstractmethod
-    async def watch(self, after_revision: int, wait_s: float) -> Changes:
+    async def watch(self, after_revision: StoreRevision, wait_s: float) -> Changes:
         """Return the changes after a revision, waiting up to `wait_s` seconds for one.
 
         Raises
--- a/src/chiveslip/store/reader.py
+++ b/src/chiveslip/store/reader.py
@@ -14,6 +14,11 @@
 from chiveslip.store.client import StoreError
 from chiveslip.store.mirror import StoreMirror
 
+# Maximum delay before the first full read after the history was lost.
+_HISTORY_DELAY_S = 0.2
+# The delay grows to 3.2 s while the history is lost again.
+_MAX_HISTORY_DOUBLINGS = 4
+
 
 @final
 class StoreReader:
@@ -52,6 +57,7 @@
         self._unreachable_since: float | None = clock.now()
         self._reconnected_at = float("-inf")
         self._has_failed = False
+        self._lost_histories = 0
         self._read_began_at = clock.now()
         self._log = logs.get_logger("store")
 
@@ -82,11 +88,16 @@
     async def run(self) -> None:
         """Read and watch until cancelled."""
         while True:
+            era = self._mirror.revision.era
             try:
                 await self._read_once()
                 self._record_success()
-            except HistoryLostError:
-                self._needs_snapshot = True
+            except HistoryLostError as error:
+                # The new era may have become known from a peer during the watch.
+                self._needs_snapshot = self._mirror.revision.era == era
+                self._lost_histories += 1
+                self._log.info("Store history lost.", cause=str(error))
+                await asyncio.sleep(self._history_delay_s())
             except StoreError as error:
                 self._record_failure(error)
                 await asyncio.sleep(
@@ -101,12 +112,22 @@
             return
         changes = await self._store.watch(self._mirror.revision, self._max_watch_s())
         self._mirror.apply_changes(changes)
+        self._lost_histories = 0
         if changes.items:
             # Endpoints change often; without the delay each change costs a request.
             delay_s = self._batch_delay_s()
             self._read_began_at = self._clock.now() + delay_s
             await asyncio.sleep(delay_s)
 
+    def note_return(self) -> None:
+        """Note that the store has returned from an older copy."""
+        self._reconnected_at = self._clock.now()
+
+    def _history_delay_s(self) -> float:
+        """Return a delay that spreads the full reads of all instances."""
+        doublings = min(self._lost_histories - 1, _MAX_HISTORY_DOUBLINGS)
+        return self._random.random() * _HISTORY_DELAY_S * float(2**doublings)
+
     def _record_success(self) -> None:
         self._has_failed = False
         if self._unreachable_since is None:
@@ -115,7 +136,7 @@
         self._unreachable_since = None
         self._reconnected_at = self._clock.now()
         self._log.info(
-            "Store reachable again.", lost_s=lost_s, revision=self._mirror.revision
+            "Store reachable again.", lost_s=lost_s, revision=str(self._mirror.revision)
         )
 
     def _record_failure(self, error: StoreError) -> None:
@@ -124,5 +145,5 @@
             return
         self._unreachable_since = self._clock.now()
         self._log.warning(
-            "Store lost.", cause=str(error), revision=self._mirror.revision
+            "Store lost.", cause=str(error), revision=str(self._mirror.revision)
         )
--- a/testing/platform/response_faults.py
+++ b/testing/platform/response_faults.py
@@ -23,7 +23,7 @@
 
     WHOLE = "whole"
     CLOSED = "closed"
-    """Closed at a random byte."""
+    """Closed at a random byte, of a stream within an event."""
     RESET = "reset"
     """Reset at a random byte."""
     ENDLESS = "endless"
@@ -80,6 +80,9 @@
             await asyncio.sleep(_ENDLESS_INTERVAL_S)
         if fault in (ResponseFault.CLOSED, ResponseFault.RESET):
             body = body[: self._random.randrange(len(body))]
+        if fault is ResponseFault.CLOSED and body.endswith(b"\n\n"):
+            # Closed after a whole event, a stream without length is whole.
+            body = body[:-1]
         await stream.write(head + b"\r\n" + body)
         while fault is ResponseFault.ENDLESS:
             await asyncio.sleep(_ENDLESS_INTERVAL_S)
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -35,6 +35,9 @@
         self.is_down = False
         self.response_faults = ResponseFaults("store")
         self.oldest_revision = 0
+        self.era = 0
+        self.reads = 0
+        self._copies: list[tuple[int, dict[str, dict[str, Any]]]] = []
         self.changed = asyncio.Condition()
         self.server, self.port = _start_server(
             Application(
@@ -68,6 +71,21 @@
         self.events.clear()
         self.oldest_revision = self.revision
 
+    def copy(self) -> int:
+        """Keep a copy of all items; return its number."""
+        self._copies.append((self.revision, dict(self.items)))
+        return len(self._copies) - 1
+
+    async def return_from_copy(self, number: int) -> None:
+        """Lose what was written since a copy, and begin a new era."""
+        self.revision, items = self._copies[number]
+        self.items = dict(items)
+        self.era += 1
+        self.events.clear()
+        self.oldest_revision = self.revision
+        async with self.changed:
+            self.changed.notify_all()
+
     async def _publish(self, event: dict[str, Any]) -> None:
         self.events.append(event)
         async with self.changed:
@@ -75,7 +93,10 @@
 
 
 async def _finish_json(
-    handler: RequestHandler, document: dict[str, Any], faults: ResponseFaults
+    handler: RequestHandler,
+    document: dict[str, Any],
+    faults: ResponseFaults,
+    headers: dict[str, str] | None = None,
 ) -> None:
     """Finish a response with a document, or end it wrongly."""
     fault = faults.draw()
@@ -83,7 +104,8 @@
         handler.finish(document)
         return
     body = json.dumps(document).encode()
-    await faults.send(handler, {"Content-Type": "application/json"}, body, fault)
+    all_headers = {"Content-Type": "application/json"} | (headers or {})
+    await faults.send(handler, all_headers, body, fault)
 
 
 class _StoreHandler(RequestHandler):
@@ -91,6 +113,8 @@
         self.store = store
 
     def prepare(self) -> None:
+        self.store.reads += 1
+        self.set_header("Store-Era", str(self.store.era))
         if self.store.is_down:
             self.set_status(503)
             self.finish()
@@ -110,27 +134,36 @@
             "has_more": len(items) > len(page),
             "store_revision": self.store.revision,
         }
-        await _finish_json(self, document, self.store.response_faults)
+        headers = {"Store-Era": str(self.store.era)}
+        await _finish_json(self, document, self.store.response_faults, headers)
 
 
 class _Watch(_StoreHandler):
+    def _has_no_history(self, after: int) -> bool:
+        return not self.store.oldest_revision <= after <= self.store.revision
+
     async def get(self) -> None:
         after = int(self.get_query_argument("after"))
         wait_s = int(self.get_query_argument("wait_ms")) / 1000
-        if after < self.store.oldest_revision:
+        if self._has_no_history(after):
             self.set_status(410)
             return
+        era = self.store.era
         try:
             async with asyncio.timeout(wait_s), self.store.changed:
-                await self.store.changed.wait_for(lambda: self.store.revision > after)
+                await self.store.changed.wait_for(
+                    lambda: self.store.revision > after or self.store.era != era
+                )
         except TimeoutError:
             pass
-        if after < self.store.oldest_revision:
+        self.set_header("Store-Era", str(self.store.era))
+        if self.store.era != era or self._has_no_history(after):
             self.set_status(410)
             return
         events = [event for event in self.store.events if event["revision"] > after]
         document = {"events": events, "store_revision": self.store.revision}
-        await _finish_json(self, document, self.store.response_faults)
+        headers = {"Store-Era": str(self.store.era)}
+        await _finish_json(self, document, self.store.response_faults, headers)
 
 
 @attrs.define
--- a/testing/platform/test_endless_responses.py
+++ b/testing/platform/test_endless_responses.py
@@ -22,6 +22,7 @@
 from chiveslip.platform.store import PlatformStore
 from chiveslip.settings.fields import Address
 from chiveslip.store.client import StoreError
+from chiveslip.store.client import StoreRevision
 from testing.raw_endpoint import CLOSE
 from testing.raw_endpoint import RESET
 from testing.raw_endpoint import Endless
@@ -85,7 +86,7 @@
 
 
 async def watch(pool: ConnectionPool, address: Address) -> None:
-    await PlatformStore(pool, address, TIMEOUT_S).watch(1, 0.1)
+    await PlatformStore(pool, address, TIMEOUT_S).watch(StoreRevision(0, 1), 0.1)
 
 
 READERS = [
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -313,3 +313,135 @@
     assert 'chiveslip_answers_total{code="0",route="once",status="200"} 1.0' in text
     assert "chiveslip_configuration_version 1.0" in text
     assert "chiveslip_members 1.0" in text
+
+
+# From the acknowledgement until every instance refuses a withdrawn key.
+CONFIGURATION_BOUND_S = 3.0
+# The renewal time of entries, a round of maintenance, and scheduling.
+EXPIRY_BOUND_S = 2.0 + 1.0
+LOST_CHANGES = 20
+# Three pages, and watches that end early with each change.
+MAX_READS_AFTER_RETURN = 40
+
+
+async def lose_changes(cluster: GatewayCluster, copy: int) -> None:
+    """Write changes, and let the store return from a copy of before."""
+    for number in range(LOST_CHANGES):
+        await cluster.store.put(f"servers/odd-{number}", b"lost")
+    await asyncio.sleep(0.2)
+    await cluster.store.return_from_copy(copy)
+
+
+async def statuses(cluster: GatewayCluster, path: str = "/once/x") -> set[int]:
+    return {(await send_request(member, path)).code for member in cluster.members}
+
+
+@pytest.mark.parametrize("gateways", [1, 2])
+async def test_key_withdrawn_after_the_store_returned_is_refused(
+    cluster: GatewayCluster, gateways: int
+) -> None:
+    first = await cluster.start_gateway("one", [])
+    if gateways == 2:
+        await cluster.start_gateway("two", [first.peers])
+    await lose_changes(cluster, cluster.store.copy())
+    await cluster.store.put("op/config", published_configuration(2, keys=("new",)))
+
+    async def is_refused() -> bool:
+        return await statuses(cluster) == {401}
+
+    async with asyncio.timeout(CONFIGURATION_BOUND_S):
+        await wait_until(is_refused)
+
+
+async def test_withdrawn_key_stays_withdrawn_while_the_copy_lists_it(
+    cluster: GatewayCluster,
+) -> None:
+    first = await cluster.start_gateway("one", [])
+    copy = cluster.store.copy()
+    await cluster.store.put("op/config", published_configuration(2, keys=("new",)))
+
+    async def is_refused() -> bool:
+        return await statuses(cluster) == {401}
+
+    await wait_until(is_refused)
+    await lose_changes(cluster, copy)
+    # Learns of the later configuration from its peer alone.
+    await cluster.start_gateway("two", [first.peers])
+    await asyncio.sleep(1.0)
+    for _ in range(10):
+        assert await statuses(cluster) == {401}
+        await asyncio.sleep(0.1)
+
+
+async def test_endpoint_that_drains_after_the_store_returned_gets_nothing(
+    cluster: GatewayCluster,
+) -> None:
+    await cluster.start_gateway("one", [])
+    await lose_changes(cluster, cluster.store.copy())
+    await cluster.store.put(
+        "servers/k", cluster.kiosk.build_entry("kiosk", state="draining")
+    )
+
+    async def is_unserved() -> bool:
+        return await statuses(cluster) == {503}
+
+    async with asyncio.timeout(CONFIGURATION_BOUND_S):
+        await wait_until(is_unserved)
+
+
+async def test_endpoint_that_drained_before_the_store_returned_gets_nothing(
+    cluster: GatewayCluster,
+) -> None:
+    await cluster.start_gateway("one", [])
+    copy = cluster.store.copy()
+    await cluster.store.put(
+        "servers/k", cluster.kiosk.build_entry("kiosk", state="draining")
+    )
+
+    async def is_unserved() -> bool:
+        return await statuses(cluster) == {503}
+
+    await wait_until(is_unserved)
+    await lose_changes(cluster, copy)
+    for _ in range(10):
+        await asyncio.sleep(0.1)
+        assert await statuses(cluster) == {503}
+
+
+@pytest.mark.parametrize("is_written_again", [True, False])
+async def test_endpoint_registered_after_the_copy_is_used_until_it_may_return(
+    cluster: GatewayCluster, is_written_again: bool
+) -> None:
+    await cluster.store.remove("servers/k")
+    await cluster.start_gateway("one", [])
+    copy = cluster.store.copy()
+    entry = cluster.kiosk.build_entry("kiosk")
+    await cluster.store.put("servers/k", entry)
+
+    async def is_served() -> bool:
+        return await statuses(cluster) == {200}
+
+    await wait_until(is_served)
+    await lose_changes(cluster, copy)
+    await asyncio.sleep(0.5)
+    assert await is_served()
+    if is_written_again:
+        await cluster.store.put("servers/k", entry)
+    await asyncio.sleep(EXPIRY_BOUND_S)
+    assert await is_served() == is_written_again
+
+
+async def test_return_of_the_store_costs_few_reads_and_is_counted(
+    cluster: GatewayCluster,
+) -> None:
+    member = await cluster.start_gateway("one", [])
+    copy = cluster.store.copy()
+    await lose_changes(cluster, copy)
+    reads = cluster.store.reads
+    await asyncio.sleep(2.0)
+    assert cluster.store.reads - reads < MAX_READS_AFTER_RETURN
+    await lose_changes(cluster, copy)
+    await asyncio.sleep(1.0)
+    text = (await fetch(member.metrics, "/metrics")).body.decode()
+    assert "chiveslip_store_era 2.0" in text
+    assert "chiveslip_store_returns_total 2.0" in text
--- a/testing/store/test_mirror.py
+++ b/testing/store/test_mirror.py
@@ -4,17 +4,26 @@
 
 import pytest
 
+from chiveslip.store.client import NO_REVISION
 from chiveslip.store.client import Changes
 from chiveslip.store.client import Item
+from chiveslip.store.client import StoreRevision
+from chiveslip.store.mirror import EraChange
 from chiveslip.store.mirror import StoreMirror
 
 
-def build_item(key: str, value: str | None, revision: int) -> Item:
+def build_item(key: str, value: str | None, number: int, era: int = 0) -> Item:
     return Item(
-        key=key, value=None if value is None else value.encode(), revision=revision
+        key=key,
+        value=None if value is None else value.encode(),
+        revision=StoreRevision(era, number),
     )
 
 
+def build_changes(items: list[Item], number: int, era: int = 0) -> Changes:
+    return Changes(items=items, revision=StoreRevision(era, number))
+
+
 def values_by_key(mirror: StoreMirror) -> dict[str, bytes | None]:
     return {key: item.value for key, item in mirror.items.items()}
 
@@ -49,35 +58,93 @@
 )
 def test_only_newer_changes_are_applied(steps: list, expected: bytes | None) -> None:
     mirror = StoreMirror()
-    mirror.apply_snapshot(Changes(items=[build_item("k", "1", 10)], revision=10))
+    mirror.apply_snapshot(build_changes([build_item("k", "1", 10)], 10))
     for method, items, revision in steps:
-        getattr(mirror, method)(Changes(items=items, revision=revision))
+        getattr(mirror, method)(build_changes(items, revision))
     assert values_by_key(mirror).get("k") == expected
 
 
 def test_peer_sends_changes_after_a_revision() -> None:
     source, target = StoreMirror(), StoreMirror()
-    initial = Changes(
-        items=[build_item("k", "1", 10), build_item("l", "1", 9)], revision=10
-    )
+    initial = build_changes([build_item("k", "1", 10), build_item("l", "1", 9)], 10)
     source.apply_snapshot(initial)
     target.apply_snapshot(initial)
     source.apply_changes(
-        Changes(
-            items=[build_item("k", "2", 11), build_item("l", None, 12)], revision=12
-        )
+        build_changes([build_item("k", "2", 11), build_item("l", None, 12)], 12)
     )
     target.apply_peer_reply(source.build_changes_reply(target.revision), "peer")
     assert values_by_key(target) == {"k": b"2"}
-    assert target.revision == 12
+    assert target.revision == StoreRevision(0, 12)
 
 
 def test_peer_without_older_removals_sends_a_snapshot() -> None:
     """A peer that started later does not know the removals before its start."""
     older, younger = StoreMirror(), StoreMirror()
     older.apply_snapshot(
-        Changes(items=[build_item("gone", "1", 5), build_item("k", "1", 6)], revision=6)
+        build_changes([build_item("gone", "1", 5), build_item("k", "1", 6)], 6)
     )
-    younger.apply_snapshot(Changes(items=[build_item("k", "1", 6)], revision=20))
+    younger.apply_snapshot(build_changes([build_item("k", "1", 6)], 20))
     older.apply_peer_reply(younger.build_changes_reply(older.revision), "peer")
     assert values_by_key(older) == {"k": b"1"}
+
+
+def test_snapshot_of_a_later_era_is_taken_although_its_revision_is_lower() -> None:
+    mirror = StoreMirror()
+    mirror.apply_snapshot(build_changes([build_item("k", "2", 100)], 100))
+    mirror.apply_snapshot(build_changes([build_item("k", "1", 70, 1)], 80, era=1))
+    assert values_by_key(mirror) == {"k": b"1"}
+    mirror.apply_changes(build_changes([build_item("k", "3", 81, 1)], 81, era=1))
+    assert values_by_key(mirror) == {"k": b"3"}
+    assert mirror.revision == StoreRevision(1, 81)
+
+
+@pytest.mark.parametrize("method", ["apply_snapshot", "apply_changes"])
+def test_answer_of_an_earlier_era_restores_nothing(method: str) -> None:
+    mirror = StoreMirror()
+    mirror.apply_snapshot(build_changes([build_item("k", "1", 70, 1)], 80, era=1))
+    late = build_changes([build_item("k", "2", 100), build_item("l", "1", 99)], 100)
+    getattr(mirror, method)(late)
+    assert values_by_key(mirror)["k"] == b"1"
+    assert mirror.revision == StoreRevision(1, 80)
+
+
+def test_peer_of_a_later_era_sends_a_snapshot() -> None:
+    source, target = StoreMirror(), StoreMirror()
+    for mirror in (source, target):
+        items = [build_item("k", "2", 100), build_item("gone", "1", 90)]
+        mirror.apply_snapshot(build_changes(items, 100))
+    source.apply_snapshot(build_changes([build_item("k", "1", 70, 1)], 80, era=1))
+    target.apply_peer_reply(source.build_changes_reply(target.revision), "peer")
+    assert values_by_key(target) == {"k": b"1"}
+    # Nothing goes back by a peer that has not seen the later era.
+    target.apply_peer_reply(StoreMirror().build_changes_reply(target.revision), "old")
+    assert target.revision == StoreRevision(1, 80)
+
+
+def test_known_value_is_kept_against_the_copy_and_passed_on() -> None:
+    mirror = StoreMirror(lambda _key, known, copy: max(known or b"", copy or b""))
+    changes: list[EraChange] = []
+    mirror.add_era_listener(changes.append)
+    mirror.apply_snapshot(build_changes([build_item("k", "2", 100)], 100))
+    mirror.apply_snapshot(build_changes([build_item("k", "1", 70, 1)], 80, era=1))
+    assert values_by_key(mirror) == {"k": b"2"}
+    assert [change.kept_keys for change in changes] == [["k"]]
+    late = StoreMirror()
+    late.apply_peer_reply(mirror.build_changes_reply(late.revision), "peer")
+    assert values_by_key(late) == {"k": b"2"}
+
+
+def test_instance_that_begins_with_the_copy_takes_newer_values_of_a_peer() -> None:
+    def newest(_key: str, known: bytes | None, copy: bytes | None) -> bytes | None:
+        return max(known or b"", copy or b"")
+
+    copy = build_changes(
+        [build_item("k", "1", 70, 1), build_item("l", "5", 71, 1)], 80, 1
+    )
+    peer, late = StoreMirror(newest), StoreMirror(newest)
+    known = [build_item("k", "2", 100), build_item("l", "4", 90)]
+    peer.apply_snapshot(build_changes(known, 100))
+    peer.apply_snapshot(copy)
+    late.apply_snapshot(copy)
+    late.merge_peer_values(peer.build_changes_reply(NO_REVISION), "peer")
+    assert values_by_key(late) == {"k": b"2", "l": b"5"}
