--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,10 +5,10 @@
 import asyncio
 import contextlib
 import enum
-import socket
-import struct
 from typing import final
 
+from standins.common import reset_on_close
+
 _CHUNK_BYTES = 1 << 16
 _DELAY_S = 0.2
 
@@ -101,6 +101,5 @@
     """Close a connection with a TCP reset."""
     raw_socket = writer.get_extra_info("socket")
     if raw_socket is not None and raw_socket.fileno() >= 0:
-        linger = struct.pack("ii", 1, 0)
-        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        reset_on_close(raw_socket)
     writer.close()
--- a/standins/common.py
+++ b/standins/common.py
@@ -7,6 +7,8 @@
 import json
 import os
 import signal
+import socket
+import struct
 from pathlib import Path
 
 from tornado.httpserver import HTTPServer
@@ -71,6 +73,12 @@
         super().handle_stream(stream, address)
 
 
+def reset_on_close(connection: socket.socket) -> None:
+    """Let the close of a connection send a TCP reset."""
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def wait_forever(handler: RequestHandler) -> asyncio.Future[None]:
     """Return a future that never completes, so that the connection stays idle."""
     del handler
--- a/testing/configuration/test_service_source.py
+++ b/testing/configuration/test_service_source.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import pytest
 
@@ -14,7 +13,6 @@
 from testing.raw_endpoint import Endless
 from testing.raw_endpoint import StartEndpoint
 from testing.raw_endpoint import Step
-from testing.raw_endpoint import raw_endpoints
 
 pytestmark = pytest.mark.xdist_group("sockets")
 
@@ -24,12 +22,6 @@
 DOCUMENT = b'{"revision": 3, "parts": {"routes": "a1"}}'
 
 
-@pytest.fixture
-async def start_endpoint() -> AsyncIterator[StartEndpoint]:
-    async with raw_endpoints() as start:
-        yield start
-
-
 @pytest.mark.parametrize("end", [CLOSE, RESET], ids=["closed", "reset"])
 async def test_document_without_length_that_is_cut_is_read_again(
     start_endpoint: StartEndpoint, end: Step
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import hypothesis
@@ -9,6 +10,8 @@
 
 from chiveslip import logs
 from chiveslip.clock import ManualClock
+from testing.raw_endpoint import StartEndpoint
+from testing.raw_endpoint import raw_endpoints
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 _TEST_PREFIX = "test: "
@@ -44,3 +47,10 @@
 def clock() -> ManualClock:
     """Return a clock that only the test advances."""
     return ManualClock()
+
+
+@pytest.fixture
+async def start_endpoint() -> AsyncIterator[StartEndpoint]:
+    """Return a function that starts an endpoint from the scripts of its requests."""
+    async with raw_endpoints() as start:
+        yield start
--- a/testing/dispatch/test_connection.py
+++ b/testing/dispatch/test_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import AsyncIterator
 
 import pytest
 
@@ -20,7 +19,6 @@
 from testing.raw_endpoint import RawEndpoint
 from testing.raw_endpoint import StartEndpoint
 from testing.raw_endpoint import Step
-from testing.raw_endpoint import raw_endpoints
 
 pytestmark = pytest.mark.xdist_group("sockets")
 
@@ -42,12 +40,6 @@
 )
 
 
-@pytest.fixture
-async def start_endpoint() -> AsyncIterator[StartEndpoint]:
-    async with raw_endpoints() as start:
-        yield start
-
-
 async def fetch(pool: ConnectionPool, endpoint: RawEndpoint) -> bytes:
     """Send one request and return the body of its response."""
     exchange = await pool.open(endpoint.address, fresh=False)
--- a/testing/gateway/test_broken_answers.py
+++ b/testing/gateway/test_broken_answers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
 from collections.abc import Callable
 
 import pytest
@@ -15,7 +14,6 @@
 from testing.raw_endpoint import RESET
 from testing.raw_endpoint import StartEndpoint
 from testing.raw_endpoint import Step
-from testing.raw_endpoint import raw_endpoints
 
 pytestmark = pytest.mark.xdist_group("sockets")
 
@@ -52,12 +50,6 @@
     return by_chunks(body, len(body))
 
 
-@pytest.fixture
-async def start_endpoint() -> AsyncIterator[StartEndpoint]:
-    async with raw_endpoints() as start:
-        yield start
-
-
 @pytest.fixture
 def exchange(
     make_gateway: Callable[..., GatewayHarness], start_endpoint: StartEndpoint
--- a/testing/gateway/test_endless_answers.py
+++ b/testing/gateway/test_endless_answers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
 from collections.abc import Callable
 
 import pytest
@@ -17,7 +16,6 @@
 from testing.raw_endpoint import RawEndpoint
 from testing.raw_endpoint import StartEndpoint
 from testing.raw_endpoint import Step
-from testing.raw_endpoint import raw_endpoints
 
 pytestmark = pytest.mark.xdist_group("sockets")
 
@@ -46,12 +44,6 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
-@pytest.fixture
-async def start_endpoint() -> AsyncIterator[StartEndpoint]:
-    async with raw_endpoints() as start:
-        yield start
-
-
 @pytest.fixture
 def exchange(make_gateway: Callable[..., GatewayHarness]) -> Callable[..., object]:
     """Return a function that sends a request to an endpoint, within its time."""
--- a/testing/platform/response_faults.py
+++ b/testing/platform/response_faults.py
@@ -6,8 +6,6 @@
 import enum
 import http
 import random
-import socket
-import struct
 from typing import final
 
 from tornado.httputil import HTTPHeaders
@@ -15,6 +13,8 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler
 
+from standins.common import reset_on_close
+
 _ENDLESS_INTERVAL_S = 0.1
 
 
@@ -88,6 +88,4 @@
             await asyncio.sleep(_ENDLESS_INTERVAL_S)
             await stream.write(b" ")
         if fault is ResponseFault.RESET:
-            # A linger time of 0 makes the close send a reset.
-            linger = struct.pack("ii", 1, 0)
-            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            reset_on_close(stream.socket)
--- a/testing/platform/test_endless_responses.py
+++ b/testing/platform/test_endless_responses.py
@@ -5,7 +5,6 @@
 import asyncio
 import base64
 import json
-from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -29,7 +28,6 @@
 from testing.raw_endpoint import RawEndpoint
 from testing.raw_endpoint import StartEndpoint
 from testing.raw_endpoint import Step
-from testing.raw_endpoint import raw_endpoints
 
 pytestmark = pytest.mark.xdist_group("sockets")
 
@@ -99,12 +97,6 @@
 Read = Callable[[ConnectionPool, Address], Awaitable[None]]
 
 
-@pytest.fixture
-async def start_endpoint() -> AsyncIterator[StartEndpoint]:
-    async with raw_endpoints() as start:
-        yield start
-
-
 async def check_given_up(
     read: Read, error: type[Exception], endpoint: RawEndpoint
 ) -> None:
--- a/testing/raw_endpoint.py
+++ b/testing/raw_endpoint.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -14,6 +12,7 @@
 import attrs
 
 from chiveslip.settings.fields import Address
+from standins.common import reset_on_close
 
 CLOSE = None
 RESET: Literal["reset"] = "reset"
@@ -106,9 +105,7 @@
 
 def _close(writer: asyncio.StreamWriter, *, reset: bool) -> None:
     if reset:
-        # A linger time of 0 makes the close send a reset.
-        raw = writer.get_extra_info("socket")
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        reset_on_close(writer.get_extra_info("socket"))
     writer.close()
 
 
