Log what is known of an engine when a request is sent there

Late answers could be told by engine, but not whether the estimate came from a fresh report, an old one or none. Each attempt at an engine now has one record of that in `Ended.`; an engine whose report becomes too old to be used, or comes back, is logged once, and a metric has the age of each report. The time that the caller could wait tells whether it was refused before. No decision changes.

The age is the one that the coordinator told: it counts from when the report was passed on, not from when it was read.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -48,6 +48,7 @@
 from chiveslip.gateway.metrics import GatewayMetrics
 from chiveslip.gateway.placement import Placement
 from chiveslip.gateway.protocol import GatewayProtocol
+from chiveslip.gateway.report_log import ReportLog
 from chiveslip.gateway.sending import Sender
 from chiveslip.gateway.service_selection import ServiceTargetSelector
 from chiveslip.generated.settings import Settings
@@ -145,6 +146,8 @@
         view = EngineView(
             receives_all_peers=lambda: not self._schedule().relays_reports
         )
+        self._view = view
+        self._report_log = ReportLog(view)
         load_times = LoadTimes(
             fetch_s=settings.gateway.adapter_load,
             reload_s=settings.gateway.adapter_reload,
@@ -385,7 +388,11 @@
         # connections makes them reconnect there.
         self._ingress.closes_connections = self._is_stopping or not self._has_quorum()
         self._catalogue.drop_expired_endpoints()
-        self._coordinator.update_engines(self._catalogue.ready_engines())
+        engines = self._catalogue.ready_engines()
+        self._report_log.log_changes(
+            (engine.id for engine, _ in engines), self._clock.now()
+        )
+        self._coordinator.update_engines(engines)
         self._health.retain_only(self._directory.by_id)
         await self._coordinator.read_reports()
         await self._coordinator.load_models()
@@ -399,6 +406,7 @@
         metrics.store_outage.set(self._reader.outage_s)
         metrics.store_era.set(self._mirror.revision.era)
         metrics.running_requests.set(self._ingress.running_requests)
+        self._update_report_ages()
         table = self._catalogue.table
         if table is not None:
             metrics.configuration_version.set(table.version)
@@ -410,6 +418,14 @@
         headers = HTTPHeaders({"Content-Type": "text/plain; version=0.0.4"})
         await reply.respond(200, headers, metrics.render_text())
 
+    def _update_report_ages(self) -> None:
+        now = self._clock.now()
+        ages = self._metrics.engine_report_age
+        ages.clear()
+        for engine, _ in self._catalogue.ready_engines():
+            age_s = self._view.report_age_s(engine.id, now)
+            ages.labels(engine.id).set(math.inf if age_s is None else age_s)
+
     async def _serve_readiness(
         self, request: IngressRequest, reply: IngressReply
     ) -> None:
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from chiveslip.gateway.engine_view import KnownLoad
 from chiveslip.gateway.ingress import IngressReply
 from chiveslip.gateway.ingress import IngressRequest
 from chiveslip.gateway.protocol import RequestMetadata
@@ -28,6 +29,22 @@
     sent_at: float | None = None
 
 
+@attrs.frozen(kw_only=True)
+class EngineEstimate:
+    """What an engine was expected to do when an attempt chose it.
+
+    Attributes
+    ----------
+    first_event_s
+        Estimated time in seconds from the choice to the first event.
+    known_load
+        Load of the engine as it was known at the choice.
+    """
+
+    first_event_s: float
+    known_load: KnownLoad
+
+
 @attrs.define(kw_only=True, eq=False)
 class Call:
     """A request that was admitted.
@@ -59,6 +76,8 @@
         How the answers of endpoints ended, in order, as text for the log.
     attempt_times
         Times of all attempts, in order.
+    engine_estimates
+        Estimates of all attempts at engines, in order.
     estimate_s
         Estimated time in seconds until the first event, or None if not estimated.
     load_wait_s
@@ -86,6 +105,7 @@
     attempt_results: list[str] = attrs.field(factory=list)
     answer_ends: list[str] = attrs.field(factory=list)
     attempt_times: list[AttemptTimes] = attrs.field(factory=list)
+    engine_estimates: list[EngineEstimate] = attrs.field(factory=list)
     estimate_s: float | None = None
     load_wait_s: float = 0.0
     first_event_at: float | None = None
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -10,6 +10,7 @@
 
 from chiveslip.clock import Clock
 from chiveslip.gateway.call import Call
+from chiveslip.gateway.call import EngineEstimate
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.engine_coordinator import LoadOutcome
 from chiveslip.gateway.engine_coordinator import LoadResult
@@ -117,13 +118,15 @@
             left_s = call.first_event_deadline - started_at
             if choice.wait_s > left_s:
                 return _too_late(choice.wait_s - left_s)
+            known_load = self._view.known_load(choice.engine.id, started_at)
             load = await self._ensure_adapter(choice.engine.id, search.adapter, left_s)
             if load.outcome is not LoadOutcome.USABLE:
                 search.exclude_unloadable(choice.engine.id, load)
                 continue
             if load.ready_in_s > left_s:
                 return _too_late(load.ready_in_s)
-            call.estimate_s = max(choice.wait_s, load.ready_in_s)
+            estimate_s = max(choice.wait_s, load.ready_in_s)
+            call.estimate_s = estimate_s
             if load.ready_in_s > 0:
                 await asyncio.sleep(load.ready_in_s)
             call.load_wait_s += self._clock.now() - started_at
@@ -131,7 +134,8 @@
                 # The engine began to leave or disappeared while the request waited.
                 search.exclude_leaving(choice.engine.id)
                 continue
-            return self._place(call, search, choice, load, started_at)
+            estimate = EngineEstimate(first_event_s=estimate_s, known_load=known_load)
+            return self._place(call, search, choice, load, estimate, started_at)
         return search.build_refusal()
 
     def _choose_engine(self, call: Call, search: _Search, now: float) -> Choice | None:
@@ -153,6 +157,7 @@
         search: _Search,
         choice: Choice,
         load: LoadResult,
+        estimate: EngineEstimate,
         chosen_at: float,
     ) -> Target:
         """Remember what was chosen for a request, and return its target."""
@@ -161,7 +166,12 @@
             adapter, search.prompt_tokens, load.ready_in_s > 0
         )
         version = adapter[1] if adapter is not None and adapter[1] else None
-        return Target(endpoint=choice.engine, chosen_at=chosen_at, version=version)
+        return Target(
+            endpoint=choice.engine,
+            chosen_at=chosen_at,
+            version=version,
+            estimate=estimate,
+        )
 
     def record_start(self, call: Call, target: Target) -> None:
         """Count the request and its prompt at the engine."""
@@ -184,7 +194,8 @@
         """Stop counting the request, and update the view from its result."""
         placed = self._placed.pop(call)
         engine = target.endpoint.id
-        self._view.record_prefill_end(engine, placed.pending_tokens)
+        if placed.pending_tokens > 0:
+            self._view.record_prefill_end(engine, placed.pending_tokens)
         self._view.record_request_end(engine, placed.adapter)
         if placed.adapter is None:
             return
--- a/src/chiveslip/gateway/engine_view.py
+++ b/src/chiveslip/gateway/engine_view.py
@@ -21,7 +21,7 @@
 """MODEL/NAME and version."""
 
 # Reports of engines and peers that are older than this are ignored.
-_MAX_REPORT_AGE_S = 5.0
+MAX_REPORT_AGE_S = 5.0
 # Pending prefill tokens of a request that an engine reports as waiting: the mean
 # prompt of the users' sheets.
 _WAITING_REQUEST_TOKENS = 1000.0
@@ -37,9 +37,33 @@
     ready_at: dict[Adapter, float] = attrs.field(factory=dict)
 
 
+@attrs.frozen(kw_only=True)
+class KnownLoad:
+    """Load of an engine, as known to this instance at one moment.
+
+    Attributes
+    ----------
+    report_age_s
+        Age in seconds of the engine's last report, or None without a report.
+    running, waiting
+        Requests in that report, also if it is too old to be used.
+    own_requests
+        Requests of this instance in progress at the engine.
+    own_unanswered
+        Those of them whose first event is pending.
+    """
+
+    report_age_s: float | None
+    running: int
+    waiting: int
+    own_requests: int
+    own_unanswered: int
+
+
 @attrs.define
 class _OwnUse:
     requests: int = 0
+    unanswered: int = 0
     pending_prefill_tokens: float = 0.0
     adapters: dict[Adapter, int] = attrs.field(factory=dict)
 
@@ -84,7 +108,7 @@
         recent = {
             adapter
             for adapter, ready_at in contents.ready_at.items()
-            if now < ready_at + _MAX_REPORT_AGE_S / 2
+            if now < ready_at + MAX_REPORT_AGE_S / 2
         }
         contents.present = set(adapters) | recent
 
@@ -166,13 +190,18 @@
         """Count a request of this instance and its pending prefill."""
         use = self._own_uses.setdefault(engine, _OwnUse())
         use.requests += 1
+        use.unanswered += 1
         use.pending_prefill_tokens += prompt_tokens
         if adapter is not None:
             use.adapters[adapter] = use.adapters.get(adapter, 0) + 1
 
     def record_prefill_end(self, engine: str, prompt_tokens: float) -> None:
-        """Stop counting the prefill of a request whose first event has come."""
+        """Stop counting the prefill of a request; to be called once for each.
+
+        The first event has come, or the request ended without one.
+        """
         use = self._own_uses.setdefault(engine, _OwnUse())
+        use.unanswered = max(use.unanswered - 1, 0)
         use.pending_prefill_tokens = max(
             use.pending_prefill_tokens - prompt_tokens, 0.0
         )
@@ -228,6 +257,23 @@
             0.0 if report is None else report.waiting * _WAITING_REQUEST_TOKENS
         )
 
+    def report_age_s(self, engine: str, now: float) -> float | None:
+        """Return the age in seconds of an engine's last report, or None without one."""
+        report = self._reports.get(engine)
+        return None if report is None else now - report[0]
+
+    def known_load(self, engine: str, now: float) -> KnownLoad:
+        """Return what is known about the load of an engine."""
+        own_use = self._own_uses.get(engine)
+        reported_at, report = self._reports.get(engine, (now, None))
+        return KnownLoad(
+            report_age_s=None if report is None else now - reported_at,
+            running=0 if report is None else report.running,
+            waiting=0 if report is None else report.waiting,
+            own_requests=0 if own_use is None else own_use.requests,
+            own_unanswered=0 if own_use is None else own_use.unanswered,
+        )
+
     def adapters_in_use(self, engine: str, now: float) -> set[Adapter]:
         """Return the adapters with requests in progress, from all instances."""
         own_use = self._own_uses.get(engine)
@@ -238,7 +284,7 @@
 
     def _recent_report(self, engine: str, now: float) -> EngineStateUpdate | None:
         reported_at, report = self._reports.get(engine, (float("-inf"), None))
-        return report if now - reported_at <= _MAX_REPORT_AGE_S else None
+        return report if now - reported_at <= MAX_REPORT_AGE_S else None
 
     def _recent_peer_uses(self, engine: str, now: float) -> list[EngineUseUpdate]:
         uses = self._peer_uses.get(engine)
@@ -247,5 +293,5 @@
         return [
             use
             for received_at, use in uses.values()
-            if now - received_at <= _MAX_REPORT_AGE_S
+            if now - received_at <= MAX_REPORT_AGE_S
         ]
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -23,6 +23,7 @@
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.call import AttemptTimes
 from chiveslip.gateway.call import Call
+from chiveslip.gateway.call import EngineEstimate
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
 from chiveslip.gateway.ingress import IngressReply
@@ -69,11 +70,14 @@
         Local time in seconds at which the endpoint was chosen, before any wait.
     version
         Version of the adapter that must answer, or None.
+    estimate
+        What the engine is expected to do, or None if the endpoint is no engine.
     """
 
     endpoint: ListedEndpoint
     chosen_at: float
     version: int | None = None
+    estimate: EngineEstimate | None = None
 
 
 class TargetSelector(abc.ABC):
@@ -152,7 +156,9 @@
             request_id = self._dependencies.protocol.parse_request(
                 request.headers
             ).request_id
-            self._telemetry.record_not_admitted(request_id, admitted)
+            self._telemetry.record_not_admitted(
+                request_id, admitted, self._find_route_name(request)
+            )
             await self._refusal_writer.write(reply, request_id, admitted)
             return
         call = admitted
@@ -164,6 +170,11 @@
         finally:
             self._telemetry.record_end(call, refusal, is_cancelled=is_cancelled)
 
+    def _find_route_name(self, request: IngressRequest) -> str:
+        table = self._dependencies.active_table()
+        route = None if table is None else table.find_route(request.host, request.path)
+        return "" if route is None else route.name
+
     async def _serve(self, call: Call) -> Refusal | None:
         """Answer an admitted request; return the refusal if it was answered by one."""
         now = call.arrived_at
@@ -311,6 +322,8 @@
         result: AttemptResult | None = None
         call.attempted_endpoints.append(target.endpoint.id)
         call.attempt_times.append(AttemptTimes(chosen_at=target.chosen_at))
+        if target.estimate is not None:
+            call.engine_estimates.append(target.estimate)
         selector.record_start(call, target)
         try:
             attempt = await self._dependencies.sender.send(
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -71,6 +71,12 @@
             buckets=_SHORT_BUCKETS_S,
             registry=registry,
         )
+        self.engine_report_age = Gauge(
+            "chiveslip_engine_report_age_seconds",
+            "Age of the last report known of each engine; infinite without one.",
+            ("engine",),
+            registry=registry,
+        )
         self.orders = Counter(
             "chiveslip_orders",
             "Orders to engines by operation and answer.",
--- a/src/chiveslip/gateway/telemetry.py
+++ b/src/chiveslip/gateway/telemetry.py
@@ -12,6 +12,7 @@
 from chiveslip import logs
 from chiveslip.clock import Clock
 from chiveslip.gateway.call import Call
+from chiveslip.gateway.call import EngineEstimate
 from chiveslip.gateway.metrics import GatewayMetrics
 from chiveslip.gateway.sending import Attempt
 from chiveslip.results import Refusal
@@ -31,8 +32,16 @@
         self._clock = clock
         self._log = logs.get_logger("gateway")
 
-    def record_not_admitted(self, request_id: str, refusal: Refusal) -> None:
-        """Record a request that was not admitted."""
+    def record_not_admitted(
+        self, request_id: str, refusal: Refusal, route: str
+    ) -> None:
+        """Record a request that was not admitted.
+
+        Parameters
+        ----------
+        route
+            Name of its route, or empty if none is known.
+        """
         code = refusal.code
         self._metrics.answers.labels("", str(code.status), str(code.code)).inc()
         self._log.warning(
@@ -41,6 +50,7 @@
             code=code.code,
             name=code.name,
             detail=refusal.detail,
+            route=route,
             come_back_s=_round_seconds(refusal.advised_retry_after_s),
         )
 
@@ -121,6 +131,7 @@
             service=call.service,
             adapter=f"{call.metadata.model}/{call.metadata.adapter}",
             units=call.units,
+            max_wait_s=_round_seconds(call.deadline - call.arrived_at),
             endpoints=call.attempted_endpoints,
             results=call.attempt_results,
             answer_ends=call.answer_ends,
@@ -134,6 +145,9 @@
                 else _round_seconds(times.sent_at - call.arrived_at)
                 for times in call.attempt_times
             ],
+            engine_estimates=[
+                _describe_estimate(estimate) for estimate in call.engine_estimates
+            ],
             estimate_s=_round_seconds(call.estimate_s),
             load_wait_s=_round_seconds(call.load_wait_s),
             first_event_s=_round_seconds(first_s),
@@ -162,5 +176,17 @@
     }
 
 
+def _describe_estimate(estimate: EngineEstimate) -> dict[str, float | None]:
+    load = estimate.known_load
+    return {
+        "estimate_s": _round_seconds(estimate.first_event_s),
+        "report_age_s": _round_seconds(load.report_age_s),
+        "running": load.running,
+        "waiting": load.waiting,
+        "own": load.own_requests,
+        "own_unanswered": load.own_unanswered,
+    }
+
+
 def _round_seconds(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 3)
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -10,6 +10,7 @@
 import pytest
 
 from chiveslip.clock import ManualClock
+from chiveslip.fleet.gossip_updates import EngineStateUpdate
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import EndpointState
@@ -19,6 +20,7 @@
 from chiveslip.gateway.engine_selection import EngineTargetSelector
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.engine_view import KnownLoad
 from chiveslip.gateway.forwarding import Target
 from chiveslip.gateway.load_times import LoadTimes
 from chiveslip.gateway.placement import Placement
@@ -82,6 +84,7 @@
 
     selector: EngineTargetSelector
     directory: EndpointDirectory
+    view: EngineView
     clock: ManualClock
     requested: list[str] = attrs.field(factory=list)
     answer: Callable[[str], LoadResult] = lambda _: LoadResult(
@@ -130,7 +133,7 @@
     for name in ("e1", "e2"):
         directory.put(engine(name))
         view.update_engine(name, 1, frozenset({"m"}), frozenset(), clock.now())
-    harness = SelectorHarness(None, directory, clock)  # type: ignore[arg-type]
+    harness = SelectorHarness(None, directory, view, clock)  # type: ignore[arg-type]
     harness.selector = EngineTargetSelector(
         directory=directory,
         view=view,
@@ -176,6 +179,34 @@
     assert "leaves" in refusal.detail
 
 
+def test_target_tells_what_was_known_before_the_wait(
+    harness: SelectorHarness,
+) -> None:
+    def advance(name: str) -> LoadResult:
+        harness.clock.advance(0.5)
+        return LoadResult(outcome=LoadOutcome.USABLE)
+
+    harness.answer = advance
+    report = EngineStateUpdate(
+        engine="e1",
+        started=1,
+        models=frozenset({"m"}),
+        adapters=frozenset(),
+        running=7,
+        waiting=0,
+        cache_used=0,
+        age_s=2.0,
+    )
+    harness.directory.remove("e2")
+    harness.view.apply_coordinator_report("peer", report, harness.clock.now())
+    target = harness.choose()
+    assert isinstance(target, Target)
+    assert target.estimate is not None
+    assert target.estimate.known_load == KnownLoad(
+        report_age_s=2.0, running=7, waiting=0, own_requests=0, own_unanswered=0
+    )
+
+
 @pytest.mark.parametrize(
     ("load", "retry_after_s"),
     [
