Log the waits for loads, the route's target and the data centre

A request whose caller left while a coordinator was asked for a load showed neither the engine nor the wait. The target and the data centre let a reader of the logs tell what was late and where without the configuration. No decision changes.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -310,7 +310,10 @@
         self._ingress.listen(listen.callers.host, listen.callers.port)
         self._tasks.start(self._reader.run())
         self._tasks.start(self._run_rounds())
-        self._log.info("Started.", instance=self._settings.instance.id)
+        instance = self._settings.instance
+        self._log.info(
+            "Started.", instance=instance.id, data_centre=instance.data_centre
+        )
 
     def reload(self, settings: Settings) -> None:
         """Apply the settings that can change while running: the seeds."""
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -45,6 +45,24 @@
     known_load: KnownLoad
 
 
+@attrs.define(kw_only=True)
+class LoadWait:
+    """Wait of a request for a load of its adapter that it asked a coordinator for.
+
+    Attributes
+    ----------
+    started_at, ended_at
+        Local times in seconds; the end is None while the answer is pending.
+    outcome
+        Outcome of the load request; empty while the answer is pending.
+    """
+
+    engine: str
+    started_at: float
+    ended_at: float | None = None
+    outcome: str = ""
+
+
 @attrs.define(kw_only=True, eq=False)
 class Call:
     """A request that was admitted.
@@ -78,6 +96,8 @@
         Times of all attempts, in order.
     engine_estimates
         Estimates of all attempts at engines, in order.
+    load_waits
+        Waits for coordinators that were asked to load the adapter, in order.
     estimate_s
         Estimated time in seconds until the first event, or None if not estimated.
     load_wait_s
@@ -106,6 +126,7 @@
     answer_ends: list[str] = attrs.field(factory=list)
     attempt_times: list[AttemptTimes] = attrs.field(factory=list)
     engine_estimates: list[EngineEstimate] = attrs.field(factory=list)
+    load_waits: list[LoadWait] = attrs.field(factory=list)
     estimate_s: float | None = None
     load_wait_s: float = 0.0
     first_event_at: float | None = None
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -11,6 +11,7 @@
 from chiveslip.clock import Clock
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.call import EngineEstimate
+from chiveslip.gateway.call import LoadWait
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.engine_coordinator import LoadOutcome
 from chiveslip.gateway.engine_coordinator import LoadResult
@@ -119,7 +120,9 @@
             if choice.wait_s > left_s:
                 return _too_late(choice.wait_s - left_s)
             known_load = self._view.known_load(choice.engine.id, started_at)
-            load = await self._ensure_adapter(choice.engine.id, search.adapter, left_s)
+            load = await self._ensure_adapter(
+                call, choice.engine.id, search.adapter, left_s
+            )
             if load.outcome is not LoadOutcome.USABLE:
                 search.exclude_unloadable(choice.engine.id, load)
                 continue
@@ -225,16 +228,21 @@
         return (name, self._newest_version(name))
 
     async def _ensure_adapter(
-        self, engine: str, adapter: Adapter | None, max_wait_s: float
+        self, call: Call, engine: str, adapter: Adapter | None, max_wait_s: float
     ) -> LoadResult:
         """Return when the adapter is usable at the engine; load it if it is absent."""
         if adapter is None:
             return LoadResult(outcome=LoadOutcome.USABLE)
         ready_at = self._view.ready_at(engine, adapter)
         if ready_at is None:
-            return await self._load_requests.request_adapter(
+            wait = LoadWait(engine=engine, started_at=self._clock.now())
+            call.load_waits.append(wait)
+            load = await self._load_requests.request_adapter(
                 engine, adapter, max_wait_s
             )
+            wait.ended_at = self._clock.now()
+            wait.outcome = load.outcome.value
+            return load
         ready_in_s = max(ready_at - self._clock.now(), 0.0)
         return LoadResult(outcome=LoadOutcome.USABLE, ready_in_s=ready_in_s)
 
--- a/src/chiveslip/gateway/telemetry.py
+++ b/src/chiveslip/gateway/telemetry.py
@@ -13,6 +13,7 @@
 from chiveslip.clock import Clock
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.call import EngineEstimate
+from chiveslip.gateway.call import LoadWait
 from chiveslip.gateway.metrics import GatewayMetrics
 from chiveslip.gateway.sending import Attempt
 from chiveslip.results import Refusal
@@ -21,6 +22,7 @@
 _ANSWERED = "answered"
 _TRUNCATED = "broke off"
 _REFUSED = "refused"
+_PENDING = "pending"
 
 
 @final
@@ -132,6 +134,7 @@
             adapter=f"{call.metadata.model}/{call.metadata.adapter}",
             units=call.units,
             max_wait_s=_round_seconds(call.deadline - call.arrived_at),
+            target_s=call.route.target_latency_s,
             endpoints=call.attempted_endpoints,
             results=call.attempt_results,
             answer_ends=call.answer_ends,
@@ -148,6 +151,9 @@
             engine_estimates=[
                 _describe_estimate(estimate) for estimate in call.engine_estimates
             ],
+            load_waits=[
+                _describe_load_wait(wait, self._clock.now()) for wait in call.load_waits
+            ],
             estimate_s=_round_seconds(call.estimate_s),
             load_wait_s=_round_seconds(call.load_wait_s),
             first_event_s=_round_seconds(first_s),
@@ -188,5 +194,14 @@
     }
 
 
+def _describe_load_wait(wait: LoadWait, now: float) -> dict[str, str | float | None]:
+    ended_at = now if wait.ended_at is None else wait.ended_at
+    return {
+        "engine": wait.engine,
+        "outcome": wait.outcome or _PENDING,
+        "wait_s": _round_seconds(ended_at - wait.started_at),
+    }
+
+
 def _round_seconds(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 3)
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -98,8 +98,11 @@
         return self.answer(name)
 
     def choose(self) -> Target | Refusal:
+        return asyncio.run(self.selector.select_target(self.make_call()))
+
+    def make_call(self) -> Call:
         now = self.clock.now()
-        call = Call(
+        return Call(
             request=None,  # type: ignore[arg-type]
             reply=None,  # type: ignore[arg-type]
             metadata=RequestMetadata(
@@ -121,7 +124,6 @@
             units=0.0,
             fingerprint="",
         )
-        return asyncio.run(self.selector.select_target(call))
 
 
 @pytest.fixture
@@ -199,8 +201,12 @@
     )
     harness.directory.remove("e2")
     harness.view.apply_coordinator_report("peer", report, harness.clock.now())
-    target = harness.choose()
+    call = harness.make_call()
+    target = asyncio.run(harness.selector.select_target(call))
     assert isinstance(target, Target)
+    assert [(wait.engine, wait.outcome) for wait in call.load_waits] == [
+        ("e1", "usable")
+    ]
     assert target.estimate is not None
     assert target.estimate.known_load == KnownLoad(
         report_age_s=2.0, running=7, waiting=0, own_requests=0, own_unanswered=0
--- a/testing/gateway/test_telemetry.py
+++ b/testing/gateway/test_telemetry.py
@@ -11,6 +11,7 @@
 from chiveslip.clock import ManualClock
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.call import EngineEstimate
+from chiveslip.gateway.call import LoadWait
 from chiveslip.gateway.engine_view import KnownLoad
 from chiveslip.gateway.metrics import GatewayMetrics
 from chiveslip.gateway.protocol import RequestMetadata
@@ -76,11 +77,26 @@
         own_unanswered=1,
     )
     call.engine_estimates.append(EngineEstimate(first_event_s=0.25, known_load=load))
+    call.load_waits.append(
+        LoadWait(
+            engine="e1",
+            started_at=call.arrived_at,
+            ended_at=call.arrived_at + 0.5,
+            outcome="no room",
+        )
+    )
+    call.load_waits.append(LoadWait(engine="e2", started_at=call.arrived_at + 0.5))
+    clock.advance(1.5)
     with capture_logs() as lines:
         telemetry = RequestTelemetry(GatewayMetrics(), clock)
         telemetry.record_end(call, None, is_cancelled=False)
     (line,) = lines
     assert line["max_wait_s"] == 8.0
+    assert line["target_s"] == 0.5
+    assert line["load_waits"] == [
+        {"engine": "e1", "outcome": "no room", "wait_s": 0.5},
+        {"engine": "e2", "outcome": "pending", "wait_s": 1.0},
+    ]
     assert line["engine_estimates"] == [
         {
             "estimate_s": 0.25,
