Show what was not answered in time, from the logs of all instances

`chiveslip shortfall` sums up the worth that was not earned by data centre, route and cause, and for late first events of engines the estimate, what came and the age of the report. It also reads logs of earlier builds, with targets given and without the new records.

--- a/src/chiveslip/cli/explain_commands.py
+++ b/src/chiveslip/cli/explain_commands.py
@@ -1,9 +1,10 @@
-"""Commands for gateways: explain requests and departures from logs, show metrics."""
+"""Commands for gateways: explain requests, departures and shortfalls, show metrics."""
 
 from __future__ import annotations
 
 import asyncio
 from dataclasses import dataclass
+from dataclasses import field
 from pathlib import Path
 from typing import Annotated
 
@@ -14,12 +15,15 @@
 from chiveslip.cli import departures
 from chiveslip.cli import output
 from chiveslip.cli import request_report
+from chiveslip.cli import shortfall
 from chiveslip.cli.client import UnreachableError
 from chiveslip.cli.configuration_commands import AsJson
 from chiveslip.cli.request_report import LogLine
 
 # Endpoints serve for at least two seconds after they said that they leave.
 _DEFAULT_LATE_BOUND_S = 2.0
+# A late answer of the users' routes earns a tenth.
+_DEFAULT_LATE_SHARE = 0.1
 # Metrics that show the health of a gateway, with their labels in the output.
 _METRIC_LABELS = {
     "chiveslip_members": "live instances",
@@ -84,6 +88,61 @@
         output.print_result(value, text, as_json=self.json)
 
 
+@cappa.command(name="shortfall")
+@dataclass
+class Shortfall:
+    """Show what was not answered in time, by data centre, route and cause.
+
+    Pass the logs of all instances. Late answers of engines are shown by engine, with
+    the estimate, the time that they took and the age of the engine's report.
+    """
+
+    logs: Annotated[list[Path], cappa.Arg(help="Log files, one or more.")]
+    worth: Annotated[
+        list[str],
+        cappa.Arg(long=True, help="ROUTE=WORTH of a request, 1 by default."),
+    ] = field(default_factory=list)
+    target: Annotated[
+        list[str],
+        cappa.Arg(
+            long=True,
+            help="ROUTE=SECONDS to the first event, for logs without targets.",
+        ),
+    ] = field(default_factory=list)
+    late_share: Annotated[
+        float,
+        cappa.Arg(long=True, help="Share of its worth that a late answer earns."),
+    ] = _DEFAULT_LATE_SHARE
+    json: AsJson = False
+
+    def __call__(self) -> None:
+        """Run the command."""
+        found = shortfall.find_shortfall(
+            _read_logs(self.logs),
+            worths=_parse_numbers(self.worth),
+            late_share=self.late_share,
+            targets_s=_parse_numbers(self.target),
+        )
+        if not found.total.requests:
+            message = "no request ended; give the logs of all instances"
+            raise output.print_errors([message], output.EXIT_UNREACHABLE)
+        text = shortfall.format_shortfall(found)
+        output.print_result(found.to_dict(), text, as_json=self.json)
+
+
+def _parse_numbers(arguments: list[str]) -> dict[str, float]:
+    """Return the numbers of arguments such as ``ROUTE=2.0``, by route."""
+    numbers = {}
+    for argument in arguments:
+        route, _, number = argument.rpartition("=")
+        try:
+            numbers[route] = float(number)
+        except ValueError as error:
+            errors = [f"{argument}: give ROUTE=NUMBER, such as draft=2.0"]
+            raise output.print_errors(errors, output.EXIT_INVALID_INPUT) from error
+    return numbers
+
+
 def _read_logs(paths: list[Path]) -> list[LogLine]:
     lines: list[LogLine] = []
     for path in paths:
--- a/src/chiveslip/cli/main.py
+++ b/src/chiveslip/cli/main.py
@@ -15,6 +15,7 @@
 from chiveslip.cli.explain_commands import Departures
 from chiveslip.cli.explain_commands import Explain
 from chiveslip.cli.explain_commands import GatewayStatus
+from chiveslip.cli.explain_commands import Shortfall
 from chiveslip.cli.fleet_commands import ShowAudit
 from chiveslip.cli.fleet_commands import ShowStatus
 from chiveslip.cli.fleet_commands import ShowTrace
@@ -42,6 +43,7 @@
         | MakeKey
         | Publish
         | Render
+        | Shortfall
         | ShowAudit
         | ShowStatus
         | ShowTrace
