--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -15,6 +15,7 @@
 
 from chiveslip.clock import SystemClock
 from chiveslip.daemon.gateway import GatewayInstance
+from chiveslip.gateway.engine_view import MAX_REPORT_AGE_S
 from chiveslip.platform.main import UserPlatformInterfaces
 from chiveslip.settings.check import check_settings
 from testing.platform.published import build_configuration
@@ -315,6 +316,30 @@
     assert "chiveslip_members 1.0" in text
 
 
+async def test_metrics_tell_the_age_of_the_reports_of_peers(
+    cluster: GatewayCluster,
+) -> None:
+    first = await cluster.start_gateway("one", [])
+    second = await cluster.start_gateway("two", [first.peers])
+
+    async def read_ages(member: Member) -> list[float]:
+        text = (await fetch(member.metrics, "/metrics")).body.decode()
+        return [
+            float(line.split()[-1])
+            for line in text.splitlines()
+            if line.startswith("chiveslip_engine_report_age_seconds{")
+        ]
+
+    async def each_report_has_arrived() -> bool:
+        ages = await read_ages(first) + await read_ages(second)
+        has_all_engines = len(ages) == 2 * len(cluster.engines)
+        # The coordinator of an engine has its report from the engine, not from peers.
+        is_recent = [0.0 <= age <= MAX_REPORT_AGE_S for age in ages]
+        return has_all_engines and sum(is_recent) >= len(cluster.engines)
+
+    await wait_until(each_report_has_arrived)
+
+
 # From the acknowledgement until every instance refuses a withdrawn key.
 CONFIGURATION_BOUND_S = 3.0
 # The renewal time of entries, a round of maintenance, and scheduling.
