--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -60,7 +60,7 @@
             return
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "chiveslip.platform.main"],
+                [sys.executable, "-m", "chiveslip.platform"],
                 env=os.environ | {"CHIVESLIP_BOOT": str(self._settings)},
                 stdout=log,
                 stderr=log,
--- a/src/chiveslip/__init__.py
+++ b/src/chiveslip/__init__.py
@@ -2,7 +2,7 @@
 
 There are two programs. ``chiveslipd`` (`chiveslip.daemon.main`) reads published
 documents, among them the list of instances; one instance owns each allowance or engine.
-The gateway (`chiveslip.platform.main`) has no such list: its instances find each other
+The gateway (`chiveslip.platform`) has no such list: its instances find each other
 by gossip, and read a key-value store through `chiveslip.store`.
 """
 
