Leave the engines of the product's own interface out of the gateway

OutgoingRequest and the name of the request id stand in a module of their own, so that the connections of a gateway no longer import the scheduler, the fair queue and the documents of the other program.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -29,6 +29,8 @@
 from tornado.iostream import UnsatisfiableReadError
 
 from chiveslip.clock import Clock
+from chiveslip.dispatch.outgoing import REQUEST_ID_HEADER
+from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_end import Ending
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
@@ -37,8 +39,6 @@
 from chiveslip.dispatch.response_end import parse_framing
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.dispatch.response_limits import ResponseTimer
-from chiveslip.engines.protocol import REQUEST_ID_HEADER
-from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.settings.fields import Address
 
 _MAX_CHUNK_BYTES = 64 * 1024
--- a/src/chiveslip/dispatch/engine_calls.py
+++ b/src/chiveslip/dispatch/engine_calls.py
@@ -32,6 +32,8 @@
 from chiveslip.dispatch.outcome import Trace
 from chiveslip.dispatch.outcome import adjust_refusal
 from chiveslip.dispatch.outcome import call_refused
+from chiveslip.dispatch.outgoing import REQUEST_ID_HEADER
+from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.reply import Call
 from chiveslip.dispatch.reply import CallerDisconnectedError
 from chiveslip.dispatch.reply import Reply
@@ -46,9 +48,7 @@
 from chiveslip.engines.permits import AcquiredPermit
 from chiveslip.engines.permits import EnginePermits
 from chiveslip.engines.protocol import ADAPTER_HEADER
-from chiveslip.engines.protocol import REQUEST_ID_HEADER
 from chiveslip.engines.protocol import EngineProtocol
-from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.generated import result_codes
 from chiveslip.results import Refusal
 from chiveslip.results import ResultCode
--- a/src/chiveslip/engines/protocol.py
+++ b/src/chiveslip/engines/protocol.py
@@ -11,37 +11,18 @@
 from typing import Any
 from typing import final
 
-import attrs
-
+from chiveslip.dispatch.outgoing import REQUEST_ID_HEADER
+from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.engines import adapter as adapters
 from chiveslip.engines.adapter import AdapterVersion
 from chiveslip.engines.scheduler import LoadReport
 
-REQUEST_ID_HEADER = "X-Request-Id"
 ADAPTER_HEADER = "X-Adapter"
 FENCING_HEADER = "X-Fencing-Number"
 PRIORITY_HEADER = "X-Priority"
 LAST_EVENT_HEADER = "Last-Event-ID"
 
 
-@attrs.frozen(kw_only=True)
-class OutgoingRequest:
-    """A request that is ready to be sent to an endpoint.
-
-    Attributes
-    ----------
-    request_id
-        Id that the endpoint echoes in its response; a response with another id is
-        ignored. Empty if the endpoint does not echo ids.
-    """
-
-    method: str
-    path: str
-    headers: dict[str, str] = attrs.field(factory=dict)
-    body: bytes = b""
-    request_id: str = ""
-
-
 class InvalidReportError(Exception):
     """A load report of an engine could not be parsed."""
 
--- a/src/chiveslip/engines/task.py
+++ b/src/chiveslip/engines/task.py
@@ -20,11 +20,11 @@
 from chiveslip.dispatch.connection import ConnectError
 from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.connection import ExchangeInterruptedError
+from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.engines.fair_queue import Waiter
 from chiveslip.engines.protocol import EngineProtocol
 from chiveslip.engines.protocol import InvalidReportError
-from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.engines.scheduler import Action
 from chiveslip.engines.scheduler import EngineLimits
 from chiveslip.engines.scheduler import EngineScheduler
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -23,12 +23,12 @@
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.connection import ResponseHead
 from chiveslip.dispatch.connection import ResponseTimeoutError
+from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_end import EventPosition
 from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.dispatch.response_end import find_body_fault
 from chiveslip.dispatch.response_end import find_stream_fault
 from chiveslip.dispatch.response_limits import ResponseLimits
-from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
--- a/src/chiveslip/platform/replicas.py
+++ b/src/chiveslip/platform/replicas.py
@@ -11,8 +11,8 @@
 from chiveslip.dispatch.connection import ConnectError
 from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.connection import ExchangeInterruptedError
+from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_limits import ResponseLimits
-from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_control import EngineControl
--- a/src/chiveslip/platform/store.py
+++ b/src/chiveslip/platform/store.py
@@ -12,8 +12,8 @@
 from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.connection import ResponseHead
+from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_limits import ResponseLimits
-from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.platform import fields
 from chiveslip.platform.fields import UnreadableError
 from chiveslip.settings.fields import Address
--- a/src/chiveslip/services/protocol.py
+++ b/src/chiveslip/services/protocol.py
@@ -7,9 +7,9 @@
 
 from chiveslip.auth import Caller
 from chiveslip.dispatch.connection import ResponseHead
+from chiveslip.dispatch.outgoing import REQUEST_ID_HEADER
+from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.reply import Call
-from chiveslip.engines.protocol import REQUEST_ID_HEADER
-from chiveslip.engines.protocol import OutgoingRequest
 
 ORGANISATION_HEADER = "X-Organisation"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
--- a/testing/dispatch/test_connection.py
+++ b/testing/dispatch/test_connection.py
@@ -11,8 +11,8 @@
 from chiveslip.dispatch.connection import ConnectionPool
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.connection import ResponseTimeoutError
+from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_limits import ResponseLimits
-from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.settings.fields import Address
 from testing.raw_endpoint import CLOSE
 from testing.raw_endpoint import RESET
--- a/testing/platform/test_replicas.py
+++ b/testing/platform/test_replicas.py
@@ -15,11 +15,11 @@
 from chiveslip.dispatch.connection import Exchange
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.connection import ResponseHead
+from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_end import Ending
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.dispatch.response_limits import ResponseLimits
-from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.engine_control import EngineControlError
 from chiveslip.gateway.engine_control import EngineOrder
--- a/testing/simulation/endpoints.py
+++ b/testing/simulation/endpoints.py
@@ -21,13 +21,13 @@
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.connection import ResponseHead
 from chiveslip.dispatch.connection import ResponseTimeoutError
+from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_end import Ending
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.dispatch.response_end import find_body_fault
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.dispatch.response_limits import ResponseTimer
-from chiveslip.engines.protocol import OutgoingRequest
 from chiveslip.settings.fields import Address
 from testing.simulation.network import SimulatedNetwork
 
