Tell crash suspects a limited number of times

What is told again and again was not told apart from news.

Each crash is now told in as many messages as two rounds have, counted when they were received; suspects of several crashes, of which there are few, as long as they are kept; and an instance that has just started is told all.

--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -177,6 +177,7 @@
             raise PeerError(f"no member is running at {address.host}")
         member.messages.apply(request)
         reply = member.messages.build_reply(request)
+        member.messages.record_received(reply)
         await member.store_pulls.pull_if_overdue(
             Address(self._sender, 1), read_revision(request)
         )
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -116,6 +116,7 @@
         self._in_flight.add(address)
         try:
             reply = await self._peers.exchange(address, request)
+            self._messages.record_received(request)
             self._messages.apply(reply)
             self._parts.metrics.exchanges.labels("answered").inc()
         except PeerError as error:
@@ -154,7 +155,9 @@
         if request is None:
             return
         self._messages.apply(request)
-        await stream.send_message(self._messages.build_reply(request))
+        reply = self._messages.build_reply(request)
+        await stream.send_message(reply)
+        self._messages.record_received(reply)
         sender = self._parts.membership.address_of(request.sender.instance)
         if sender is not None:
             pull = self._store_pulls.pull_if_overdue(sender, read_revision(request))
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -22,10 +22,13 @@
 from chiveslip.fleet.gossip_updates import EngineUseUpdate
 from chiveslip.fleet.membership import Membership
 from chiveslip.fleet.membership import MemberUpdate
+from chiveslip.fleet.membership import has_just_started
 from chiveslip.fleet.reports import InvalidReportsError
 from chiveslip.fleet.reports import ReportCache
 from chiveslip.fleet.reports import pack_reports
 from chiveslip.fleet.reports import unpack_reports
+from chiveslip.fleet.suspect_news import Crashes
+from chiveslip.fleet.suspect_news import SuspectNews
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
 from chiveslip.gateway.engine_view import EngineView
@@ -63,6 +66,7 @@
         self._parts = parts
         self._random = generator
         self._report_cache = ReportCache()
+        self._suspect_news = SuspectNews()
         self._log = logs.get_logger("gossip")
 
     def build_request(self) -> wire.Gossip:
@@ -82,7 +86,9 @@
         """Return the gossip of this instance and reports that the requester lacks."""
         parts = self._parts
         now = parts.clock.now()
-        message = self._build_own_gossip(now)
+        message = self._build_own_gossip(
+            now, is_for_newcomer=has_just_started(request.sender.heartbeat)
+        )
         if parts.schedule().relays_reports:
             requester = request.sender.instance
             missing = self._report_cache.newer_than(request.heard, requester, now)
@@ -92,6 +98,14 @@
             message.members.append(_build_member(update))
         return message
 
+    def record_received(self, message: wire.Gossip) -> None:
+        """Record that a peer received a message of this instance."""
+        self._suspect_news.record_told(
+            (suspect.fingerprint, crash.endpoint)
+            for suspect in message.crash_suspects
+            for crash in suspect.crashes
+        )
+
     def apply(self, message: wire.Gossip) -> None:
         """Apply the gossip of a peer."""
         parts = self._parts
@@ -111,7 +125,13 @@
         self._apply_suspects(message, now)
         self._apply_reports(message, now)
 
-    def _build_own_gossip(self, now: float) -> wire.Gossip:
+    def _build_own_gossip(
+        self, now: float, *, is_for_newcomer: bool = False
+    ) -> wire.Gossip:
+        """Return the gossip of this instance.
+
+        An instance that has just started is told all crash suspects.
+        """
         parts = self._parts
         message = wire.Gossip(
             sender=_build_member(parts.membership.own_update()),
@@ -120,9 +140,12 @@
         )
         self._add_allowances(message, now)
         self._add_engines(message)
-        for fingerprint, crashes in parts.suspects.prune_crashes(now).items():
+        crashes: Crashes = parts.suspects.prune_crashes(now)
+        if not is_for_newcomer:
+            crashes = self._suspect_news.select(crashes, parts.schedule().fan_out)
+        for fingerprint, endpoints in crashes.items():
             suspect = message.crash_suspects.add(fingerprint=fingerprint)
-            for endpoint, crashed_at in crashes.items():
+            for endpoint, crashed_at in endpoints.items():
                 suspect.crashes.add(endpoint=endpoint, age_seconds=now - crashed_at)
         return message
 
--- a/src/chiveslip/fleet/membership.py
+++ b/src/chiveslip/fleet/membership.py
@@ -118,7 +118,10 @@
         heartbeat
             Heartbeat counter of the sender.
         """
-        return self._heartbeat <= _STARTUP_HEARTBEATS < heartbeat - self._heartbeat
+        return (
+            has_just_started(self._heartbeat)
+            and heartbeat - self._heartbeat > _STARTUP_HEARTBEATS
+        )
 
     def advance_heartbeat(self, now: float) -> None:
         """Increment the own heartbeat counter and drop members lost long ago."""
@@ -242,3 +245,8 @@
 
     def _is_reachable(self, member: _Member, now: float) -> bool:
         return now - member.last_seen_at <= self._heartbeat_timeout_s
+
+
+def has_just_started(heartbeat: int) -> bool:
+    """Return whether an instance with this heartbeat counter has just started."""
+    return heartbeat <= _STARTUP_HEARTBEATS
--- a/testing/fleet/test_large_fleet.py
+++ b/testing/fleet/test_large_fleet.py
@@ -147,3 +147,40 @@
         / 10.0
     )
     assert rate_per_member <= 2 * SCHEDULE.fan_out / SCHEDULE.interval_s * 1.3
+
+
+def test_crash_suspects_of_busy_engines_reach_all_and_are_then_told_no_more(
+    fleet_of: FleetOf,
+) -> None:
+    """Told in each message, those of eight engines filled the links of coordinators."""
+    fleet = fleet_of(91)
+    fleet.run(5.0)
+    members = fleet.running_members()
+    for number in range(350):
+        now = fleet.clock.now()
+        suspects = members[number % len(members)].parts.suspects
+        suspects.record_peer_crash(f"request-{number}", "engine/1", now, now)
+    fleet.run(schedule_for(91, SETTINGS).propagation_s)
+    now = fleet.clock.now()
+    known = {len(m.parts.suspects.prune_crashes(now)) for m in members}
+    assert known == {350}
+    fleet.run(3.0)
+    request = members[0].messages.build_request()
+    assert len(request.crash_suspects) == 0
+
+
+def test_instance_that_starts_later_learns_the_crash_suspects(
+    fleet_of: FleetOf,
+) -> None:
+    fleet = fleet_of(MEDIUM)
+    newcomer = fleet.members[f"m{MEDIUM - 1}"]
+    newcomer.is_running = False
+    fleet.run(5.0)
+    now = fleet.clock.now()
+    suspects = fleet.members["m0"].parts.suspects
+    suspects.record_peer_crash("request", "engine/1", now, now)
+    fleet.run(20.0)
+    newcomer.is_running = True
+    fleet.run(3.0)
+    now = fleet.clock.now()
+    assert set(newcomer.parts.suspects.prune_crashes(now)) == {"request"}
