Bound what a load request without an answer costs

Callers waited 2 s for a coordinator that was cut off or flooded, up to three times in a request, and each request waited anew; loads of an engine without reports queued up, each with an attempt of its own to read the report.

Silence of a coordinator was taken for an answer to come. A load request is now answered within 0.8 s or given up after 1.2 s, time enough for another engine; after two in a row without an answer a coordinator is not asked for 1 s, which does not count as an engine that was asked; and an engine whose report just failed is not read again for each load. An order that was begun is carried through although the asker has stopped waiting.

--- a/src/chiveslip/fleet/gateway_peers.py
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -18,12 +18,13 @@
 from chiveslip.store.client import StoreRevision
 
 # The reply to a load comes when its order was accepted, which may wait for other loads.
-_LOAD_TIMEOUT_S = 2.0
+# Another engine can still answer in time after this.
+_LOAD_TIMEOUT_S = 1.2
 _OPTIONS = ChannelOptions(
     keepalive_s=2.0,
     keepalive_timeout_s=1.0,
     pings_idle=False,
-    max_call_s=2 * _LOAD_TIMEOUT_S,
+    max_call_s=4.0,
 )
 
 Reply = TypeVar("Reply")
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -171,8 +171,13 @@
         if request is None:
             return
         adapter = (request.adapter, request.version)
-        loaded = await self._parts.coordinator.load_adapter(
-            request.endpoint, adapter, request.patience_seconds
+        # An order is carried through although the peer stops waiting for it.
+        loaded = await asyncio.shield(
+            self._tasks.start(
+                self._parts.coordinator.load_adapter(
+                    request.endpoint, adapter, request.patience_seconds
+                )
+            )
         )
         reply = wire.LoadReply(
             outcome=WIRE_OUTCOMES[loaded.outcome], ready_after_seconds=loaded.ready_in_s
--- a/src/chiveslip/gateway/engine_coordinator.py
+++ b/src/chiveslip/gateway/engine_coordinator.py
@@ -37,7 +37,10 @@
 from chiveslip.gateway.routing import EngineCapacity
 
 _REPORT_INTERVAL_S = 1.0
-_MAX_FETCH_WAIT_S = 1.5
+# From the request of a load to its order; below the time for which peers wait.
+_MAX_ORDER_WAIT_S = 0.8
+# After a failed report, loads fail for this time without another attempt to read it.
+_REPORT_RETRY_S = 0.5
 _FETCH_OVERCOMMIT = 1.5
 # An order for a base model is repeated after this time if its load did not begin.
 _MODEL_ORDER_INTERVAL_S = 2.0
@@ -56,6 +59,8 @@
     NO_ROOM = "no room"
     NOT_COORDINATOR = "not the coordinator"
     TOO_LATE = "too late"
+    NO_ANSWER = "no answer from the coordinator"
+    NOT_ASKED = "not asked, as the coordinator did not answer"
     FAILED = "failed"
 
 
@@ -89,6 +94,7 @@
     cache_used: int = 0
     report_requested_at: float = float("-inf")
     last_report_at: float = float("-inf")
+    report_failed_at: float = float("-inf")
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     queued_loads: int = 0
     last_order_at: float = float("-inf")
@@ -230,6 +236,7 @@
         known = self._known_result(coordinated, adapter)
         if known is not None:
             return known
+        order_by = self._clock.now() + _MAX_ORDER_WAIT_S
         expected_s = self._expected_load_s(coordinated, adapter)
         if expected_s > max_wait_s:
             return LoadResult(outcome=LoadOutcome.TOO_LATE, ready_in_s=expected_s)
@@ -239,7 +246,7 @@
                 known = self._known_result(coordinated, adapter)
                 if known is not None:
                     return known
-                return await self._order_load(coordinated, adapter)
+                return await self._order_load(coordinated, adapter, order_by)
         finally:
             coordinated.queued_loads -= 1
 
@@ -253,6 +260,10 @@
         is_coordinated = self._engines.get(engine.listed.id) is engine
         return is_coordinated and self._can_order(engine)
 
+    def _may_read_report(self, engine: _CoordinatedEngine) -> bool:
+        """Return whether an engine may answer; one that just failed to does not."""
+        return self._clock.now() >= engine.report_failed_at + _REPORT_RETRY_S
+
     def _expected_load_s(self, engine: _CoordinatedEngine, adapter: Adapter) -> float:
         """Return the time in seconds until an adapter ordered now is usable."""
         now = self._clock.now()
@@ -274,13 +285,15 @@
         return LoadResult(outcome=LoadOutcome.USABLE, ready_in_s=ready_in_s)
 
     async def _order_load(
-        self, engine: _CoordinatedEngine, adapter: Adapter
+        self, engine: _CoordinatedEngine, adapter: Adapter, order_by: float
     ) -> LoadResult:
-        if engine.accepted_orders is None:
+        if self._clock.now() > order_by:
+            return LoadResult(outcome=LoadOutcome.FAILED)
+        if engine.accepted_orders is None and self._may_read_report(engine):
             await self._read_report(engine)
         if engine.accepted_orders is None:
             return LoadResult(outcome=LoadOutcome.FAILED)
-        if not await self._wait_for_fetch_capacity(engine, adapter):
+        if not await self._wait_for_fetch_capacity(engine, adapter, order_by):
             return LoadResult(outcome=LoadOutcome.FAILED)
         if len(engine.slots) >= engine.capacity.adapter_slots:
             is_freed = await self._free_slot(engine)
@@ -317,10 +330,9 @@
         return answer
 
     async def _wait_for_fetch_capacity(
-        self, engine: _CoordinatedEngine, adapter: Adapter
+        self, engine: _CoordinatedEngine, adapter: Adapter, ends_at: float
     ) -> bool:
         """Wait until this engine and this instance may begin another fetch."""
-        ends_at = self._clock.now() + _MAX_FETCH_WAIT_S
         while True:
             now = self._clock.now()
             pending = engine.slots.pending_ready_times(now)
@@ -464,6 +476,7 @@
             report = await self._control.read_report(engine.listed)
         except EngineControlError as error:
             engine.accepted_orders = None
+            engine.report_failed_at = self._clock.now()
             self._log.info(
                 "Engine report unavailable.", engine=engine.listed.id, cause=str(error)
             )
--- a/src/chiveslip/gateway/load_requests.py
+++ b/src/chiveslip/gateway/load_requests.py
@@ -18,6 +18,11 @@
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.tasks import TaskSet
 
+# After several load requests in a row without an answer, a coordinator is not asked for
+# this time.
+_COORDINATOR_PAUSE_S = 1.0
+_MAX_UNANSWERED = 2
+
 
 @final
 class LoadRequests:
@@ -38,6 +43,8 @@
         self._view = view
         self._clock = clock
         self._tasks = TaskSet("loads")
+        self._unanswered: dict[str, int] = {}
+        self._paused_until: dict[str, float] = {}
         self._pending: dict[tuple[str, Adapter], asyncio.Task[LoadResult]] = {}
 
     async def request_adapter(
@@ -68,12 +75,22 @@
         coordinator = self._coordinator.rights.coordinator_of(engine)
         if coordinator == self._instance:
             load = await self._coordinator.load_adapter(engine, adapter, max_wait_s)
+        elif self._clock.now() < self._paused_until.get(coordinator, float("-inf")):
+            return LoadResult(outcome=LoadOutcome.NOT_ASKED)
         else:
             try:
                 load = await self._peers.load(coordinator, engine, adapter, max_wait_s)
             except PeerError:
-                return LoadResult(outcome=LoadOutcome.FAILED)
+                self._record_no_answer(coordinator)
+                return LoadResult(outcome=LoadOutcome.NO_ANSWER)
+            self._unanswered.pop(coordinator, None)
         if load.outcome is LoadOutcome.USABLE:
             ready_at = self._clock.now() + load.ready_in_s
             self._view.expect_adapter(engine, adapter, ready_at)
         return load
+
+    def _record_no_answer(self, coordinator: str) -> None:
+        unanswered = self._unanswered.get(coordinator, 0) + 1
+        self._unanswered[coordinator] = unanswered
+        if unanswered >= _MAX_UNANSWERED:
+            self._paused_until[coordinator] = self._clock.now() + _COORDINATOR_PAUSE_S
