Ask an engine before a request is sent to it, and let what is known of it age

Requests went in waves: one engine got 36 a second, then none, the next one the same, with a period of five to six seconds, while the estimate of the wait was the same 0.08 s for those that came in time and those that did not.

Each instance chose by reports that were seconds old and the same for all, a report of any age up to 5 s in full, and none after that: an engine of which nothing was known had no load. Coordinators told the last report of a silent engine as new for 5 s more.

Now a load that is known ages towards that of the busier engines, which also stands for an engine without a report; before a request is sent, the engine is asked, unless it was in the last 0.3 s (2 s in a small fleet, whose instances know all requests), and another one is chosen if it costs more than was believed or does not answer within 0.15 s. Where this process was held up, nothing is concluded. Coordinators tell the age of a report; models and adapters hold by the time at which they were told, an earlier start of an engine restores nothing, and what this instance saw missing is not restored by what was told before. An own first event that is overdue makes an engine cost more.

--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -307,7 +307,9 @@
         for engine in range(_ENGINES_USED):
             adapter = (f"model/adapter-{fleet.random.randrange(10_000)}", 1)
             name = f"engine-{(number * 7 + engine) % _ENGINES}"
-            member.parts.engine_view.record_request_start(name, adapter, 100.0)
+            member.parts.engine_view.record_request_start(
+                name, adapter, 100.0, fleet.clock.now()
+            )
         for organisation in range(_ORGANISATIONS):
             member.parts.allowances.used[f"organisation-{organisation}"] = 1.0
 
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -24,6 +24,7 @@
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.engine_view import OwnRequest
 from chiveslip.gateway.load_times import LoadTimes
 from chiveslip.gateway.placement import Placement
 from chiveslip.gateway.routing import EngineCapacity
@@ -251,6 +252,8 @@
     def __init__(self, load: Load, engines: dict[str, SimulatedEngine]) -> None:
         super().__init__(load, engines)
         self._view = EngineView()
+        self._requests: dict[int, OwnRequest] = {}
+        self._expected_s: dict[int, float] = {}
         self._times = LoadTimes(
             fetch_s=load.fetch_s,
             reload_s=load.reload_s,
@@ -279,6 +282,7 @@
 
     def choose_engine(self, arrival: Arrival) -> SimulatedEngine:
         """Return the engine with the lowest cost."""
+        self._placement.record_request(arrival.adapter, arrival.prompt, arrival.at)
         choice = self._placement.choose_engine(
             self._listed_engines,
             self._limits,
@@ -289,13 +293,15 @@
             arrival.at,
         )
         assert choice is not None
+        self._expected_s[id(arrival)] = choice.wait_s
         return self.engines[choice.engine.id]
 
     def select_victim(self, engine: SimulatedEngine, now: float) -> Adapter | None:
         """Return the adapter that the coordinator would unload."""
         in_use = self._view.adapters_in_use(engine.name, now)
-        self._slots[engine.name].record_use(in_use, now)
-        return self._slots[engine.name].select_victim(in_use, now)
+        slots = self._slots[engine.name]
+        slots.record_use(in_use, now)
+        return slots.select_victim(in_use, now)
 
     def record_load(
         self, engine: SimulatedEngine, adapter: Adapter, now: float
@@ -311,19 +317,25 @@
     ) -> None:
         """Record that an adapter was unloaded."""
         self._slots[engine.name].record_unloaded(adapter, now)
-        self._view.record_missing_adapter(engine.name, adapter)
+        self._view.record_missing_adapter(engine.name, adapter, now)
 
     def record_request_start(self, engine: SimulatedEngine, arrival: Arrival) -> None:
         """Record that a request was sent to an engine."""
-        self._view.record_request_start(engine.name, arrival.adapter, arrival.prompt)
+        self._requests[id(arrival)] = self._view.record_request_start(
+            engine.name,
+            arrival.adapter,
+            arrival.prompt,
+            arrival.at,
+            self._expected_s.pop(id(arrival)),
+        )
 
     def record_first_token(self, engine: SimulatedEngine, arrival: Arrival) -> None:
         """Record that an engine sent the first token of a request."""
-        self._view.record_prefill_end(engine.name, arrival.prompt)
+        self._requests[id(arrival)].has_first_event = True
 
     def record_request_end(self, engine: SimulatedEngine, arrival: Arrival) -> None:
         """Record that a request ended."""
-        self._view.record_request_end(engine.name, arrival.adapter)
+        self._view.record_request_end(self._requests.pop(id(arrival)))
 
 
 def _build_endpoint(name: str) -> ListedEndpoint:
--- a/bench/stale_placement.py
+++ b/bench/stale_placement.py
@@ -20,9 +20,14 @@
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
+from chiveslip.gateway.engine_control import EngineReport
+from chiveslip.gateway.engine_search import EngineSearch
+from chiveslip.gateway.engine_search import SearchedRequest
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.engine_view import OwnRequest
 from chiveslip.gateway.load_times import LoadTimes
+from chiveslip.gateway.placement import Choice
 from chiveslip.gateway.placement import Placement
 from chiveslip.gateway.routing import EngineCapacity
 from chiveslip.services.health import EndpointHealth
@@ -101,6 +106,7 @@
     output_tokens: float
     engine: str = ""
     ready_at: float = 0.0
+    own: OwnRequest | None = None
 
 
 @final
@@ -193,16 +199,7 @@
 
     def _handle_arrival(self, request: _Request, now: float) -> None:
         view = self._views[request.instance]
-        choice = self._placements[request.instance].choose_engine(
-            self._endpoints,
-            self._limits,
-            "",
-            request.adapter,
-            request.prompt_tokens,
-            (),
-            now,
-        )
-        assert choice is not None
+        choice = self._choose_engine(request, now)
         request.engine = choice.engine.id
         engine = self._engines[request.engine]
         request.ready_at = now
@@ -213,11 +210,34 @@
             if len(engine.used_at) >= self._deployment.adapter_slots:
                 del engine.used_at[min(engine.used_at, key=engine.used_at.__getitem__)]
         engine.used_at[request.adapter] = request.ready_at
-        view.record_request_start(
-            request.engine, request.adapter, request.prompt_tokens
+        request.own = view.record_request_start(
+            request.engine,
+            request.adapter,
+            request.prompt_tokens,
+            now,
+            choice.wait_s,
         )
         self._schedule(request.ready_at, "ready", request)
 
+    def _choose_engine(self, request: _Request, now: float) -> Choice:
+        view = self._views[request.instance]
+        placement = self._placements[request.instance]
+        placement.record_request(request.adapter, request.prompt_tokens, now)
+        searched = SearchedRequest(
+            model="",
+            adapter=request.adapter,
+            prompt_tokens=request.prompt_tokens,
+            capacity=self._limits,
+        )
+        search = EngineSearch(placement, view, searched, ())
+        while True:
+            choice = search.choose(self._endpoints, now)
+            assert choice is not None
+            if not search.needs_report(choice, now):
+                return choice
+            report = _report_engine(self._engines[choice.engine.id])
+            view.apply_engine_report(choice.engine.id, report, now)
+
     def _handle_ready(self, request: _Request, now: float) -> None:
         engine = self._engines[request.engine]
         if engine.running < self._deployment.slots:
@@ -233,9 +253,8 @@
         first_at = engine.prefill_ends_at + self._deployment.step_s
         if request.at >= self._deployment.warmup_s:
             self._first_token_s.append(first_at - request.at)
-        self._views[request.instance].record_prefill_end(
-            request.engine, request.prompt_tokens
-        )
+        assert request.own is not None
+        request.own.has_first_event = True
         self._schedule(
             first_at + request.output_tokens * self._deployment.step_s, "end", request
         )
@@ -243,9 +262,8 @@
     def _handle_end(self, request: _Request, now: float) -> None:
         engine = self._engines[request.engine]
         engine.running -= 1
-        self._views[request.instance].record_request_end(
-            request.engine, request.adapter
-        )
+        assert request.own is not None
+        self._views[request.instance].record_request_end(request.own)
         if engine.waiting:
             self._start_request(engine.waiting.popleft(), now)
 
@@ -268,6 +286,19 @@
             view.apply_coordinator_report("coordinator", report, now)
 
 
+def _report_engine(engine: _SimulatedEngine) -> EngineReport:
+    return EngineReport(
+        started=1,
+        accepted_orders=0,
+        models=frozenset({MODEL}),
+        adapters=frozenset(engine.used_at),
+        loading_adapters=frozenset(),
+        running=engine.running,
+        waiting=len(engine.waiting),
+        cache_used=0,
+    )
+
+
 def _build_endpoint(name: str, slots: int) -> ListedEndpoint:
     return ListedEndpoint(
         id=name,
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -36,6 +36,7 @@
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.engine_control import EngineControl
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
+from chiveslip.gateway.engine_reports import EngineReports
 from chiveslip.gateway.engine_selection import EngineTargetSelector
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.forwarding import Gateway
@@ -181,9 +182,10 @@
             has_quorum=self._has_quorum,
             clock=clock,
         )
+        control = interfaces.make_engine_control(connector, clock)
         self._coordinator = EngineCoordinator(
             rights=rights,
-            control=interfaces.make_engine_control(connector, clock),
+            control=control,
             view=view,
             load_times=load_times,
             clock=clock,
@@ -263,6 +265,9 @@
                     ),
                     load_requests=load_requests,
                     load_times=load_times,
+                    reports=EngineReports(
+                        control=control, view=view, health=self._health, clock=clock
+                    ),
                     newest_version=self._catalogue.newest_version,
                     clock=clock,
                 ),
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -291,6 +291,7 @@
         waiting=state.waiting,
         cache_used=state.cache_used,
         age_s=state.age_seconds + age_s,
+        told_s=age_s,
     )
 
 
--- a/src/chiveslip/fleet/gossip_updates.py
+++ b/src/chiveslip/fleet/gossip_updates.py
@@ -30,7 +30,10 @@
     started
         Number of the engine's current start; the engine assigns it.
     age_s
-        Time in seconds since the state was read from the engine.
+        Time in seconds since the load was read from the engine.
+    told_s
+        Time in seconds since the coordinator told the models and adapters, which it
+        knows from its orders, too.
     """
 
     engine: str
@@ -41,3 +44,4 @@
     waiting: int
     cache_used: int
     age_s: float
+    told_s: float = 0.0
--- a/src/chiveslip/gateway/engine_coordinator.py
+++ b/src/chiveslip/gateway/engine_coordinator.py
@@ -208,16 +208,7 @@
         """Return the state of the coordinated engines, to send to peers."""
         now = self._clock.now()
         return [
-            EngineStateUpdate(
-                engine=name,
-                started=engine.started,
-                models=engine.models,
-                adapters=engine.slots.adapters,
-                running=engine.running,
-                waiting=engine.waiting,
-                cache_used=engine.cache_used,
-                age_s=0.0,
-            )
+            _describe_state(name, engine, now)
             for name, engine in self._engines.items()
             if engine.last_report_at > now - 5 * _REPORT_INTERVAL_S
         ]
@@ -381,12 +372,14 @@
         if answer is OrderAnswer.IN_PROGRESS:
             # A request that no instance has reported yet uses the adapter.
             engine.slots.record_unloading(victim, self._clock.now())
-            self._view.record_missing_adapter(engine.listed.id, victim)
+            self._view.record_missing_adapter(
+                engine.listed.id, victim, self._clock.now()
+            )
             return False
         if answer is not OrderAnswer.ALREADY_DONE:
             return False
         engine.slots.record_unloaded(victim, self._clock.now())
-        self._view.record_missing_adapter(engine.listed.id, victim)
+        self._view.record_missing_adapter(engine.listed.id, victim, self._clock.now())
         return True
 
     async def _send_order(
@@ -501,10 +494,22 @@
         engine.slots.record_use(in_use, requested_at)
         for adapter in report.adapters:
             self._load_times.record_copy(engine.listed.id, adapter)
-        self._view.update_engine(
-            engine.listed.id,
-            engine.started,
-            engine.models,
-            engine.slots.adapters,
-            requested_at,
+        state = _describe_state(engine.listed.id, engine, self._clock.now())
+        self._view.apply_coordinator_report(
+            self._rights.instance, state, self._clock.now()
         )
+
+
+def _describe_state(
+    name: str, engine: _CoordinatedEngine, now: float
+) -> EngineStateUpdate:
+    return EngineStateUpdate(
+        engine=name,
+        started=engine.started,
+        models=engine.models,
+        adapters=engine.slots.adapters,
+        running=engine.running,
+        waiting=engine.waiting,
+        cache_used=engine.cache_used,
+        age_s=now - engine.last_report_at,
+    )
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -13,10 +13,16 @@
 from chiveslip.gateway.call import EngineEstimate
 from chiveslip.gateway.call import LoadWait
 from chiveslip.gateway.endpoints import EndpointDirectory
+from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_coordinator import LoadOutcome
 from chiveslip.gateway.engine_coordinator import LoadResult
+from chiveslip.gateway.engine_reports import EngineReports
+from chiveslip.gateway.engine_reports import ReadResult
+from chiveslip.gateway.engine_search import EngineSearch
+from chiveslip.gateway.engine_search import SearchedRequest
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.engine_view import OwnRequest
 from chiveslip.gateway.forwarding import Target
 from chiveslip.gateway.forwarding import TargetSelector
 from chiveslip.gateway.load_requests import LoadRequests
@@ -38,38 +44,45 @@
 @attrs.define
 class _PlacedRequest:
     adapter: Adapter | None
-    pending_tokens: float
+    prompt_tokens: float
+    estimate_s: float
     waited_for_load: bool
+    own: OwnRequest | None = None
 
 
 @attrs.define
-class _Search:
-    """State of the search for an engine for one request."""
+class _FailedLoads:
+    """Engines that cannot take a request, and why.
 
-    adapter: Adapter | None
-    prompt_tokens: float
-    excluded: set[str]
+    Attributes
+    ----------
+    asked
+        Engines for which a load was requested.
+    """
+
+    asked: int = 0
     min_load_s: float | None = None
     outcomes: list[str] = attrs.field(factory=list)
 
-    def exclude_unloadable(self, engine: str, load: LoadResult) -> None:
-        """Exclude an engine that cannot have the adapter in time."""
-        self.excluded.add(engine)
+    def record_load(self, engine: str, load: LoadResult) -> None:
+        """Record an engine that cannot have the adapter in time."""
+        if load.outcome is not LoadOutcome.NOT_ASKED:
+            self.asked += 1
         self.outcomes.append(f"{engine} {load.outcome.value}")
         if load.outcome is LoadOutcome.TOO_LATE:
             self.min_load_s = min(self.min_load_s or load.ready_in_s, load.ready_in_s)
 
-    def exclude_leaving(self, engine: str) -> None:
-        """Exclude an engine that began to leave or disappeared during the search."""
-        self.excluded.add(engine)
+    def record_leaving(self, engine: str) -> None:
+        """Record an engine that began to leave or disappeared during the search."""
+        self.asked += 1
         self.outcomes.append(f"{engine} leaves")
 
-    def build_refusal(self) -> Refusal:
+    def build_refusal(self, *, is_any_excluded: bool) -> Refusal:
         """Return the refusal for a search that found no engine."""
         if self.min_load_s is not None:
             return _too_late(self.min_load_s)
         outcomes = ", ".join(self.outcomes) or "none is left"
-        code = result_codes.LOAD_FAILED if self.excluded else result_codes.NO_ENDPOINT
+        code = result_codes.LOAD_FAILED if is_any_excluded else result_codes.NO_ENDPOINT
         return Refusal(
             code=code,
             detail=f"No engine can take the request: {outcomes}.",
@@ -89,6 +102,7 @@
         placement: Placement,
         load_requests: LoadRequests,
         load_times: LoadTimes,
+        reports: EngineReports,
         newest_version: Callable[[str], int],
         clock: Clock,
     ) -> None:
@@ -97,6 +111,7 @@
         self._placement = placement
         self._load_requests = load_requests
         self._load_times = load_times
+        self._reports = reports
         self._newest_version = newest_version
         self._clock = clock
         self._placed: dict[Call, _PlacedRequest] = {}
@@ -106,25 +121,30 @@
 
         Requests the load of a missing adapter and waits for it.
         """
-        search = _Search(
-            adapter=self._requested_adapter(call),
-            prompt_tokens=float(call.metadata.prompt_tokens or _DEFAULT_PROMPT_TOKENS),
-            excluded=self._reset_exclusions(call),
+        request = self._describe_request(call)
+        search = EngineSearch(
+            self._placement, self._view, request, self._reset_exclusions(call)
         )
-        for _ in range(_MAX_LOAD_REQUESTS):
-            started_at = self._clock.now()
-            choice = self._choose_engine(call, search, started_at)
+        failed_loads = _FailedLoads()
+        if call.attempts == 0:
+            self._placement.record_request(
+                request.adapter, request.prompt_tokens, self._clock.now()
+            )
+        while failed_loads.asked < _MAX_LOAD_REQUESTS:
+            choice = await self._choose_engine(call, search)
             if choice is None:
                 break
+            started_at = self._clock.now()
             left_s = call.first_event_deadline - started_at
             if choice.wait_s > left_s:
                 return _too_late(choice.wait_s - left_s)
             known_load = self._view.known_load(choice.engine.id, started_at)
             load = await self._ensure_adapter(
-                call, choice.engine.id, search.adapter, left_s
+                call, choice.engine.id, request.adapter, left_s
             )
             if load.outcome is not LoadOutcome.USABLE:
-                search.exclude_unloadable(choice.engine.id, load)
+                search.exclude(choice.engine.id)
+                failed_loads.record_load(choice.engine.id, load)
                 continue
             if load.ready_in_s > left_s:
                 return _too_late(load.ready_in_s)
@@ -135,38 +155,56 @@
             call.load_wait_s += self._clock.now() - started_at
             if not self._directory.accepts_work(choice.engine):
                 # The engine began to leave or disappeared while the request waited.
-                search.exclude_leaving(choice.engine.id)
+                search.exclude(choice.engine.id)
+                failed_loads.record_leaving(choice.engine.id)
                 continue
             estimate = EngineEstimate(first_event_s=estimate_s, known_load=known_load)
-            return self._place(call, search, choice, load, estimate, started_at)
-        return search.build_refusal()
+            return self._place(call, request, choice, load, estimate, started_at)
+        return failed_loads.build_refusal(is_any_excluded=bool(search.excluded))
 
-    def _choose_engine(self, call: Call, search: _Search, now: float) -> Choice | None:
+    async def _choose_engine(self, call: Call, search: EngineSearch) -> Choice | None:
+        """Return an engine that has answered recently, or None if there is none."""
+        silent: list[ListedEndpoint] = []
+        while True:
+            engines = self._directory.find_ready(call.service)
+            choice = search.choose(engines, self._clock.now())
+            if choice is None or not search.needs_report(choice, self._clock.now()):
+                return choice
+            result = await self._reports.read(choice.engine)
+            if result is ReadResult.NO_ANSWER:
+                search.record_no_answer(choice.engine.id)
+                silent.append(choice.engine)
+            elif result is ReadResult.READ:
+                # The path to this instance works, so the fault is at the others.
+                while silent:
+                    self._reports.record_unreachable(silent.pop())
+
+    def _describe_request(self, call: Call) -> SearchedRequest:
         capacity = call.table.services[call.service].engine
         assert capacity is not None
-        return self._placement.choose_engine(
-            self._directory.find_ready(call.service),
-            capacity,
-            call.metadata.model,
-            search.adapter,
-            search.prompt_tokens,
-            search.excluded,
-            now,
+        return SearchedRequest(
+            model=call.metadata.model,
+            adapter=self._requested_adapter(call),
+            prompt_tokens=float(call.metadata.prompt_tokens or _DEFAULT_PROMPT_TOKENS),
+            capacity=capacity,
         )
 
     def _place(
         self,
         call: Call,
-        search: _Search,
+        request: SearchedRequest,
         choice: Choice,
         load: LoadResult,
         estimate: EngineEstimate,
         chosen_at: float,
     ) -> Target:
         """Remember what was chosen for a request, and return its target."""
-        adapter = search.adapter
+        adapter = request.adapter
         self._placed[call] = _PlacedRequest(
-            adapter, search.prompt_tokens, load.ready_in_s > 0
+            adapter=adapter,
+            prompt_tokens=request.prompt_tokens,
+            estimate_s=choice.wait_s,
+            waited_for_load=load.ready_in_s > 0,
         )
         version = adapter[1] if adapter is not None and adapter[1] else None
         return Target(
@@ -179,15 +217,19 @@
     def record_start(self, call: Call, target: Target) -> None:
         """Count the request and its prompt at the engine."""
         placed = self._placed[call]
-        self._view.record_request_start(
-            target.endpoint.id, placed.adapter, placed.pending_tokens
+        placed.own = self._view.record_request_start(
+            target.endpoint.id,
+            placed.adapter,
+            placed.prompt_tokens,
+            self._clock.now(),
+            placed.estimate_s,
         )
 
     def record_first_event(self, call: Call, target: Target) -> None:
         """Record that the prefill has finished."""
         placed = self._placed[call]
-        self._view.record_prefill_end(target.endpoint.id, placed.pending_tokens)
-        placed.pending_tokens = 0.0
+        if placed.own is not None:
+            placed.own.has_first_event = True
         if placed.waited_for_load:
             self._load_times.record_timely_load()
 
@@ -197,14 +239,13 @@
         """Stop counting the request, and update the view from its result."""
         placed = self._placed.pop(call)
         engine = target.endpoint.id
-        if placed.pending_tokens > 0:
-            self._view.record_prefill_end(engine, placed.pending_tokens)
-        self._view.record_request_end(engine, placed.adapter)
+        if placed.own is not None:
+            self._view.record_request_end(placed.own)
         if placed.adapter is None:
             return
         lacks_adapter = result is AttemptResult.LACKS_ADAPTER
         if lacks_adapter and not placed.waited_for_load:
-            self._view.record_missing_adapter(engine, placed.adapter)
+            self._view.record_missing_adapter(engine, placed.adapter, self._clock.now())
         elif placed.waited_for_load and (
             lacks_adapter or result is AttemptResult.NOT_RUN
         ):
--- a/src/chiveslip/gateway/engine_view.py
+++ b/src/chiveslip/gateway/engine_view.py
@@ -1,8 +1,9 @@
 """Adapters and load of each engine, as known to this instance.
 
-The view combines three sources of different age: the store's list (seconds old), the
+The view combines four sources of different age: the store's list (seconds old), the
 reports that each engine's coordinator reads and publishes (a few hundred milliseconds
-old), and the requests in progress (own ones immediately, those of peers within a
+old, seconds in a large fleet), the reports that this instance reads before it sends a
+request, and the requests in progress (own ones immediately, those of peers within a
 gossip interval). In a fleet where not every peer exchanges with this instance, the
 engine reports take the place of the peers' requests.
 """
@@ -10,18 +11,26 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import final
 
 import attrs
 
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
 from chiveslip.fleet.gossip_updates import EngineUseUpdate
+from chiveslip.gateway.engine_control import EngineReport
+from chiveslip.gateway.engine_load import EngineLoad
+from chiveslip.gateway.engine_load import EngineLoads
 
 Adapter = tuple[str, int]
 """MODEL/NAME and version."""
 
-# Reports of engines and peers that are older than this are ignored.
-MAX_REPORT_AGE_S = 5.0
+# Requests in progress that a peer reported longer ago are ignored.
+_MAX_USE_AGE_S = 5.0
+# An adapter that was ordered within this time may be missing from a report.
+_ORDER_LAG_S = 2.5
+# A report shows the state of up to this long ago.
+_REPORT_LAG_S = 0.2
 # Pending prefill tokens of a request that an engine reports as waiting: the mean
 # prompt of the users' sheets.
 _WAITING_REQUEST_TOKENS = 1000.0
@@ -29,12 +38,44 @@
 
 @attrs.define
 class _EngineContents:
-    """Models and adapters at one engine, with the time each adapter is usable from."""
+    """Models and adapters at one engine.
+
+    Attributes
+    ----------
+    ready_at
+        Local time in seconds from which an adapter that was ordered is usable.
+    missing_at
+        Local time in seconds at which this instance saw itself that an adapter is
+        missing.
+    """
 
     started: int = 0
     models: frozenset[str] = frozenset()
-    present: set[Adapter] = attrs.field(factory=set)
+    present: frozenset[Adapter] = frozenset()
     ready_at: dict[Adapter, float] = attrs.field(factory=dict)
+    missing_at: dict[Adapter, float] = attrs.field(factory=dict)
+
+
+@attrs.define(eq=False)
+class OwnRequest:
+    """A request of this instance in progress at an engine.
+
+    Attributes
+    ----------
+    prompt_tokens
+        Tokens to prefill before the first event.
+    sent_at
+        Local time in seconds at which it was sent.
+    expected_s
+        Estimated time in seconds to its first event.
+    """
+
+    engine: str
+    adapter: Adapter | None
+    prompt_tokens: float
+    sent_at: float
+    expected_s: float = 0.0
+    has_first_event: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -60,14 +101,6 @@
     own_unanswered: int
 
 
-@attrs.define
-class _OwnUse:
-    requests: int = 0
-    unanswered: int = 0
-    pending_prefill_tokens: float = 0.0
-    adapters: dict[Adapter, int] = attrs.field(factory=dict)
-
-
 @final
 class EngineView:
     """Adapters and load of all engines.
@@ -81,10 +114,11 @@
     def __init__(self, receives_all_peers: Callable[[], bool] = lambda: True) -> None:
         self._receives_all_peers = receives_all_peers
         self._contents: dict[str, _EngineContents] = {}
-        self._own_uses: dict[str, _OwnUse] = {}
+        self._own_requests: dict[str, set[OwnRequest]] = {}
         self._peer_engines: dict[str, frozenset[str]] = {}
         self._peer_uses: dict[str, dict[str, tuple[float, EngineUseUpdate]]] = {}
-        self._reports: dict[str, tuple[float, EngineStateUpdate]] = {}
+        self._loads = EngineLoads()
+        self._contents_told_at: dict[str, float] = {}
 
     @property
     def receives_all_peers(self) -> bool:
@@ -97,34 +131,71 @@
         started: int,
         models: frozenset[str],
         adapters: frozenset[Adapter],
-        now: float,
+        told_at: float,
     ) -> None:
-        """Replace the models and adapters of an engine by those it reports."""
-        contents = self._contents.setdefault(engine, _EngineContents())
-        if started != contents.started:
-            self._contents[engine] = contents = _EngineContents(started=started)
+        """Replace the models and adapters of an engine by those it reports.
+
+        Does nothing if they are those of an earlier start of the engine.
+
+        Parameters
+        ----------
+        told_at
+            Local time in seconds at which this was true.
+        """
+        contents = self._contents_of_start(engine, started)
+        if contents is None:
+            return
         contents.models = models
         # A report lags, so it does not list adapters that were ordered just before.
-        recent = {
-            adapter
+        contents.ready_at = {
+            adapter: ready_at
             for adapter, ready_at in contents.ready_at.items()
-            if now < ready_at + MAX_REPORT_AGE_S / 2
+            if adapter in adapters or told_at < ready_at + _ORDER_LAG_S
         }
-        contents.present = set(adapters) | recent
+        contents.missing_at = {
+            adapter: missing_at
+            for adapter, missing_at in contents.missing_at.items()
+            if missing_at > told_at
+        }
+        contents.present = adapters - contents.missing_at.keys()
+        contents.present |= contents.ready_at.keys()
 
     def apply_coordinator_report(
         self, peer: str, report: EngineStateUpdate, now: float
     ) -> None:
         """Update an engine from its coordinator's report, unless it is outdated."""
-        reported_at = now - report.age_s
-        known = self._reports.get(report.engine)
-        if known is not None and known[0] > reported_at:
+        load = EngineLoad(running=report.running, waiting=report.waiting)
+        self._loads.record_report(report.engine, load, now - report.age_s)
+        told_at = now - report.told_s
+        if told_at < self._contents_told_at.get(report.engine, float("-inf")):
             return
-        self._reports[report.engine] = (reported_at, report)
+        self._contents_told_at[report.engine] = told_at
         self.update_engine(
-            report.engine, report.started, report.models, report.adapters, now
+            report.engine, report.started, report.models, report.adapters, told_at
         )
 
+    def apply_engine_report(
+        self, engine: str, report: EngineReport, now: float
+    ) -> None:
+        """Update an engine from a report that this instance read itself.
+
+        Which adapters may be used, its coordinator decides: the report of an engine
+        lists those that are being dropped, too.
+        """
+        load = EngineLoad(running=report.running, waiting=report.waiting)
+        self._loads.record_report(engine, load, now)
+        known = self._contents.get(engine)
+        if known is None or known.started != report.started:
+            self.update_engine(
+                engine, report.started, report.models, report.adapters, now
+            )
+            return
+        listed = report.adapters | report.loading_adapters
+        known.models = report.models
+        for adapter in known.present - listed:
+            if now >= known.ready_at.get(adapter, float("-inf")) + _ORDER_LAG_S:
+                self.record_missing_adapter(engine, adapter, now)
+
     def apply_peer_uses(
         self, peer: str, uses: list[EngineUseUpdate], now: float
     ) -> None:
@@ -144,7 +215,8 @@
     def forget_engine(self, engine: str) -> None:
         """Forget the models, adapters and report of an engine that is gone."""
         self._contents.pop(engine, None)
-        self._reports.pop(engine, None)
+        self._contents_told_at.pop(engine, None)
+        self._loads.forget(engine)
 
     def has_model(self, engine: str, model: str) -> bool:
         """Return whether a base model is present at an engine."""
@@ -175,123 +247,147 @@
         """Record that an adapter is being loaded and usable from `ready_at`."""
         contents = self._contents.setdefault(engine, _EngineContents())
         contents.ready_at[adapter] = ready_at
+        contents.missing_at.pop(adapter, None)
 
-    def record_missing_adapter(self, engine: str, adapter: Adapter) -> None:
+    def record_missing_adapter(self, engine: str, adapter: Adapter, now: float) -> None:
         """Record that an engine does not hold an adapter or is dropping it."""
         contents = self._contents.get(engine)
         if contents is None:
             return
-        contents.present.discard(adapter)
+        contents.present -= {adapter}
         contents.ready_at.pop(adapter, None)
+        contents.missing_at[adapter] = now
 
     def record_request_start(
-        self, engine: str, adapter: Adapter | None, prompt_tokens: float
-    ) -> None:
-        """Count a request of this instance and its pending prefill."""
-        use = self._own_uses.setdefault(engine, _OwnUse())
-        use.requests += 1
-        use.unanswered += 1
-        use.pending_prefill_tokens += prompt_tokens
-        if adapter is not None:
-            use.adapters[adapter] = use.adapters.get(adapter, 0) + 1
-
-    def record_prefill_end(self, engine: str, prompt_tokens: float) -> None:
-        """Stop counting the prefill of a request; to be called once for each.
-
-        The first event has come, or the request ended without one.
+        self,
+        engine: str,
+        adapter: Adapter | None,
+        prompt_tokens: float,
+        now: float,
+        expected_s: float = 0.0,
+    ) -> OwnRequest:
+        """Count a request of this instance until `record_request_end`.
+
+        Parameters
+        ----------
+        expected_s
+            Estimated time in seconds to its first event.
         """
-        use = self._own_uses.setdefault(engine, _OwnUse())
-        use.unanswered = max(use.unanswered - 1, 0)
-        use.pending_prefill_tokens = max(
-            use.pending_prefill_tokens - prompt_tokens, 0.0
-        )
+        request = OwnRequest(engine, adapter, prompt_tokens, now, expected_s)
+        self._own_requests.setdefault(engine, set()).add(request)
+        return request
 
-    def record_request_end(self, engine: str, adapter: Adapter | None) -> None:
+    def record_request_end(self, request: OwnRequest) -> None:
         """Stop counting a request of this instance."""
-        use = self._own_uses.setdefault(engine, _OwnUse())
-        use.requests = max(use.requests - 1, 0)
-        if adapter is None:
-            return
-        remaining = use.adapters.get(adapter, 0) - 1
-        if remaining > 0:
-            use.adapters[adapter] = remaining
-        else:
-            use.adapters.pop(adapter, None)
+        requests = self._own_requests.get(request.engine, set())
+        requests.discard(request)
+        if not requests:
+            self._own_requests.pop(request.engine, None)
 
     def own_uses(self) -> list[EngineUseUpdate]:
         """Return the requests of this instance in progress, to send to peers."""
         return [
             EngineUseUpdate(
-                engine=name,
-                requests=use.requests,
-                pending_prefill_tokens=use.pending_prefill_tokens,
-                adapters=frozenset(use.adapters),
+                engine=engine,
+                requests=len(requests),
+                pending_prefill_tokens=_sum_pending_tokens(requests),
+                adapters=_used_adapters(requests),
             )
-            for name, use in self._own_uses.items()
-            if use.requests > 0
+            for engine, requests in self._own_requests.items()
+            if requests
         ]
 
-    def count_requests(self, engine: str, now: float) -> int:
-        """Return the requests of all instances in progress at an engine."""
-        own_use = self._own_uses.get(engine)
-        own_requests = 0 if own_use is None else own_use.requests
+    def overdue_s(self, engine: str, now: float) -> float:
+        """Return by how many seconds the latest first event is overdue here."""
+        return max(
+            (
+                now - request.sent_at - request.expected_s
+                for request in self._own_requests.get(engine, ())
+                if not request.has_first_event
+            ),
+            default=0.0,
+        )
+
+    def count_requests(self, engine: str, now: float) -> float:
+        """Return the estimated requests of all instances in progress at an engine."""
+        own_requests = len(self._own_requests.get(engine, ()))
         if self._receives_all_peers():
-            return own_requests + sum(
-                use.requests for use in self._recent_peer_uses(engine, now)
+            told = own_requests + sum(
+                use.requests
+                for use in self._recent_peer_uses(engine, now, _MAX_USE_AGE_S)
             )
-        report = self._recent_report(engine, now)
-        if report is None:
-            return own_requests
+            load = self._loads.fresh_report(engine, now)
+            return max(told, load.running + load.waiting)
+        load = self._loads.estimate(engine, now)
         # The report includes own requests, except the most recent ones.
-        return max(own_requests, report.running + report.waiting)
+        return max(own_requests, load.running + load.waiting)
 
     def pending_prefill_tokens(self, engine: str, now: float) -> float:
         """Return the prompt tokens of all instances whose prefill is pending."""
-        own_use = self._own_uses.get(engine)
-        own_tokens = 0.0 if own_use is None else own_use.pending_prefill_tokens
+        own_requests = self._own_requests.get(engine, set())
         if self._receives_all_peers():
-            uses = self._recent_peer_uses(engine, now)
-            return own_tokens + sum(use.pending_prefill_tokens for use in uses)
-        report = self._recent_report(engine, now)
-        return own_tokens + (
-            0.0 if report is None else report.waiting * _WAITING_REQUEST_TOKENS
-        )
+            told = _sum_pending_tokens(own_requests) + sum(
+                use.pending_prefill_tokens
+                for use in self._recent_peer_uses(engine, now, _MAX_USE_AGE_S)
+            )
+            waiting = self._loads.fresh_report(engine, now).waiting
+            return max(told, waiting * _WAITING_REQUEST_TOKENS)
+        shown_until = self._loads.reported_at(engine) - _REPORT_LAG_S
+        unreported = {r for r in own_requests if r.sent_at > shown_until}
+        waiting = self._loads.estimate(engine, now).waiting
+        return _sum_pending_tokens(unreported) + waiting * _WAITING_REQUEST_TOKENS
 
     def report_age_s(self, engine: str, now: float) -> float | None:
         """Return the age in seconds of an engine's last report, or None without one."""
-        report = self._reports.get(engine)
-        return None if report is None else now - report[0]
+        reported_at = self._loads.reported_at(engine)
+        return None if reported_at == float("-inf") else now - reported_at
 
     def known_load(self, engine: str, now: float) -> KnownLoad:
         """Return what is known about the load of an engine."""
-        own_use = self._own_uses.get(engine)
-        reported_at, report = self._reports.get(engine, (now, None))
+        load = self._loads.last_report(engine)
+        own_requests = self._own_requests.get(engine, set())
         return KnownLoad(
-            report_age_s=None if report is None else now - reported_at,
-            running=0 if report is None else report.running,
-            waiting=0 if report is None else report.waiting,
-            own_requests=0 if own_use is None else own_use.requests,
-            own_unanswered=0 if own_use is None else own_use.unanswered,
+            report_age_s=self.report_age_s(engine, now),
+            running=int(load.running),
+            waiting=int(load.waiting),
+            own_requests=len(own_requests),
+            own_unanswered=sum(not r.has_first_event for r in own_requests),
         )
 
     def adapters_in_use(self, engine: str, now: float) -> set[Adapter]:
         """Return the adapters with requests in progress, from all instances."""
-        own_use = self._own_uses.get(engine)
-        in_use = set() if own_use is None else set(own_use.adapters)
-        for use in self._recent_peer_uses(engine, now):
+        in_use = set(_used_adapters(self._own_requests.get(engine, set())))
+        for use in self._recent_peer_uses(engine, now, _MAX_USE_AGE_S):
             in_use |= use.adapters
         return in_use
 
-    def _recent_report(self, engine: str, now: float) -> EngineStateUpdate | None:
-        reported_at, report = self._reports.get(engine, (float("-inf"), None))
-        return report if now - reported_at <= MAX_REPORT_AGE_S else None
+    def _contents_of_start(self, engine: str, started: int) -> _EngineContents | None:
+        """Return the contents of a start of an engine, None if it is an earlier one.
 
-    def _recent_peer_uses(self, engine: str, now: float) -> list[EngineUseUpdate]:
+        Start numbers increase; 0 stands for an unknown one.
+        """
+        contents = self._contents.get(engine)
+        if contents is not None and started == contents.started:
+            return contents
+        if contents is not None and 0 < started < contents.started:
+            return None
+        contents = self._contents[engine] = _EngineContents(started=started)
+        return contents
+
+    def _recent_peer_uses(
+        self, engine: str, now: float, max_age_s: float
+    ) -> list[EngineUseUpdate]:
         uses = self._peer_uses.get(engine)
         if not uses:
             return []
         return [
-            use
-            for received_at, use in uses.values()
-            if now - received_at <= MAX_REPORT_AGE_S
+            use for received_at, use in uses.values() if now - received_at <= max_age_s
         ]
+
+
+def _sum_pending_tokens(requests: Iterable[OwnRequest]) -> float:
+    return sum(r.prompt_tokens for r in requests if not r.has_first_event)
+
+
+def _used_adapters(requests: Iterable[OwnRequest]) -> frozenset[Adapter]:
+    return frozenset(r.adapter for r in requests if r.adapter is not None)
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -45,6 +45,7 @@
 # When requests are spread over several engines, an engine that costs this much more is
 # chosen e times less often.
 _SAMPLING_SCALE_S = 0.2
+_MAX_OVERDUE_S = 1.0
 # Candidates per engine that the adapter needs: as many again are in reserve.
 _CANDIDATES_PER_ENGINE = 2
 # Above this share of the request slots, the pauses of an engine grow.
@@ -58,6 +59,10 @@
 
     Attributes
     ----------
+    cost_s
+        Cost by which it was chosen; the wait with what speaks against the engine.
+    rank_cost_s
+        Part of the cost that is due to its place in the adapter's order.
     wait_s
         Estimated time in seconds to the first event.
     is_present
@@ -65,6 +70,8 @@
     """
 
     engine: ListedEndpoint
+    cost_s: float
+    rank_cost_s: float
     wait_s: float
     is_present: bool
 
@@ -95,6 +102,13 @@
         self._health = health
         self._load_times = load_times
 
+    def record_request(
+        self, adapter: Adapter | None, prompt_tokens: float, now: float
+    ) -> None:
+        """Count a request in the demand for its adapter; once, before the choice."""
+        if adapter is not None and not self._view.receives_all_peers:
+            self._demand.record_request(adapter, prompt_tokens, now)
+
     def choose_engine(
         self,
         engines: list[ListedEndpoint],
@@ -107,13 +121,39 @@
     ) -> Choice | None:
         """Return an engine that is not in `excluded`, or None if there is none.
 
-        Counts the request in the demand for its adapter.
-
         The cheapest engine is chosen if all requests in progress are known. In a large
         fleet, where the instances choose from the same old reports, the engines that
         have the adapter, or that it needs, share its requests at random, cheaper ones
         more often.
         """
+        choices = self.rate_engines(
+            engines, capacity, model, adapter, prompt_tokens, excluded, now
+        )
+        if not choices:
+            return None
+        cheapest = min(choices, key=_cost)
+        if self._view.receives_all_peers:
+            return cheapest
+        engines_needed = self._count_engines_needed(adapter, capacity, now)
+        needed = 0 if engines_needed == 1 else engines_needed * _CANDIDATES_PER_ENGINE
+        shared = [
+            choice
+            for rank, choice in enumerate(choices)
+            if rank < needed or choice.is_present or choice is cheapest
+        ]
+        return self._sample_choice(shared)
+
+    def rate_engines(
+        self,
+        engines: list[ListedEndpoint],
+        capacity: EngineCapacity,
+        model: str,
+        adapter: Adapter | None,
+        prompt_tokens: float,
+        excluded: Collection[str],
+        now: float,
+    ) -> list[Choice]:
+        """Return the engines that are not in `excluded`, in the adapter's order."""
         candidates = [
             engine
             for engine in engines
@@ -123,40 +163,24 @@
         available = [
             e for e in candidates if self._health.is_available(e.id, now)
         ] or candidates
-        if not available:
-            return None
-        ranked = _rank_engines(adapter, available)
-        engines_needed = self._record_demand(adapter, capacity, prompt_tokens, now)
         # Without an adapter, no engine is preferred to another.
-        rank_cost = 0.0 if adapter is None else _RANK_COST_S / engines_needed
-        choices = [
+        rank_cost = 0.0
+        if adapter is not None:
+            engines_needed = self._count_engines_needed(adapter, capacity, now)
+            rank_cost = _RANK_COST_S / engines_needed
+        return [
             self._rate_engine(
                 engine, capacity, adapter, prompt_tokens, rank * rank_cost, now
             )
-            for rank, engine in enumerate(ranked)
+            for rank, engine in enumerate(_rank_engines(adapter, available))
         ]
-        cheapest = min(choices, key=_cost)
-        if self._view.receives_all_peers:
-            return cheapest[1]
-        needed = 0 if engines_needed == 1 else engines_needed * _CANDIDATES_PER_ENGINE
-        shared = [
-            choice
-            for rank, choice in enumerate(choices)
-            if rank < needed or choice[1].is_present or choice is cheapest
-        ]
-        return self._sample_choice(shared)
 
-    def _record_demand(
-        self,
-        adapter: Adapter | None,
-        capacity: EngineCapacity,
-        prompt_tokens: float,
-        now: float,
+    def _count_engines_needed(
+        self, adapter: Adapter | None, capacity: EngineCapacity, now: float
     ) -> int:
-        """Count a request, and return how many engines its adapter needs."""
+        """Return how many engines the requests for an adapter need."""
         if adapter is None or self._view.receives_all_peers:
             return 1
-        self._demand.record_request(adapter, prompt_tokens, now)
         return self._demand.engines_needed(
             adapter,
             instances=self._instance_count(),
@@ -165,13 +189,14 @@
             now=now,
         )
 
-    def _sample_choice(self, choices: list[tuple[float, Choice]]) -> Choice:
+    def _sample_choice(self, choices: list[Choice]) -> Choice:
         """Return one of several choices at random, cheaper ones more often."""
-        min_cost = min(choices, key=_cost)[0]
+        min_cost = min(choices, key=_cost).cost_s
         weights = [
-            math.exp((min_cost - cost) / _SAMPLING_SCALE_S) for cost, _ in choices
+            math.exp((min_cost - choice.cost_s) / _SAMPLING_SCALE_S)
+            for choice in choices
         ]
-        return self._random.choices(choices, weights)[0][1]
+        return self._random.choices(choices, weights)[0]
 
     def _rate_engine(
         self,
@@ -181,8 +206,8 @@
         prompt_tokens: float,
         rank_cost: float,
         now: float,
-    ) -> tuple[float, Choice]:
-        """Return the cost of an engine in seconds, with the choice it would be."""
+    ) -> Choice:
+        """Return the choice that an engine would be, with its cost."""
         wait_s = self._estimate_wait_s(engine.id, capacity, prompt_tokens, now)
         is_present = True
         load_s = 0.0
@@ -198,11 +223,19 @@
             else:
                 load_s = max(ready_at - now, 0.0)
         estimate_s = max(wait_s, load_s) + load_s / 10
+        # A first event that is overdue here shows what no report has told yet. It does
+        # not refuse requests: a less urgent one may wait rightly.
+        overdue_s = min(self._view.overdue_s(engine.id, now), _MAX_OVERDUE_S)
         failing_share = self._health.failure_share(engine.id)
         batch_cost = self._view.count_requests(engine.id, now) * _REQUEST_COST_S
-        cost = estimate_s + batch_cost + no_slot_cost + rank_cost + failing_share
-        choice = Choice(engine=engine, wait_s=estimate_s, is_present=is_present)
-        return cost, choice
+        cost_s = max(estimate_s, overdue_s) + batch_cost + no_slot_cost + failing_share
+        return Choice(
+            engine=engine,
+            cost_s=cost_s + rank_cost,
+            rank_cost_s=rank_cost,
+            wait_s=estimate_s,
+            is_present=is_present,
+        )
 
     def _estimate_wait_s(
         self, engine: str, capacity: EngineCapacity, prompt_tokens: float, now: float
@@ -225,5 +258,5 @@
     return [by_id[name] for name in hashing.rank(adapter[0], by_id)]
 
 
-def _cost(choice: tuple[float, Choice]) -> float:
-    return choice[0]
+def _cost(choice: Choice) -> float:
+    return choice.cost_s
--- a/src/chiveslip/gateway/report_log.py
+++ b/src/chiveslip/gateway/report_log.py
@@ -6,7 +6,7 @@
 from typing import final
 
 from chiveslip import logs
-from chiveslip.gateway.engine_view import MAX_REPORT_AGE_S
+from chiveslip.gateway.engine_load import MAX_REPORT_AGE_S
 from chiveslip.gateway.engine_view import EngineView
 
 
--- a/src/chiveslip/platform/fields.py
+++ b/src/chiveslip/platform/fields.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 
@@ -46,6 +47,8 @@
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise UnreadableError(f"{name}: expected a number, found {value!r}")
+    if isinstance(value, float) and not math.isfinite(value):
+        raise UnreadableError(f"{name}: expected a finite number, found {value!r}")
     return value
 
 
--- a/src/chiveslip/platform/replicas.py
+++ b/src/chiveslip/platform/replicas.py
@@ -11,6 +11,7 @@
 from chiveslip.dispatch.connection import ConnectError
 from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.connection import ExchangeInterruptedError
+from chiveslip.dispatch.connection import ResponseTimeoutError
 from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.gateway.endpoints import EndpointState
@@ -42,6 +43,10 @@
 }
 
 
+class _IdleConnectionLostError(EngineControlError):
+    """The endpoint had dropped the idle connection that was used again."""
+
+
 class _WithheldError(Exception):
     """The request was no longer allowed once the connection was open."""
 
@@ -112,7 +117,12 @@
             path="/chiveslip/report",
             headers={_EXPECTED_INSTANCE: engine.id},
         )
-        status, body = await self._send(engine, outgoing, lambda: True)
+        try:
+            status, body = await self._send(engine, outgoing, lambda: True)
+        except _IdleConnectionLostError:
+            status, body = await self._send(
+                engine, outgoing, lambda: True, is_fresh=True
+            )
         if status != 200:
             raise EngineControlError(f"report: expected status 200, received {status}")
         try:
@@ -171,10 +181,12 @@
         engine: ListedEndpoint,
         outgoing: OutgoingRequest,
         may_send: Callable[[], bool],
+        *,
+        is_fresh: bool = False,
     ) -> tuple[int, bytes]:
         """Send a request if `may_send` still allows it once the connection is open."""
         try:
-            exchange = await self._connector.open(engine.address, fresh=False)
+            exchange = await self._connector.open(engine.address, fresh=is_fresh)
         except ConnectError as error:
             raise EngineControlError(str(error)) from error
         try:
@@ -183,7 +195,11 @@
             await exchange.send(outgoing, _RESPONSE_LIMITS)
             head = await exchange.head()
             body = await exchange.body()
+        except ResponseTimeoutError as error:
+            raise EngineControlError(str(error)) from error
         except ExchangeInterruptedError as error:
+            if exchange.reused:
+                raise _IdleConnectionLostError(str(error)) from error
             raise EngineControlError(str(error)) from error
         finally:
             exchange.close()
--- a/src/chiveslip/services/health.py
+++ b/src/chiveslip/services/health.py
@@ -26,6 +26,7 @@
 class _FailureRecord:
     consecutive_failures: int = 0
     failure_average: float = 0.0
+    is_unreachable: bool = False
     skipped_until: float = float("-inf")
 
 
@@ -56,6 +57,7 @@
         """
         record = self._records.setdefault(endpoint, _FailureRecord())
         record.consecutive_failures += 1
+        record.is_unreachable = is_unreachable
         record.failure_average += (1 - record.failure_average) * _AVERAGE_WEIGHT
         if (
             is_unreachable
@@ -65,6 +67,18 @@
             backoff_s = MIN_BACKOFF_S * 2.0 ** min(record.consecutive_failures - 1, 8)
             record.skipped_until = now + min(backoff_s, MAX_BACKOFF_S)
 
+    def record_reachable(self, endpoint: str) -> None:
+        """Record that an endpoint answered a question, which ends its unreachability.
+
+        It may still fail its requests.
+        """
+        record = self._records.get(endpoint)
+        if record is None or not record.is_unreachable:
+            return
+        record.consecutive_failures = 0
+        record.is_unreachable = False
+        record.skipped_until = float("-inf")
+
     def is_available(self, endpoint: str, now: float) -> bool:
         """Return whether the endpoint may be selected at `now`."""
         record = self._records.get(endpoint)
--- a/testing/gateway/test_engine_coordinator.py
+++ b/testing/gateway/test_engine_coordinator.py
@@ -131,6 +131,9 @@
             self.clock.advance(0.25)
             self.update()
 
+    def use_adapter(self, name: str) -> None:
+        self.view.record_request_start("engine", (name, 1), 0.0, self.clock.now())
+
     def load(self, name: str = "m/a", max_wait_s: float = 5.0) -> LoadOutcome:
         result = asyncio.run(
             self.coordinator.load_adapter("engine", (name, 1), max_wait_s)
@@ -270,7 +273,7 @@
     for name in ("m/a", "m/b", "m/c"):
         assert harness.load(name) is LoadOutcome.USABLE
         harness.run(1.0)
-    harness.view.record_request_start("engine", ("m/a", 1), 0.0)
+    harness.use_adapter("m/a")
     harness.run(1.25)
     assert harness.load("m/d") is LoadOutcome.USABLE
     assert harness.engine.adapters == {("m/a", 1), ("m/c", 1), ("m/d", 1)}
@@ -281,7 +284,7 @@
     harness.run(2.0)
     for name in ("m/a", "m/b", "m/c"):
         harness.load(name)
-        harness.view.record_request_start("engine", (name, 1), 0.0)
+        harness.use_adapter(name)
         harness.run(1.0)
     assert harness.load("m/d") is LoadOutcome.NO_ROOM
     assert len(harness.engine.adapters) == ADAPTER_SLOTS
@@ -542,3 +545,14 @@
     harness.engine.report_fails = True
     assert harness.load("m/b") is LoadOutcome.FAILED
     assert all(order.after_orders is not None for order in harness.engine.received)
+
+
+def test_last_report_of_a_silent_engine_is_passed_on_with_its_age(
+    make_harness: MakeHarness,
+) -> None:
+    harness = make_harness(FIRST)
+    harness.run(2.0)
+    harness.engine.report_fails = True
+    harness.run(3.0)
+    (state,) = harness.coordinator.engine_states()
+    assert state.age_s >= 3.0
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -15,8 +15,14 @@
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
+from chiveslip.gateway.engine_control import EngineControl
+from chiveslip.gateway.engine_control import EngineControlError
+from chiveslip.gateway.engine_control import EngineOrder
+from chiveslip.gateway.engine_control import EngineReport
+from chiveslip.gateway.engine_control import OrderAnswer
 from chiveslip.gateway.engine_coordinator import LoadOutcome
 from chiveslip.gateway.engine_coordinator import LoadResult
+from chiveslip.gateway.engine_reports import EngineReports
 from chiveslip.gateway.engine_selection import EngineTargetSelector
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
@@ -78,6 +84,27 @@
     )
 
 
+class AnsweringEngines(EngineControl):
+    """Engines that report their model and no adapters."""
+
+    async def read_report(self, engine: ListedEndpoint) -> EngineReport:
+        return EngineReport(
+            started=engine.started,
+            accepted_orders=0,
+            models=frozenset(engine.models),
+            adapters=frozenset(),
+            loading_adapters=frozenset(),
+            running=0,
+            waiting=0,
+            cache_used=0,
+        )
+
+    async def send_order(
+        self, engine: ListedEndpoint, order: EngineOrder, may_send: Callable[[], bool]
+    ) -> OrderAnswer:
+        raise EngineControlError("these engines take no orders")
+
+
 @attrs.define
 class SelectorHarness:
     """A selector for two engines, and the scripted answers of their coordinators."""
@@ -131,6 +158,7 @@
     clock = ManualClock()
     directory = EndpointDirectory()
     view = EngineView()
+    health = EndpointHealth()
     times = LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=8)
     for name in ("e1", "e2"):
         directory.put(engine(name))
@@ -141,13 +169,16 @@
         view=view,
         placement=Placement(
             view,
-            EndpointHealth(),
+            health,
             times,
             instance_count=lambda: 6,
             generator=random.Random(1),
         ),
         load_requests=harness,  # type: ignore[arg-type]
         load_times=times,
+        reports=EngineReports(
+            control=AnsweringEngines(), view=view, health=health, clock=clock
+        ),
         newest_version=lambda _: 1,
         clock=clock,
     )
@@ -197,7 +228,7 @@
         running=7,
         waiting=0,
         cache_used=0,
-        age_s=2.0,
+        age_s=1.0,
     )
     harness.directory.remove("e2")
     harness.view.apply_coordinator_report("peer", report, harness.clock.now())
@@ -209,7 +240,7 @@
     ]
     assert target.estimate is not None
     assert target.estimate.known_load == KnownLoad(
-        report_age_s=2.0, running=7, waiting=0, own_requests=0, own_unanswered=0
+        report_age_s=1.0, running=7, waiting=0, own_requests=0, own_unanswered=0
     )
 
 
--- a/testing/gateway/test_report_log.py
+++ b/testing/gateway/test_report_log.py
@@ -88,9 +88,8 @@
     )
     assert view.known_load("e1", 3.0) == nothing
     view.apply_coordinator_report("peer", make_report("e1", 1.5), 3.0)
-    for _ in range(3):
-        view.record_request_start("e1", None, 100.0)
-    view.record_prefill_end("e1", 100.0)
+    requests = [view.record_request_start("e1", None, 100.0, 3.0) for _ in range(3)]
+    requests[0].has_first_event = True
     # A report that is too old to be used is still told.
     assert view.known_load("e1", 20.0) == KnownLoad(
         report_age_s=18.5,
@@ -99,5 +98,5 @@
         own_requests=3,
         own_unanswered=2,
     )
-    view.record_request_end("e1", None)
+    view.record_request_end(requests[0])
     assert view.known_load("e1", 20.0).own_requests == 2
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -15,7 +15,7 @@
 
 from chiveslip.clock import SystemClock
 from chiveslip.daemon.gateway import GatewayInstance
-from chiveslip.gateway.engine_view import MAX_REPORT_AGE_S
+from chiveslip.gateway.engine_load import MAX_REPORT_AGE_S
 from chiveslip.platform.main import UserPlatformInterfaces
 from chiveslip.settings.check import check_settings
 from testing.platform.published import build_configuration
