Tell peers how many requests an engine failed

An instance of a large fleet sends a request to each engine every ten seconds, so each would have had to lose several to know; what it lost it told nobody, a request that its caller gave up counted as nothing, and an answer with a status of 500 as a success.

Each instance now tells the requests that an engine failed without an answer in the last seconds, by the engine's start; their sum, compared with the requests that an engine is expected to get, is the share by which it costs more.

--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -40,6 +40,7 @@
 from chiveslip.gateway.engine_control import EngineReport
 from chiveslip.gateway.engine_control import OrderAnswer
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
+from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.load_times import LoadTimes
 from chiveslip.gateway.metrics import GatewayMetrics
@@ -269,6 +270,7 @@
                 schedule=schedule, instance_count=lambda: membership.size
             ),
             engine_view=view,
+            engine_failures=EngineFailures(),
             coordinator=coordinator,
             suspects=CrashSuspects(3),
             mirror=StoreMirror(),
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -22,6 +22,7 @@
 from chiveslip.gateway.adapter_slots import AdapterSlots
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
+from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.engine_view import OwnRequest
@@ -264,6 +265,7 @@
             self._view,
             health,
             self._times,
+            failures=EngineFailures(),
             instance_count=lambda: 1,
             generator=random.Random(SEED),
         )
--- a/bench/stale_placement.py
+++ b/bench/stale_placement.py
@@ -21,6 +21,7 @@
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_control import EngineReport
+from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_search import EngineSearch
 from chiveslip.gateway.engine_search import SearchedRequest
 from chiveslip.gateway.engine_view import Adapter
@@ -144,6 +145,7 @@
                     reload_s=0.025,
                     max_full_speed_fetches=48,
                 ),
+                failures=EngineFailures(),
                 instance_count=lambda: deployment.instances,
                 generator=self._random,
             )
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -36,6 +36,7 @@
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.engine_control import EngineControl
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
+from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_reports import EngineReports
 from chiveslip.gateway.engine_selection import EngineTargetSelector
 from chiveslip.gateway.engine_view import EngineView
@@ -147,6 +148,7 @@
         view = EngineView(
             receives_all_peers=lambda: not self._schedule().relays_reports
         )
+        engine_failures = EngineFailures()
         self._view = view
         self._report_log = ReportLog(view)
         load_times = LoadTimes(
@@ -199,6 +201,7 @@
             membership=self._membership,
             allowances=allowances,
             engine_view=view,
+            engine_failures=engine_failures,
             coordinator=self._coordinator,
             suspects=suspects,
             mirror=self._mirror,
@@ -260,6 +263,7 @@
                         view,
                         self._health,
                         load_times,
+                        failures=engine_failures,
                         instance_count=lambda: self._membership.size,
                         generator=self._random,
                     ),
@@ -268,6 +272,7 @@
                     reports=EngineReports(
                         control=control, view=view, health=self._health, clock=clock
                     ),
+                    failures=engine_failures,
                     newest_version=self._catalogue.newest_version,
                     clock=clock,
                 ),
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -31,6 +31,7 @@
 from chiveslip.fleet.suspect_news import SuspectNews
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
+from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.metrics import GatewayMetrics
 from chiveslip.generated import peer_pb2 as wire
@@ -50,6 +51,7 @@
     membership: Membership
     allowances: SharedAllowances
     engine_view: EngineView
+    engine_failures: EngineFailures
     coordinator: EngineCoordinator
     suspects: CrashSuspects
     mirror: StoreMirror
@@ -169,6 +171,11 @@
             message.engine_states.append(_build_engine_state(state))
         for engine, age_s, fence in parts.coordinator.rights.recent_own_orders():
             message.last_orders.add(endpoint=engine, age_seconds=age_s, fence=fence)
+        failures = parts.engine_failures.own_failures(parts.clock.now())
+        for (engine, started), requests in failures.items():
+            message.engine_failures.add(
+                endpoint=engine, started=started, requests=requests
+            )
 
     def _apply_member(self, member: wire.MemberState, now: float) -> None:
         update = _parse_member(member)
@@ -190,6 +197,11 @@
         for order in report.last_orders:
             age_s = order.age_seconds + member.age_seconds
             parts.coordinator.record_peer_order(order.endpoint, order.fence, age_s)
+        parts.engine_failures.apply_peer_failures(
+            member.instance,
+            {(f.endpoint, f.started): f.requests for f in report.engine_failures},
+            now - member.age_seconds,
+        )
 
     def _apply_uses(self, message: wire.Gossip, now: float) -> None:
         uses = [
@@ -245,6 +257,7 @@
         member=message.sender,
         engine_states=message.engine_states,
         last_orders=message.last_orders,
+        engine_failures=message.engine_failures,
     )
     for use in message.allowance_uses:
         # The level is left out: only an instance that has just started needs it, and
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -16,6 +16,7 @@
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_coordinator import LoadOutcome
 from chiveslip.gateway.engine_coordinator import LoadResult
+from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_reports import EngineReports
 from chiveslip.gateway.engine_reports import ReadResult
 from chiveslip.gateway.engine_search import EngineSearch
@@ -29,6 +30,7 @@
 from chiveslip.gateway.load_times import LoadTimes
 from chiveslip.gateway.placement import Choice
 from chiveslip.gateway.placement import Placement
+from chiveslip.gateway.sending import Attempt
 from chiveslip.gateway.sending import AttemptResult
 from chiveslip.generated import result_codes
 from chiveslip.results import Refusal
@@ -37,6 +39,8 @@
 # Engines that may be asked to load the adapter of one request before it is refused.
 _MAX_LOAD_REQUESTS = 3
 _RETRY_AFTER_S = 0.3
+# A request that its caller gave up after this time without an event counts as failed.
+_MIN_UNANSWERED_S = 1.0
 # An adapter that is not usable at the expected time is expected this much later.
 _LATE_LOAD_S = 0.06
 
@@ -103,6 +107,7 @@
         load_requests: LoadRequests,
         load_times: LoadTimes,
         reports: EngineReports,
+        failures: EngineFailures,
         newest_version: Callable[[str], int],
         clock: Clock,
     ) -> None:
@@ -112,6 +117,7 @@
         self._load_requests = load_requests
         self._load_times = load_times
         self._reports = reports
+        self._failures = failures
         self._newest_version = newest_version
         self._clock = clock
         self._placed: dict[Call, _PlacedRequest] = {}
@@ -233,16 +239,16 @@
         if placed.waited_for_load:
             self._load_times.record_timely_load()
 
-    def record_end(
-        self, call: Call, target: Target, result: AttemptResult | None
-    ) -> None:
+    def record_end(self, call: Call, target: Target, attempt: Attempt | None) -> None:
         """Stop counting the request, and update the view from its result."""
         placed = self._placed.pop(call)
         engine = target.endpoint.id
         if placed.own is not None:
             self._view.record_request_end(placed.own)
+            self._record_failure(target, placed.own, attempt)
         if placed.adapter is None:
             return
+        result = None if attempt is None else attempt.result
         lacks_adapter = result is AttemptResult.LACKS_ADAPTER
         if lacks_adapter and not placed.waited_for_load:
             self._view.record_missing_adapter(engine, placed.adapter, self._clock.now())
@@ -254,6 +260,22 @@
             self._view.expect_adapter(engine, placed.adapter, ready_at)
             call.retryable_endpoint = engine
 
+    def _record_failure(
+        self, target: Target, own: OwnRequest, attempt: Attempt | None
+    ) -> None:
+        """Count a request that the engine took and did not begin to answer."""
+        if own.has_first_event:
+            return
+        now = self._clock.now()
+        if attempt is None:
+            # A caller that disconnects soon says nothing about the engine.
+            is_failure = now - own.sent_at >= _MIN_UNANSWERED_S
+        else:
+            was_sent = attempt.result is not AttemptResult.NOT_SENT
+            is_failure = was_sent and attempt.is_failure
+        if is_failure:
+            self._failures.record_failure(target.endpoint, now)
+
     def _reset_exclusions(self, call: Call) -> set[str]:
         """Return the engines to exclude, and clear the one that may be asked again."""
         excluded = set(call.attempted_endpoints)
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -99,10 +99,8 @@
         """Record that the first part of the answer arrived."""
 
     @abc.abstractmethod
-    def record_end(
-        self, call: Call, target: Target, result: AttemptResult | None
-    ) -> None:
-        """Record the result of an attempt, None if it was cancelled.
+    def record_end(self, call: Call, target: Target, attempt: Attempt | None) -> None:
+        """Record an attempt that ended, None if it was cancelled.
 
         An attempt is cancelled when its caller disconnects.
         """
@@ -319,7 +317,7 @@
             and call.runs + 1 < call.route.max_runs
             and call.attempts < _MAX_ATTEMPTS
         )
-        result: AttemptResult | None = None
+        attempt: Attempt | None = None
         call.attempted_endpoints.append(target.endpoint.id)
         call.attempt_times.append(AttemptTimes(chosen_at=target.chosen_at))
         if target.estimate is not None:
@@ -333,9 +331,8 @@
                 withholds_failure=withholds_failure,
                 on_first_event=lambda: self._record_first_event(call, selector, target),
             )
-            result = attempt.result
         finally:
-            selector.record_end(call, target, result)
+            selector.record_end(call, target, attempt)
         self._record_attempt(call, target.endpoint, attempt)
         return attempt
 
@@ -352,22 +349,17 @@
         now = self._dependencies.clock.now()
         self._telemetry.record_answer_end(call, attempt)
         result = attempt.result
+        health = self._dependencies.endpoint_health
+        is_unreachable = result is AttemptResult.NOT_SENT
+        if attempt.is_failure:
+            health.record_failure(endpoint.id, now, is_unreachable=is_unreachable)
         if result is AttemptResult.ANSWERED:
-            self._dependencies.endpoint_health.record_success(endpoint.id)
+            if not attempt.is_failure:
+                health.record_success(endpoint.id)
             self._dependencies.crash_suspects.clear(call.fingerprint, now)
             call.runs += 1
             return
-        if result in (
-            AttemptResult.NOT_RUN,
-            AttemptResult.LACKS_ADAPTER,
-            AttemptResult.ENDPOINT_LEFT,
-        ):
-            return
-        is_unreachable = result is AttemptResult.NOT_SENT
-        self._dependencies.endpoint_health.record_failure(
-            endpoint.id, now, is_unreachable=is_unreachable
-        )
-        if is_unreachable:
+        if is_unreachable or not attempt.is_failure:
             return
         call.runs += 1
         if result in (AttemptResult.UNKNOWN, AttemptResult.TRUNCATED):
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -19,6 +19,7 @@
 from chiveslip import hashing
 from chiveslip.gateway.demand import AdapterDemand
 from chiveslip.gateway.endpoints import ListedEndpoint
+from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.load_times import LoadTimes
@@ -92,6 +93,7 @@
         health: EndpointHealth,
         load_times: LoadTimes,
         *,
+        failures: EngineFailures,
         instance_count: Callable[[], int],
         generator: random.Random,
     ) -> None:
@@ -101,11 +103,14 @@
         self._view = view
         self._health = health
         self._load_times = load_times
+        self._failures = failures
+        self._engine_count = 1
 
     def record_request(
         self, adapter: Adapter | None, prompt_tokens: float, now: float
     ) -> None:
         """Count a request in the demand for its adapter; once, before the choice."""
+        self._failures.record_request(now)
         if adapter is not None and not self._view.receives_all_peers:
             self._demand.record_request(adapter, prompt_tokens, now)
 
@@ -126,6 +131,7 @@
         have the adapter, or that it needs, share its requests at random, cheaper ones
         more often.
         """
+        self._engine_count = len(engines)
         choices = self.rate_engines(
             engines, capacity, model, adapter, prompt_tokens, excluded, now
         )
@@ -226,7 +232,12 @@
         # A first event that is overdue here shows what no report has told yet. It does
         # not refuse requests: a less urgent one may wait rightly.
         overdue_s = min(self._view.overdue_s(engine.id, now), _MAX_OVERDUE_S)
-        failing_share = self._health.failure_share(engine.id)
+        failing_share = max(
+            self._health.failure_share(engine.id),
+            self._failures.failing_share(
+                engine, self._instance_count(), self._engine_count, now
+            ),
+        )
         batch_cost = self._view.count_requests(engine.id, now) * _REQUEST_COST_S
         cost_s = max(estimate_s, overdue_s) + batch_cost + no_slot_cost + failing_share
         return Choice(
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -45,6 +45,7 @@
 # take this long to arrive.
 _DEADLINE_GRACE_S = 0.12
 _EVENT_STREAM = "text/event-stream"
+_MIN_FAILURE_STATUS = 500
 
 
 class AttemptResult(enum.Enum):
@@ -93,6 +94,17 @@
     end: ResponseEnd | None = None
     position: EventPosition | None = None
 
+    @property
+    def is_failure(self) -> bool:
+        """Whether the endpoint could not be reached or did not serve the request."""
+        if self.result is AttemptResult.ANSWERED:
+            return self.head is not None and self.head.status >= _MIN_FAILURE_STATUS
+        return self.result not in (
+            AttemptResult.NOT_RUN,
+            AttemptResult.LACKS_ADAPTER,
+            AttemptResult.ENDPOINT_LEFT,
+        )
+
 
 @attrs.define(kw_only=True)
 class StreamState:
--- a/src/chiveslip/gateway/service_selection.py
+++ b/src/chiveslip/gateway/service_selection.py
@@ -9,7 +9,7 @@
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.forwarding import Target
 from chiveslip.gateway.forwarding import TargetSelector
-from chiveslip.gateway.sending import AttemptResult
+from chiveslip.gateway.sending import Attempt
 from chiveslip.generated import result_codes
 from chiveslip.results import Refusal
 from chiveslip.services.endpoint_selector import EndpointSelector
@@ -54,8 +54,6 @@
     def record_first_event(self, call: Call, target: Target) -> None:
         """Do nothing; answers of plain services are not streamed."""
 
-    def record_end(
-        self, call: Call, target: Target, result: AttemptResult | None
-    ) -> None:
+    def record_end(self, call: Call, target: Target, attempt: Attempt | None) -> None:
         """Stop counting the request as running at its endpoint."""
         self._endpoint_selector.record_end(target.endpoint.id)
--- a/testing/gateway/test_engine_search.py
+++ b/testing/gateway/test_engine_search.py
@@ -12,6 +12,7 @@
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_control import EngineReport
+from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_search import MAX_REPORTS_READ
 from chiveslip.gateway.engine_search import MAX_UNANSWERED
 from chiveslip.gateway.engine_search import EngineSearch
@@ -106,6 +107,7 @@
         view,
         EndpointHealth(),
         LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=8),
+        failures=EngineFailures(),
         instance_count=lambda: 91,
         generator=random.Random(seed),
     )
@@ -158,6 +160,7 @@
         view,
         EndpointHealth(),
         LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=8),
+        failures=EngineFailures(),
         instance_count=lambda: 91,
         generator=random.Random(3),
     )
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -22,6 +22,7 @@
 from chiveslip.gateway.engine_control import OrderAnswer
 from chiveslip.gateway.engine_coordinator import LoadOutcome
 from chiveslip.gateway.engine_coordinator import LoadResult
+from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_reports import EngineReports
 from chiveslip.gateway.engine_selection import EngineTargetSelector
 from chiveslip.gateway.engine_view import Adapter
@@ -171,6 +172,7 @@
             view,
             health,
             times,
+            failures=EngineFailures(),
             instance_count=lambda: 6,
             generator=random.Random(1),
         ),
@@ -179,6 +181,7 @@
         reports=EngineReports(
             control=AnsweringEngines(), view=view, health=health, clock=clock
         ),
+        failures=EngineFailures(),
         newest_version=lambda _: 1,
         clock=clock,
     )
