Tell coordinators when the use of an adapter begins and ends

A coordinator took an adapter for used for 5 s after the last notice, and for unused when no notice had come for 0.6 s; instances told their uses in turn, every two seconds or so, and the end not at all. So idle adapters kept their slots, and adapters in use were unloaded, which blocks an engine until the use ends: 726 of 968 outcomes "no room" came within 0.4 s of an unload that the engine refused.

Instances now exchange first with coordinators to whom a begin or an end of a use was not told yet, and tell it again if that failed. An adapter is used until its user tells the contrary, 10 s at most, and the load request counts as a notice.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -303,7 +303,7 @@
         in_use = self._view.adapters_in_use(engine.name, now)
         slots = self._slots[engine.name]
         slots.record_use(in_use, now)
-        return slots.select_victim(in_use, now)
+        return slots.select_victim(in_use, now, self._view.use_notice_s)
 
     def record_load(
         self, engine: SimulatedEngine, adapter: Adapter, now: float
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -17,12 +17,18 @@
 from chiveslip.fleet.gossip_messages import GossipParts
 from chiveslip.fleet.gossip_messages import read_revision
 from chiveslip.fleet.store_pulls import StorePulls
+from chiveslip.gateway.engine_view import Adapter
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated.peer_grpc import GatewayPeerBase
 from chiveslip.settings.fields import Address
 from chiveslip.store.client import StoreRevision
 from chiveslip.tasks import TaskSet
 
+Uses = frozenset[tuple[str, frozenset[Adapter]]]
+"""Engines with the adapters that are in use there."""
+_NO_USES: Uses = frozenset()
+_UNKNOWN_USES: Uses = frozenset({("", frozenset())})
+
 
 @final
 class Gossip:
@@ -52,6 +58,7 @@
         self._random = generator
         self._rounds = 0
         self._last_asked_round: dict[str, int] = {}
+        self._told_uses: dict[str, Uses] = {}
         self._in_flight: set[Address] = set()
         self._log = logs.get_logger("gossip")
 
@@ -72,6 +79,8 @@
             self._parts.engine_view.forget_peer(lost)
         request = self._messages.build_request()
         available = [address for address in addresses if address not in self._in_flight]
+        for address in self._in_flight.intersection(addresses):
+            self._forget_told(address)
         await asyncio.gather(
             *(self._exchange(address, request) for address in available)
         )
@@ -80,8 +89,9 @@
         """Return the addresses to exchange with in this round.
 
         Returns all peers, or a few if there are more than the fan-out. Most of these
-        are the coordinators of engines that this instance uses: a coordinator has to
-        know which adapters are in use, and peers don't pass that on.
+        are coordinators of engines: a coordinator has to know which adapters are in
+        use, and peers don't pass that on. Those to whom a begin or an end has not been
+        told yet come first.
         """
         parts = self._parts
         reachable = {
@@ -90,16 +100,20 @@
         fan_out = parts.schedule().fan_out
         if len(reachable) <= fan_out:
             return [update.address for update in reachable.values()]
-        used = [use.engine for use in parts.engine_view.own_uses()]
-        coordinators = {
-            parts.coordinator.rights.coordinator_of(engine) for engine in used
+        uses = self._group_uses_by_coordinator()
+        told = self._told_uses
+        untold = [
+            name
+            for name in sorted(uses.keys() | told.keys())
+            if uses.get(name, _NO_USES) != told.get(name, _NO_USES)
+        ]
+        # Those asked longest ago come first, so that each is asked in turn.
+        by_turn = sorted(untold, key=lambda name: self._last_asked_round.get(name, 0))
+        chosen = [name for name in by_turn if name in reachable][: fan_out - 1]
+        self._told_uses = {
+            name: told for name, told in self._told_uses.items() if name in reachable
         }
-        # The coordinator that was asked longest ago comes first, so that each
-        # is asked in turn.
-        candidates = sorted(
-            coordinators & reachable.keys(), key=self._get_last_asked_round
-        )
-        chosen = candidates[: fan_out - 1]
+        self._told_uses |= {name: uses.get(name, _NO_USES) for name in chosen}
         others = sorted(reachable.keys() - set(chosen))
         chosen += self._random.sample(others, fan_out - len(chosen))
         self._last_asked_round = {
@@ -109,8 +123,21 @@
         } | dict.fromkeys(chosen, self._rounds)
         return [reachable[name].address for name in chosen]
 
-    def _get_last_asked_round(self, instance: str) -> int:
-        return self._last_asked_round.get(instance, 0)
+    def _group_uses_by_coordinator(self) -> dict[str, Uses]:
+        """Return the adapters in use here, by the coordinator of their engine."""
+        parts = self._parts
+        grouped: dict[str, set[tuple[str, frozenset[Adapter]]]] = {}
+        for use in parts.engine_view.own_uses():
+            coordinator = parts.coordinator.rights.coordinator_of(use.engine)
+            grouped.setdefault(coordinator, set()).add((use.engine, use.adapters))
+        return {name: frozenset(uses) for name, uses in grouped.items()}
+
+    def _forget_told(self, address: Address) -> None:
+        """Tell a peer its uses again, as it may not have received them."""
+        address_of = self._parts.membership.address_of
+        for name in self._told_uses:
+            if address_of(name) == address:
+                self._told_uses[name] = _UNKNOWN_USES
 
     async def _exchange(self, address: Address, request: wire.Gossip) -> None:
         self._in_flight.add(address)
@@ -121,6 +148,7 @@
             self._parts.metrics.exchanges.labels("answered").inc()
         except PeerError as error:
             self._parts.metrics.exchanges.labels("failed").inc()
+            self._forget_told(address)
             self._log.debug(
                 "Gossip exchange failed.", peer=str(address), cause=str(error)
             )
--- a/src/chiveslip/gateway/adapter_slots.py
+++ b/src/chiveslip/gateway/adapter_slots.py
@@ -19,8 +19,6 @@
 REPORT_LAG_S = 1.0
 # Adapters that one engine may be fetching at the same time.
 MAX_CONCURRENT_FETCHES = 4
-# A recently used adapter is not unloaded: a request for it may be in transit.
-_MIN_IDLE_S = 0.6
 
 
 @attrs.define
@@ -114,13 +112,22 @@
             if slot is not None:
                 slot.used_at = max(slot.used_at, now)
 
-    def select_victim(self, in_use: set[Adapter], now: float) -> Adapter | None:
-        """Return the least recently used adapter that may be unloaded, or None."""
+    def select_victim(
+        self, in_use: set[Adapter], now: float, min_idle_s: float
+    ) -> Adapter | None:
+        """Return the least recently used adapter that may be unloaded, or None.
+
+        Parameters
+        ----------
+        min_idle_s
+            An adapter that was in use this recently is not unloaded: the next request
+            for it may be in transit, or its use may not have been told yet.
+        """
         idle = [
             (slot.used_at, adapter)
             for adapter, slot in self._slots.items()
             if adapter not in in_use
             and not slot.is_unloading
-            and slot.used_at + _MIN_IDLE_S <= now
+            and slot.used_at + min_idle_s <= now
         ]
         return min(idle)[1] if idle else None
--- a/src/chiveslip/gateway/engine_coordinator.py
+++ b/src/chiveslip/gateway/engine_coordinator.py
@@ -272,6 +272,8 @@
         ready_at = engine.slots.ready_at(adapter)
         if ready_at is None:
             return None
+        # The asker is about to send a request for it.
+        engine.slots.record_use({adapter}, self._clock.now())
         ready_in_s = max(ready_at - self._clock.now(), 0.0)
         return LoadResult(outcome=LoadOutcome.USABLE, ready_in_s=ready_in_s)
 
@@ -363,7 +365,7 @@
             return False
         in_use = self._view.adapters_in_use(engine.listed.id, now)
         engine.slots.record_use(in_use, now)
-        victim = engine.slots.select_victim(in_use, now)
+        victim = engine.slots.select_victim(in_use, now, self._view.use_notice_s)
         if victim is None:
             return False
         answer = await self._send_order(engine, Operation.UNLOAD, victim[0])
--- a/src/chiveslip/gateway/engine_view.py
+++ b/src/chiveslip/gateway/engine_view.py
@@ -27,6 +27,13 @@
 
 # Requests in progress that a peer reported longer ago are ignored.
 _MAX_USE_AGE_S = 5.0
+# A peer that uses an adapter tells the engine's coordinator when it began and when it
+# ended. This limits the damage if it cannot tell the end.
+_MAX_ADAPTER_USE_AGE_S = 10.0
+# Time until the coordinator has heard of either: from all peers in each round, or from
+# those with news in turn.
+_USE_NOTICE_S = 0.6
+_USE_NOTICE_IN_TURN_S = 1.5
 # An adapter that was ordered within this time may be missing from a report.
 _ORDER_LAG_S = 2.5
 # A report shows the state of up to this long ago.
@@ -125,6 +132,11 @@
         """Whether every peer reports its requests in progress to this instance."""
         return self._receives_all_peers()
 
+    @property
+    def use_notice_s(self) -> float:
+        """Time in seconds until a coordinator has heard that an adapter is in use."""
+        return _USE_NOTICE_S if self._receives_all_peers() else _USE_NOTICE_IN_TURN_S
+
     def update_engine(
         self,
         engine: str,
@@ -355,9 +367,12 @@
         )
 
     def adapters_in_use(self, engine: str, now: float) -> set[Adapter]:
-        """Return the adapters with requests in progress, from all instances."""
+        """Return the adapters with requests in progress, from all instances.
+
+        A peer uses an adapter until it tells the contrary.
+        """
         in_use = set(_used_adapters(self._own_requests.get(engine, set())))
-        for use in self._recent_peer_uses(engine, now, _MAX_USE_AGE_S):
+        for use in self._recent_peer_uses(engine, now, _MAX_ADAPTER_USE_AGE_S):
             in_use |= use.adapters
         return in_use
 
--- a/testing/fleet/test_large_fleet.py
+++ b/testing/fleet/test_large_fleet.py
@@ -184,3 +184,58 @@
     fleet.run(3.0)
     now = fleet.clock.now()
     assert set(newcomer.parts.suspects.prune_crashes(now)) == {"request"}
+
+
+def test_coordinator_learns_when_the_use_of_an_adapter_begins_and_ends(
+    fleet_of: FleetOf,
+) -> None:
+    """Uses that are not known to have ended keep adapter slots from other requests."""
+    fleet = fleet_of(LARGE)
+    fleet.run(5.0)
+    user, clock = fleet.members["m7"], fleet.clock
+    view = user.parts.engine_view
+    engines = [f"engine-{number}" for number in range(8)]
+    adapter = ("m/a", 1)
+    coordinators = [
+        fleet.members[user.parts.coordinator.rights.coordinator_of(engine)]
+        for engine in engines
+    ]
+
+    def count_in_use() -> int:
+        return sum(
+            adapter in c.parts.engine_view.adapters_in_use(engine, clock.now())
+            for c, engine in zip(coordinators, engines, strict=True)
+        )
+
+    requests = [
+        view.record_request_start(engine, adapter, 0.0, clock.now())
+        for engine in engines
+    ]
+    fleet.run(3.0)
+    assert count_in_use() == len(engines)
+    fleet.run(4.0)
+    assert count_in_use() == len(engines)
+    for request in requests:
+        view.record_request_end(request)
+    fleet.run(3.0)
+    assert count_in_use() == 0
+
+
+def test_end_of_a_use_is_told_again_if_its_coordinator_was_not_reached(
+    fleet_of: FleetOf,
+) -> None:
+    fleet = fleet_of(LARGE)
+    fleet.run(5.0)
+    user, clock, adapter = fleet.members["m7"], fleet.clock, ("m/a", 1)
+    name = user.parts.coordinator.rights.coordinator_of("engine-1")
+    coordinator = fleet.members[name]
+    request = user.parts.engine_view.record_request_start(
+        "engine-1", adapter, 0.0, clock.now()
+    )
+    fleet.run(2.0)
+    user.parts.engine_view.record_request_end(request)
+    coordinator.is_running = False
+    fleet.run(1.5)
+    coordinator.is_running = True
+    fleet.run(3.0)
+    assert not coordinator.parts.engine_view.adapters_in_use("engine-1", clock.now())
--- a/testing/gateway/test_adapter_slots.py
+++ b/testing/gateway/test_adapter_slots.py
@@ -69,4 +69,20 @@
     slots.apply_report(report(A, B, C), 1.0)
     slots.record_use({A}, 2.0)
     slots.record_use({B, C}, 5.0)
-    assert slots.select_victim(in_use, now) == victim
+    assert slots.select_victim(in_use, now, min_idle_s=0.6) == victim
+
+
+@pytest.mark.parametrize(
+    ("min_idle_s", "victim"),
+    [
+        pytest.param(0.6, A, id="all-uses-are-told-at-once"),
+        pytest.param(4.0, None, id="use-may-not-have-been-told-yet"),
+    ],
+)
+def test_adapter_whose_use_may_be_untold_is_not_unloaded(
+    min_idle_s: float, victim: object
+) -> None:
+    slots = AdapterSlots()
+    slots.apply_report(report(A), 1.0)
+    slots.record_use({A}, 2.0)
+    assert slots.select_victim(set(), 5.0, min_idle_s) == victim
--- a/testing/gateway/test_engine_view.py
+++ b/testing/gateway/test_engine_view.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
+from chiveslip.fleet.gossip_updates import EngineUseUpdate
 from chiveslip.gateway.engine_control import EngineReport
 from chiveslip.gateway.engine_view import EngineView
 
@@ -94,6 +95,31 @@
     assert view.ready_at("e", A) == PRESENT
 
 
+@pytest.mark.parametrize(
+    ("uses", "in_use"),
+    [
+        pytest.param([(10.0, {A})], {A}, id="told-seven-seconds-ago"),
+        pytest.param([(10.0, {A}), (11.0, set())], set(), id="end-was-told"),
+        pytest.param([(10.0, {A}), (11.0, {B})], {B}, id="another-one-since"),
+        pytest.param([(1.0, {A})], set(), id="end-cannot-be-told"),
+    ],
+)
+def test_adapter_is_in_use_until_its_user_tells_the_contrary(
+    view: EngineView,
+    uses: list[tuple[float, set[tuple[str, int]]]],
+    in_use: set[tuple[str, int]],
+) -> None:
+    for told_at, adapters in uses:
+        update = EngineUseUpdate(
+            engine="e",
+            requests=len(adapters),
+            pending_prefill_tokens=0.0,
+            adapters=frozenset(adapters),
+        )
+        view.apply_peer_uses("peer", [update] if adapters else [], told_at)
+    assert view.adapters_in_use("e", 17.0) == in_use
+
+
 def test_own_request_without_first_event_shows_that_an_engine_is_late(
     view: EngineView,
 ) -> None:
