Exchange with fewer peers while there is nothing to tell

In a fleet of 91, gossip takes more processor time than requests. Exchanges with coordinators serve to tell uses of adapters; without any, two random peers a round suffice to pass reports on within the same number of rounds.

--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -24,6 +24,9 @@
 from chiveslip.store.client import StoreRevision
 from chiveslip.tasks import TaskSet
 
+# Peers to exchange with in a round of a large fleet if there is nothing to tell.
+_MIN_FAN_OUT = 2
+
 Uses = frozenset[tuple[str, frozenset[Adapter]]]
 """Engines with the adapters that are in use there."""
 _NO_USES: Uses = frozenset()
@@ -115,7 +118,8 @@
         }
         self._told_uses |= {name: uses.get(name, _NO_USES) for name in chosen}
         others = sorted(reachable.keys() - set(chosen))
-        chosen += self._random.sample(others, fan_out - len(chosen))
+        random_count = max(1, _MIN_FAN_OUT - len(chosen))
+        chosen += self._random.sample(others, random_count)
         self._last_asked_round = {
             name: asked_round
             for name, asked_round in self._last_asked_round.items()
