Compare and pass on reports without copies of them

The cache of reports keeps the versions as numbers and as they are listed in requests, and sets the age of a report where it is instead of in a copy. Addresses are parsed once, members are filtered without a call for each, and unchanged allowances of peers are skipped. What is sent stays the same.

--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -35,6 +35,7 @@
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.metrics import GatewayMetrics
 from chiveslip.generated import peer_pb2 as wire
+from chiveslip.settings.fields import Address
 from chiveslip.settings.fields import parse_address
 from chiveslip.store.client import StoreRevision
 from chiveslip.store.mirror import StoreMirror
@@ -42,6 +43,8 @@
 # Every report of an engine repeats the names of its adapters. The cache has room for
 # all adapters that the engines of a large fleet hold.
 _MAX_CACHED_ADAPTER_NAMES = 4096
+# Every report repeats the address of its instance.
+_MAX_CACHED_ADDRESSES = 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -209,7 +212,7 @@
                 engine=use.endpoint,
                 requests=use.requests,
                 pending_prefill_tokens=use.unread_tokens,
-                adapters=frozenset(_parse_adapter(adapter) for adapter in use.adapters),
+                adapters=frozenset(map(_parse_adapter, use.adapters)),
             )
             for use in message.engine_uses
         ]
@@ -268,7 +271,7 @@
 
 def _parse_member(member: wire.MemberState) -> MemberUpdate | None:
     try:
-        address = parse_address(member.address)
+        address = _parse_address(member.address)
     except ValueError:
         return None
     return MemberUpdate(
@@ -281,6 +284,11 @@
     )
 
 
+@functools.lru_cache(maxsize=_MAX_CACHED_ADDRESSES)
+def _parse_address(text: str) -> Address:
+    return parse_address(text)
+
+
 def _build_engine_state(state: EngineStateUpdate) -> wire.EngineState:
     return wire.EngineState(
         endpoint=state.engine,
@@ -299,7 +307,7 @@
         engine=state.endpoint,
         started=state.started,
         models=frozenset(state.models),
-        adapters=frozenset(_parse_adapter(adapter) for adapter in state.adapters),
+        adapters=frozenset(map(_parse_adapter, state.adapters)),
         running=state.running,
         waiting=state.waiting,
         cache_used=state.cache_used,
--- a/src/chiveslip/fleet/membership.py
+++ b/src/chiveslip/fleet/membership.py
@@ -182,10 +182,11 @@
 
         Includes this instance unless it is stopping.
         """
+        timeout_s = self._heartbeat_timeout_s
         names = [
             name
             for name, member in self._members.items()
-            if not member.update.stopping and self._is_reachable(member, now)
+            if now - member.last_seen_at <= timeout_s and not member.update.stopping
         ]
         if not self.stopping:
             names.append(self._instance)
@@ -193,18 +194,20 @@
 
     def reachable(self, now: float) -> list[MemberUpdate]:
         """Return the updates of all members that are not lost, even if they stop."""
+        timeout_s = self._heartbeat_timeout_s
         return [
             member.update
             for member in self._members.values()
-            if self._is_reachable(member, now)
+            if now - member.last_seen_at <= timeout_s
         ]
 
     def lost_members(self, now: float) -> list[str]:
         """Return the known members whose heartbeat timed out."""
+        timeout_s = self._heartbeat_timeout_s
         return [
             name
             for name, member in self._members.items()
-            if not self._is_reachable(member, now)
+            if now - member.last_seen_at > timeout_s
         ]
 
     def has_quorum(self, now: float) -> bool:
@@ -216,12 +219,12 @@
         quorum.
         """
         alive = self.live_members(now)
+        timeout_s = self._heartbeat_timeout_s
         lost = [
             name
             for name, member in self._members.items()
-            if not member.update.stopping
-            and not self._is_reachable(member, now)
-            and now - member.last_seen_at <= _PRESUMED_DEAD_S
+            if timeout_s < now - member.last_seen_at <= _PRESUMED_DEAD_S
+            and not member.update.stopping
         ]
         if len(alive) != len(lost):
             return len(alive) > len(lost)
@@ -243,9 +246,6 @@
         known.add(self._address)
         return [seed for seed in seeds if seed not in known]
 
-    def _is_reachable(self, member: _Member, now: float) -> bool:
-        return now - member.last_seen_at <= self._heartbeat_timeout_s
-
 
 def has_just_started(heartbeat: int) -> bool:
     """Return whether an instance with this heartbeat counter has just started."""
--- a/src/chiveslip/fleet/reports.py
+++ b/src/chiveslip/fleet/reports.py
@@ -33,8 +33,21 @@
 
 @attrs.frozen
 class _Entry:
+    """The newest report of an instance.
+
+    Attributes
+    ----------
+    version
+        Incarnation and heartbeat of the report.
+    heard
+        The version as a request lists it.
+    """
+
     report: wire.InstanceReport
     created_at: float
+    precedence: tuple[int, bool, int]
+    version: tuple[int, int]
+    heard: wire.Heard
 
 
 @final
@@ -56,12 +69,22 @@
             When the report arrived, local time in seconds.
         """
         member = report.member
-        entry = self._entries.get(member.instance)
-        if entry is not None and _precedence(member) <= _precedence(
-            entry.report.member
-        ):
+        name, incarnation, heartbeat = (
+            member.instance,
+            member.incarnation,
+            member.heartbeat,
+        )
+        precedence = (incarnation, member.stopping, heartbeat)
+        entry = self._entries.get(name)
+        if entry is not None and precedence <= entry.precedence:
             return False
-        self._entries[member.instance] = _Entry(report, now - member.age_seconds)
+        self._entries[name] = _Entry(
+            report,
+            now - member.age_seconds,
+            precedence,
+            (incarnation, heartbeat),
+            wire.Heard(instance=name, incarnation=incarnation, heartbeat=heartbeat),
+        )
         return True
 
     def retain(self, instances: Collection[str]) -> None:
@@ -71,20 +94,16 @@
 
     def known_versions(self) -> list[wire.Heard]:
         """Return the versions of the stored reports, for a request."""
-        return [
-            wire.Heard(
-                instance=name,
-                incarnation=entry.report.member.incarnation,
-                heartbeat=entry.report.member.heartbeat,
-            )
-            for name, entry in self._entries.items()
-        ]
+        return [entry.heard for entry in self._entries.values()]
 
     def newer_than(
         self, heard: Iterable[wire.Heard], requester: str, now: float
     ) -> list[wire.InstanceReport]:
         """Return the reports that a requester lacks.
 
+        They are those of the cache, with their present age; they are valid until the
+        next call.
+
         Parameters
         ----------
         heard
@@ -99,11 +118,13 @@
         missing = [
             entry
             for name, entry in self._entries.items()
-            if name != requester
-            and _version(entry.report.member) > known.get(name, (0, 0))
+            if entry.version > known.get(name, (0, 0)) and name != requester
         ]
         missing.sort(key=lambda entry: entry.created_at)
-        return [_with_age(entry, now) for entry in missing[:_MAX_REPORTS]]
+        del missing[_MAX_REPORTS:]
+        for entry in missing:
+            entry.report.member.age_seconds = now - entry.created_at
+        return [entry.report for entry in missing]
 
 
 def pack_reports(reports: list[wire.InstanceReport]) -> bytes:
@@ -134,18 +155,3 @@
         return list(wire.InstanceReports.FromString(unpacked).reports)
     except (zlib.error, DecodeError) as error:
         raise InvalidReportsError(str(error)) from error
-
-
-def _precedence(member: wire.MemberState) -> tuple[int, bool, int]:
-    return (member.incarnation, member.stopping, member.heartbeat)
-
-
-def _version(member: wire.MemberState) -> tuple[int, int]:
-    return (member.incarnation, member.heartbeat)
-
-
-def _with_age(entry: _Entry, now: float) -> wire.InstanceReport:
-    report = wire.InstanceReport()
-    report.CopyFrom(entry.report)
-    report.member.age_seconds = now - entry.created_at
-    return report
--- a/src/chiveslip/gateway/allowances.py
+++ b/src/chiveslip/gateway/allowances.py
@@ -168,10 +168,10 @@
         if previous is None:
             return
         for name, units in used.items():
-            bucket = self._buckets.get(name)
+            change = units - previous.get(name, 0.0)
+            bucket = self._buckets.get(name) if change else None
             if bucket is not None:
-                bucket.level -= units - previous.get(name, 0.0)
-                bucket.level = min(bucket.level, bucket.burst)
+                bucket.level = min(bucket.level - change, bucket.burst)
 
     def forget_peer(self, peer: str) -> None:
         """Forget the reported use of a peer that has left."""
