Use one timer for all chunks of an answer

Without a limit on the pauses between chunks, the end of the answer's time is the only limit, and a timer for each chunk was set and cancelled for it.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -298,6 +298,8 @@
         self._reader: asyncio.Task[None] | None = None
         self._end: ResponseEnd | None = None
         self._is_fully_read = False
+        self._expiry: asyncio.TimerHandle | None = None
+        self._has_expired = False
 
     @property
     def reused(self) -> bool:
@@ -360,16 +362,33 @@
             # A timeout does not end a wait for bytes that are there already.
             if wait_s <= 0:
                 raise TimeoutError
-            async with asyncio.timeout(wait_s):
-                return await self._receiver.chunks.get()
+            if max_idle_s < math.inf:
+                async with asyncio.timeout(wait_s):
+                    return await self._receiver.chunks.get()
+            # One timer for all chunks costs less than a timeout for each.
+            if self._expiry is None:
+                loop = asyncio.get_running_loop()
+                self._expiry = loop.call_later(wait_s, self._expire)
+            chunk = await self._receiver.chunks.get()
+            if self._has_expired:
+                raise TimeoutError
+            return chunk
         except TimeoutError as error:
             self._record_end(Ending.LIMIT)
             raise ResponseTimeoutError(
                 f"the response did not end within the timeout: {self._end}"
             ) from error
 
+    def _expire(self) -> None:
+        """End the wait for a chunk; without one, the next wait ends at once."""
+        if self._receiver.chunks.empty():
+            self._has_expired = True
+            self._receiver.chunks.put_nowait(None)
+
     def close(self) -> None:
         """End the exchange; keep the connection only if it is known to be idle."""
+        if self._expiry is not None:
+            self._expiry.cancel()
         if self._is_fully_read and self._reader is not None and self._reader.done():
             self._pool.return_connection(
                 self._address, self._stream, self._receiver.max_idle_s
