--- a/bench/stale_placement.py
+++ b/bench/stale_placement.py
@@ -17,8 +17,10 @@
 
 import attrs
 
+from bench.simulated_endpoints import MODEL
+from bench.simulated_endpoints import build_endpoint
+from bench.simulated_endpoints import cumulative_zipf_weights
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
-from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
@@ -26,10 +28,8 @@
 from chiveslip.gateway.placement import Placement
 from chiveslip.gateway.routing import EngineCapacity
 from chiveslip.services.health import EndpointHealth
-from chiveslip.settings.fields import Address
 
 SEED = 20261204
-MODEL = "m"
 
 
 @attrs.frozen(kw_only=True)
@@ -112,7 +112,7 @@
         self._random = random.Random(seed)
         self._engines = {
             f"engine-{number}": _SimulatedEngine(
-                _build_endpoint(f"engine-{number}", deployment.slots)
+                build_endpoint(f"engine-{number}", deployment.slots)
             )
             for number in range(deployment.engines)
         }
@@ -167,14 +167,14 @@
 
     def _generate_requests(self) -> list[_Request]:
         deployment = self._deployment
-        weights = [
-            1.0 / (rank + 1) ** deployment.zipf for rank in range(deployment.adapters)
-        ]
+        weights = cumulative_zipf_weights(deployment.adapters, deployment.zipf)
         requests = []
         now = 0.0
         while now < deployment.duration_s:
             now += self._random.expovariate(deployment.requests_per_s)
-            (index,) = self._random.choices(range(deployment.adapters), weights)
+            (index,) = self._random.choices(
+                range(deployment.adapters), cum_weights=weights
+            )
             requests.append(
                 _Request(
                     at=now,
@@ -268,19 +268,6 @@
             view.apply_coordinator_report("coordinator", report, now)
 
 
-def _build_endpoint(name: str, slots: int) -> ListedEndpoint:
-    return ListedEndpoint(
-        id=name,
-        service="llm",
-        address=Address("127.0.0.1", 1),
-        data_centre="one",
-        slots=slots,
-        state=EndpointState.READY,
-        started=1,
-        models=(MODEL,),
-    )
-
-
 def main() -> None:
     """Run the simulation for several report ages and print a table."""
     print("engines | slots | report age s | fetches | first token p50, p95, p99 ms")
