--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -48,6 +48,32 @@
             instance.has_quorum = True
 
 
+@final
+@attrs.frozen(kw_only=True)
+class InstancesWithoutPeers(Fault):
+    """A share of the instances considers most others dead, and has no quorum.
+
+    Attributes
+    ----------
+    lost_share
+        Share of all instances that each of them considers dead.
+    """
+
+    lost_share: float
+
+    async def run(self, fleet: SimulatedFleet, engines: list[str]) -> None:
+        """Let instances, not engines, lose their peers."""
+        instances = fleet.draw_instances(self.share)
+        for instance in instances:
+            live = {i.name for i in fleet.draw_instances(1 - self.lost_share)}
+            instance.live_instances = sorted(live | {instance.name})
+            instance.has_quorum = False
+        await fleet.sleep(self.duration_s)
+        for instance in instances:
+            instance.live_instances = fleet.instance_names
+            instance.has_quorum = True
+
+
 @final
 @attrs.frozen(kw_only=True)
 class UnreadableReports(Fault):
--- a/bench/fleet_load.py
+++ b/bench/fleet_load.py
@@ -233,6 +233,23 @@
     duration_s: float
 
 
+@attrs.frozen(kw_only=True)
+class PopularityShift:
+    """The most popular adapters change places with others for a time."""
+
+    adapters: int
+    at_s: float
+    duration_s: float
+
+
+# The shifts on the users' sheets.
+_SHIFTS = (
+    PopularityShift(adapters=2, at_s=1.0, duration_s=7.2),
+    PopularityShift(adapters=1, at_s=10.0, duration_s=3.0),
+    PopularityShift(adapters=2, at_s=14.0, duration_s=7.3),
+)
+
+
 @attrs.frozen(kw_only=True)
 class Load:
     """Requests of a run; times in seconds.
@@ -243,9 +260,6 @@
         Rate, as a multiple of that of a calm day.
     adapter_share
         Share of the requests that name an adapter.
-    shift_interval_s
-        Interval at which `shifted_adapters` of the most popular adapters change places
-        with others.
     """
 
     factor: float = 1.0
@@ -255,8 +269,7 @@
     adapters: int = 10_000
     zipf: float = 1.3
     adapter_share: float = 0.95
-    shift_interval_s: float = 7.5
-    shifted_adapters: int = 2
+    shifts: tuple[PopularityShift, ...] = _SHIFTS
     organisations: int = 16
     bursts: tuple[Burst, ...] = ()
     hot_organisations: HotOrganisations | None = None
@@ -297,7 +310,7 @@
         self._random = generator
         self._weights = cumulative_zipf_weights(load.adapters, load.zipf)
         self._adapters = list(range(load.adapters))
-        self._shifts = 0
+        self._exchanges = self._draw_exchanges()
         self._numbers = itertools.count()
         self._part_tokens: dict[str, int] = {}
 
@@ -416,13 +429,21 @@
             adapter = self._draw_index()
         return adapter
 
+    def _draw_exchanges(self) -> list[tuple[float, int, int]]:
+        """Return when which two ranks exchange their adapters, the last one first."""
+        exchanges = []
+        for shift in self._load.shifts:
+            for rank in range(shift.adapters):
+                other = self._random.randrange(shift.adapters, self._load.adapters)
+                exchanges.append((shift.at_s, rank, other))
+                exchanges.append((shift.at_s + shift.duration_s, rank, other))
+        return sorted(exchanges, reverse=True)
+
     def _shift_popularity(self, at: float) -> None:
-        while at >= (self._shifts + 1) * self._load.shift_interval_s:
-            self._shifts += 1
-            for rank in range(self._load.shifted_adapters):
-                other = self._random.randrange(len(self._adapters))
-                adapters = self._adapters
-                adapters[rank], adapters[other] = adapters[other], adapters[rank]
+        adapters = self._adapters
+        while self._exchanges and self._exchanges[-1][0] <= at:
+            _, rank, other = self._exchanges.pop()
+            adapters[rank], adapters[other] = adapters[other], adapters[rank]
 
 
 def _size(prompt_tokens: float, output_tokens: float) -> float:
--- a/bench/fleet_worth.py
+++ b/bench/fleet_worth.py
@@ -15,6 +15,7 @@
 from bench.fleet_faults import CrashingEngines
 from bench.fleet_faults import DarkEngines
 from bench.fleet_faults import FlappingEngines
+from bench.fleet_faults import InstancesWithoutPeers
 from bench.fleet_faults import InstancesWithoutStore
 from bench.fleet_faults import ResettingEngines
 from bench.fleet_faults import SlowEngines
@@ -100,6 +101,9 @@
     class_floor=0.36,
 )
 _ONE_ENGINE = 1 / 30
+_LOST_PEERS = InstancesWithoutPeers(
+    at_s=1.0, duration_s=14.0, share=0.14, lost_share=0.66
+)
 
 SCENARIOS = (
     _CALM,
@@ -124,6 +128,11 @@
         name="coordinators-without-quorum",
         faults=(WithoutQuorum(at_s=1.0, duration_s=14.0, share=0.14),),
     ),
+    attrs.evolve(
+        _SHEET,
+        name="instances-without-peers",
+        faults=(_LOST_PEERS,),
+    ),
     attrs.evolve(
         _SHEET,
         name="reports-undelivered",
@@ -183,11 +192,8 @@
     _DARK_AND_CRASHES,
     attrs.evolve(
         _DARK_AND_CRASHES,
-        name="dark-and-crashes-without-quorum",
-        faults=(
-            WithoutQuorum(at_s=1.0, duration_s=12.0, share=0.14),
-            *_DARK_AND_CRASHES.faults,
-        ),
+        name="dark-and-crashes-without-peers",
+        faults=(_LOST_PEERS, *_DARK_AND_CRASHES.faults),
     ),
 )
 
--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -154,9 +154,9 @@
 
     Attributes
     ----------
-    first_event_s, sent_s
+    first_event_s, first_sent_s, sent_s
         Times in seconds from the caller's first attempt to the first event, and to the
-        last sending to an engine.
+        first and the last sending to an engine in the last attempt.
     max_pause_s
         Longest time in seconds between two events.
     engine
@@ -167,6 +167,7 @@
     outcome: Outcome
     earned: float
     first_event_s: float | None
+    first_sent_s: float | None
     sent_s: float | None
     max_pause_s: float
     engine: str
@@ -182,12 +183,15 @@
         Largest queue of each engine.
     report_ages_s
         Times from the reading of a report to its arrival at an instance, sorted.
+    engine_refusals
+        Arrivals at engines that were not run, by result.
     """
 
     requests: list[RequestResult]
     max_queues: dict[str, int]
     report_ages_s: list[float]
     fetches: int
+    engine_refusals: dict[AttemptResult, int]
 
     @property
     def earned_share(self) -> float:
@@ -264,6 +268,7 @@
         self.first_event_at: float | None = None
         self.max_pause_s = 0.0
         self.last_event_at: float | None = None
+        self.first_sent_at: float | None = None
         self.sent_at: float | None = None
         self.is_complete = False
         self.is_refused = False
@@ -367,6 +372,7 @@
         reply = cast(SimulatedReply, call.reply)
         reply.engine = context.endpoint.id
         reply.sent_at = asyncio.get_running_loop().time()
+        reply.first_sent_at = reply.first_sent_at or reply.sent_at
         try:
             async with asyncio.timeout(context.remaining_s):
                 return await self._exchange(
@@ -412,11 +418,13 @@
             await asyncio.sleep(_HOP_S)
             self._keep_connection(engine)
             call.was_sent = False
-            return Attempt(
-                result=AttemptResult.LACKS_ADAPTER
+            result = (
+                AttemptResult.LACKS_ADAPTER
                 if answer is RunAnswer.LACKS_ADAPTER
                 else AttemptResult.NOT_RUN
             )
+            self._fleet.record_engine_refusal(result)
+            return Attempt(result=result)
         try:
             attempt = await self._forward(run, call, stream, on_first_event)
         finally:
@@ -566,6 +574,7 @@
         self.data_centre = data_centre
         self.has_quorum = True
         self.reads_store = True
+        self.live_instances = fleet.instance_names
         self.directory = EndpointDirectory()
         self.withheld_engines: set[str] = set()
         self.relayed: dict[str, RelayedReport] = {}
@@ -579,7 +588,7 @@
                 instance=name,
                 lease_s=_LEASE_S,
                 propagation_s=lambda: schedule.propagation_s,
-                live_instances=lambda: fleet.instance_names,
+                live_instances=lambda: self.live_instances,
                 has_quorum=lambda: self.has_quorum,
                 clock=clock,
             ),
@@ -727,6 +736,9 @@
             fetch_s=_FETCH_S, max_full_speed_fetches=_MAX_FULL_SPEED_FETCHES
         )
         self._report_ages_s: list[float] = []
+        self._engine_refusals: collections.Counter[AttemptResult] = (
+            collections.Counter()
+        )
         self._read_at: dict[str, float] = {}
         self._processes: dict[str, SimulatedEngine] = {}
         self._current: dict[str, SimulatedEngine] = {}
@@ -788,6 +800,7 @@
             max_queues=self._collect_max_queues(),
             report_ages_s=sorted(self._report_ages_s),
             fetches=self._store.fetches,
+            engine_refusals=dict(self._engine_refusals),
         )
 
     def now(self) -> float:
@@ -825,6 +838,10 @@
         """Return when an engine's report was last read."""
         return self._read_at[engine]
 
+    def record_engine_refusal(self, result: AttemptResult) -> None:
+        """Count a request that an engine did not run."""
+        self._engine_refusals[result] += 1
+
     def record_report_age(self, age_s: float) -> None:
         """Record the age of a report that reached an instance."""
         self._report_ages_s.append(age_s)
@@ -930,9 +947,7 @@
 def _rate(
     request: StreamRequest, reply: SimulatedReply, first_sent_at: float
 ) -> RequestResult:
-    first_event_s = (
-        None if reply.first_event_at is None else reply.first_event_at - first_sent_at
-    )
+    first_event_s = _elapsed_s(first_sent_at, reply.first_event_at)
     outcome = _find_outcome(request, reply, first_event_s)
     stream_class = request.stream_class
     late_share = stream_class.late_worth / stream_class.worth
@@ -942,12 +957,17 @@
         outcome=outcome,
         earned=request.worth * earned_shares.get(outcome, 0.0),
         first_event_s=first_event_s,
-        sent_s=None if reply.sent_at is None else reply.sent_at - first_sent_at,
+        first_sent_s=_elapsed_s(first_sent_at, reply.first_sent_at),
+        sent_s=_elapsed_s(first_sent_at, reply.sent_at),
         max_pause_s=reply.max_pause_s,
         engine=reply.engine,
     )
 
 
+def _elapsed_s(started_at: float, ended_at: float | None) -> float | None:
+    return None if ended_at is None else ended_at - started_at
+
+
 def _find_outcome(
     request: StreamRequest, reply: SimulatedReply, first_event_s: float | None
 ) -> Outcome:
