--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -792,6 +792,8 @@
         results = await asyncio.gather(
             *(self._call(request, started_at) for request in requests)
         )
+        for instance in self.instances.values():
+            await instance.gateway.join()
         for task in [*rounds, *faults]:
             task.cancel()
         await asyncio.gather(*rounds, *faults, return_exceptions=True)
