--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -17,6 +17,8 @@
 from chiveslip.fleet.gossip_messages import GossipParts
 from chiveslip.fleet.gossip_messages import read_revision
 from chiveslip.fleet.store_pulls import StorePulls
+from chiveslip.fleet.use_notices import UseNotices
+from chiveslip.fleet.use_notices import Uses
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated.peer_grpc import GatewayPeerBase
@@ -27,11 +29,6 @@
 # Peers to exchange with in a round of a large fleet if there is nothing to tell.
 _MIN_FAN_OUT = 2
 
-Uses = frozenset[tuple[str, frozenset[Adapter]]]
-"""Engines with the adapters that are in use there."""
-_NO_USES: Uses = frozenset()
-_UNKNOWN_USES: Uses = frozenset({("", frozenset())})
-
 
 @final
 class Gossip:
@@ -60,8 +57,7 @@
         self._seeds = seeds
         self._random = generator
         self._rounds = 0
-        self._last_asked_round: dict[str, int] = {}
-        self._told_uses: dict[str, Uses] = {}
+        self._use_notices = UseNotices()
         self._in_flight: set[Address] = set()
         self._log = logs.get_logger("gossip")
 
@@ -83,7 +79,7 @@
         request = self._messages.build_request()
         available = [address for address in addresses if address not in self._in_flight]
         for address in self._in_flight.intersection(addresses):
-            self._forget_told(address)
+            self._record_not_received(address)
         await asyncio.gather(
             *(self._exchange(address, request) for address in available)
         )
@@ -103,28 +99,12 @@
         fan_out = parts.schedule().fan_out
         if len(reachable) <= fan_out:
             return [update.address for update in reachable.values()]
-        uses = self._group_uses_by_coordinator()
-        told = self._told_uses
-        untold = [
-            name
-            for name in sorted(uses.keys() | told.keys())
-            if uses.get(name, _NO_USES) != told.get(name, _NO_USES)
-        ]
-        # Those asked longest ago come first, so that each is asked in turn.
-        by_turn = sorted(untold, key=lambda name: self._last_asked_round.get(name, 0))
-        chosen = [name for name in by_turn if name in reachable][: fan_out - 1]
-        self._told_uses = {
-            name: told for name, told in self._told_uses.items() if name in reachable
-        }
-        self._told_uses |= {name: uses.get(name, _NO_USES) for name in chosen}
+        chosen = self._use_notices.select(
+            self._group_uses_by_coordinator(), reachable.keys(), fan_out - 1
+        )
         others = sorted(reachable.keys() - set(chosen))
         random_count = max(1, _MIN_FAN_OUT - len(chosen))
         chosen += self._random.sample(others, random_count)
-        self._last_asked_round = {
-            name: asked_round
-            for name, asked_round in self._last_asked_round.items()
-            if name in reachable
-        } | dict.fromkeys(chosen, self._rounds)
         return [reachable[name].address for name in chosen]
 
     def _group_uses_by_coordinator(self) -> dict[str, Uses]:
@@ -136,12 +116,13 @@
             grouped.setdefault(coordinator, set()).add((use.engine, use.adapters))
         return {name: frozenset(uses) for name, uses in grouped.items()}
 
-    def _forget_told(self, address: Address) -> None:
-        """Tell a peer its uses again, as it may not have received them."""
-        address_of = self._parts.membership.address_of
-        for name in self._told_uses:
-            if address_of(name) == address:
-                self._told_uses[name] = _UNKNOWN_USES
+    def _record_not_received(self, address: Address) -> None:
+        membership = self._parts.membership
+        self._use_notices.record_not_received(
+            name
+            for name in membership.known_members
+            if membership.address_of(name) == address
+        )
 
     async def _exchange(self, address: Address, request: wire.Gossip) -> None:
         self._in_flight.add(address)
@@ -152,7 +133,7 @@
             self._parts.metrics.exchanges.labels("answered").inc()
         except PeerError as error:
             self._parts.metrics.exchanges.labels("failed").inc()
-            self._forget_told(address)
+            self._record_not_received(address)
             self._log.debug(
                 "Gossip exchange failed.", peer=str(address), cause=str(error)
             )
