Take from peers which replicas they keep removed against the store's copy

Callers' requests were sent to a replica that had been removed before the store returned from a copy that lists it, by an instance that started after the return.

Cause: an instance that begins with the copy asked up to three peers for their values, but a complete reply holds no removals. Two more of the same kind: the peers were counted once for the life of the instance, so that after a second return none was asked, and a peer that had not seen the era yet counted as asked although its reply was dropped.

Change: a complete reply includes the removals that the mirror keeps against the copy of its era; they have the revision of the copy's entry, so that they end when the entry is written again. The requester drops such a replica at once: the renewal time after a reconnection is for entries that may have expired meanwhile. Three peers are asked in each era, and only those in the same era count. The messages are as before: a peer of the previous build reads such an entry as a removal, and sends none.

Not decided: if all of the peers that are asked began with the copy themselves, nobody tells of the removal, and the entry is used until the store removes it. Requests that an instance takes before its first exchange with a peer use the copy.

--- a/src/chiveslip/fleet/store_pulls.py
+++ b/src/chiveslip/fleet/store_pulls.py
@@ -16,7 +16,7 @@
 
 # A peer that has not answered a pull for this time is slow or gone; another is asked.
 _MAX_PULL_S = 0.3
-# A peer may have begun with the copy itself, so that several are asked.
+# A peer may have begun with the copy itself, so that several are asked in each era.
 _MAX_MERGED_PEERS = 3
 
 
@@ -37,6 +37,7 @@
         self._peers = peers
         self._clock = clock
         self._pulling_since = float("-inf")
+        self._merged_era = 0
         self._merged_peers: set[Address] = set()
         self._log = logs.get_logger("store")
 
@@ -50,8 +51,7 @@
         peer_revision
             Revision of the store up to which the peer has every change.
         """
-        if peer_revision.era > 0:
-            await self._merge_values(peer)
+        await self._merge_values(peer, peer_revision.era)
         now = self._clock.now()
         self._catch_up.record_peer_revision(peer_revision, now)
         is_pulling = now < self._pulling_since + _MAX_PULL_S
@@ -71,10 +71,15 @@
                 self._pulling_since = float("-inf")
         self._mirror.apply_peer_reply(reply, str(peer))
 
-    async def _merge_values(self, peer: Address) -> None:
-        """Learn from a few peers what the copy lacks that this instance began with."""
-        has_enough = len(self._merged_peers) >= _MAX_MERGED_PEERS
-        if has_enough or peer in self._merged_peers or not self._mirror.revision.era:
+    async def _merge_values(self, peer: Address, peer_era: int) -> None:
+        """Learn from a few peers what they keep against the copy of this era."""
+        era = self._mirror.revision.era
+        if era == 0 or peer_era != era:
+            return
+        if era != self._merged_era:
+            self._merged_era = era
+            self._merged_peers.clear()
+        if len(self._merged_peers) >= _MAX_MERGED_PEERS or peer in self._merged_peers:
             return
         self._merged_peers.add(peer)
         try:
@@ -85,4 +90,6 @@
                 "Pull of store values failed.", peer=str(peer), cause=str(error)
             )
             return
+        if reply.store_era != era:
+            self._merged_peers.discard(peer)
         self._mirror.merge_peer_values(reply, str(peer))
--- a/src/chiveslip/gateway/catalogue.py
+++ b/src/chiveslip/gateway/catalogue.py
@@ -124,7 +124,9 @@
                 self._clock.now(),
             )
 
-    def remove_endpoint(self, endpoint: str, source: str) -> None:
+    def remove_endpoint(
+        self, endpoint: str, source: str, *, may_be_renewed: bool = True
+    ) -> None:
         """Remove an endpoint whose entry was removed or cannot be read.
 
         Shortly after the store became reachable again, the endpoint is only marked as
@@ -134,11 +136,15 @@
         ----------
         source
             Where this instance learnt of the change, for the log.
+        may_be_renewed
+            Whether the entry may have expired while the store was unreachable. An
+            entry that peers knew to be removed before that is not used meanwhile.
         """
         if endpoint not in self._directory.by_id:
             return
         renewal_ends_at = self._store_reconnected_at() + _RENEWAL_S
-        if self._clock.now() < renewal_ends_at:
+        is_deferred = may_be_renewed or endpoint in self._expired
+        if is_deferred and self._clock.now() < renewal_ends_at:
             self._expired.setdefault(endpoint, renewal_ends_at)
             self._log.info("Removal deferred.", endpoint=endpoint, source=source)
             return
--- a/src/chiveslip/platform/catalogue_updater.py
+++ b/src/chiveslip/platform/catalogue_updater.py
@@ -34,12 +34,13 @@
             if item.key == configuration.CONFIGURATION_KEY:
                 self._catalogue.record_refused_table(str(error))
             elif item.key.startswith(replicas.SERVERS_PREFIX):
-                self._remove_endpoint(item.key, source)
+                self._remove_endpoint(item.key, source, may_be_renewed=True)
 
     def _parse_and_apply(self, item: Item, source: str) -> None:
         if item.key.startswith(replicas.SERVERS_PREFIX):
             if item.value is None:
-                self._remove_endpoint(item.key, source)
+                may_be_renewed = not item.is_kept_removal
+                self._remove_endpoint(item.key, source, may_be_renewed=may_be_renewed)
                 return
             endpoint = replicas.read_endpoint(item.key, item.value)
             self._catalogue.update_endpoint(endpoint, source)
@@ -50,6 +51,6 @@
             adapter, version = configuration.read_version(item.key, item.value)
             self._catalogue.activate_version(adapter, version)
 
-    def _remove_endpoint(self, key: str, source: str) -> None:
+    def _remove_endpoint(self, key: str, source: str, *, may_be_renewed: bool) -> None:
         endpoint = key.removeprefix(replicas.SERVERS_PREFIX)
-        self._catalogue.remove_endpoint(endpoint, source)
+        self._catalogue.remove_endpoint(endpoint, source, may_be_renewed=may_be_renewed)
--- a/src/chiveslip/store/client.py
+++ b/src/chiveslip/store/client.py
@@ -52,11 +52,16 @@
         Value that was written, or None if the key was removed.
     revision
         Revision of the store at the change.
+    is_kept_removal
+        Whether the key was known to be removed before the store returned from a copy
+        that lists it. It has the revision of the copy's value, so that it holds until
+        the key is written again.
     """
 
     key: str
     value: bytes | None
     revision: StoreRevision
+    is_kept_removal: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chiveslip/store/mirror.py
+++ b/src/chiveslip/store/mirror.py
@@ -140,6 +140,7 @@
                 key=item.key,
                 value=None if item.removed else item.value,
                 revision=StoreRevision(item.era, item.revision),
+                is_kept_removal=item.removed and reply.complete,
             )
             for item in reply.items
         ]
@@ -152,22 +153,34 @@
     def merge_peer_values(self, reply: wire.ChangesReply, peer: str) -> None:
         """Take the values of a peer that are newer by content than those of the copy.
 
-        For an instance that began with the copy, and knows nothing of before.
+        For an instance that read the copy, and does not know all that was known before.
+        Removals that the peer keeps against the copy are taken, too.
         """
         if reply.store_era != self._revision.era:
             return
         for sent in reply.items:
             own = self._items.get(sent.key)
-            if own is None or sent.removed or sent.value == own.value:
+            if own is None:
+                continue
+            if sent.removed:
+                self._merge_removal(own, StoreRevision(sent.era, sent.revision), peer)
+                continue
+            if sent.value == own.value:
                 continue
             if self._choose_value(sent.key, sent.value, own.value) == sent.value:
                 self._set(attrs.evolve(own, value=sent.value), peer)
 
+    def _merge_removal(self, own: Item, removed_at: StoreRevision, peer: str) -> None:
+        """Remove a key that a peer keeps removed, unless it was written again."""
+        if own.revision <= removed_at:
+            self._set(attrs.evolve(own, value=None, is_kept_removal=True), peer)
+
     def build_changes_reply(self, revision: StoreRevision) -> wire.ChangesReply:
         """Return the changes for a peer whose mirror is at `revision`.
 
         The reply is a complete snapshot if the mirror no longer knows all removals
-        after that revision.
+        after that revision. A snapshot includes the removals that are kept against the
+        copy of this era.
         """
         complete = revision < self._removals_complete_from
         reply = wire.ChangesReply(
@@ -176,7 +189,12 @@
             complete=complete,
         )
         after_revision = NO_REVISION if complete else revision
-        removals = [] if complete else list(self._removals.values())
+        removals = [
+            item
+            for item in self._removals.values()
+            if not complete
+            or (item.is_kept_removal and item.revision.era == self._revision.era)
+        ]
         for item in [*self._items.values(), *removals]:
             if item.revision > after_revision:
                 reply.items.add(
@@ -191,17 +209,19 @@
     def _choose_items(self, copy: list[Item]) -> list[Item]:
         """Return the items of a later era, with the values that hold."""
         return [
-            attrs.evolve(
-                item,
-                value=self._choose_value(
-                    item.key, self._known_value(item.key), item.value
-                ),
-            )
+            self._choose_item(item)
             if item.key in self._items or item.key in self._removals
             else item
             for item in copy
         ]
 
+    def _choose_item(self, item: Item) -> Item:
+        value = self._choose_value(item.key, self._known_value(item.key), item.value)
+        is_kept = item.is_kept_removal or item.value is not None
+        return attrs.evolve(
+            item, value=value, is_kept_removal=value is None and is_kept
+        )
+
     def _known_value(self, key: str) -> bytes | None:
         known = self._items.get(key)
         return None if known is None else known.value
--- a/testing/gateway/test_catalogue.py
+++ b/testing/gateway/test_catalogue.py
@@ -44,8 +44,10 @@
     def advance_to(self, at: float) -> None:
         self.clock.advance(self.reconnected_at + at - self.clock.now())
 
-    def remove(self) -> None:
-        self.catalogue.remove_endpoint(ENDPOINT.id, STORE_SOURCE)
+    def remove(self, *, may_be_renewed: bool = True) -> None:
+        self.catalogue.remove_endpoint(
+            ENDPOINT.id, STORE_SOURCE, may_be_renewed=may_be_renewed
+        )
 
     def dropped_after(self) -> float:
         """Return when the endpoint is dropped, if rounds of maintenance run often."""
@@ -107,3 +109,23 @@
     harness.advance_to(9.0)
     harness.catalogue.drop_expired_endpoints()
     assert harness.directory.accepts_work(ENDPOINT)
+
+
+def test_endpoint_that_peers_knew_to_be_removed_is_dropped_at_once(
+    make_harness: MakeHarness,
+) -> None:
+    harness = make_harness(10.0)
+    harness.advance_to(0.1)
+    harness.remove(may_be_renewed=False)
+    assert not harness.directory.accepts_work(ENDPOINT)
+
+
+def test_removal_that_peers_knew_does_not_end_a_renewal_time(
+    make_harness: MakeHarness,
+) -> None:
+    harness = make_harness(10.0)
+    harness.advance_to(0.1)
+    harness.remove()
+    harness.remove(may_be_renewed=False)
+    assert harness.directory.accepts_work(ENDPOINT)
+    assert harness.dropped_after() <= 2.0 + STEP_S + 1e-6
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -344,6 +344,8 @@
 CONFIGURATION_BOUND_S = 3.0
 # The renewal time of entries, a round of maintenance, and scheduling.
 EXPIRY_BOUND_S = 2.0 + 1.0
+# From the readiness of an instance until it compared its entries with those of a peer.
+MAX_FIRST_EXCHANGE_S = 1.0
 LOST_CHANGES = 20
 # Three pages, and watches that end early with each change.
 MAX_READS_AFTER_RETURN = 40
@@ -433,6 +435,33 @@
         assert await statuses(cluster) == {503}
 
 
+async def test_instance_that_starts_later_does_not_use_an_endpoint_removed_before(
+    cluster: GatewayCluster,
+) -> None:
+    first = await cluster.start_gateway("one", [])
+    copy = cluster.store.copy()
+    await cluster.store.remove("servers/k")
+
+    async def is_unserved() -> bool:
+        return await statuses(cluster) == {503}
+
+    async def is_served() -> bool:
+        return await statuses(cluster) == {200}
+
+    await wait_until(is_unserved)
+    await lose_changes(cluster, copy)
+    # The copy lists the endpoint; only the peer knows that it was removed.
+    await cluster.start_gateway("two", [first.peers])
+    async with asyncio.timeout(MAX_FIRST_EXCHANGE_S):
+        await wait_until(is_unserved)
+    for _ in range(10):
+        await asyncio.sleep(0.25)
+        assert await is_unserved()
+    await cluster.store.put("servers/k", cluster.kiosk.build_entry("kiosk"))
+    async with asyncio.timeout(CONFIGURATION_BOUND_S):
+        await wait_until(is_served)
+
+
 @pytest.mark.parametrize("is_written_again", [True, False])
 async def test_endpoint_registered_after_the_copy_is_used_until_it_may_return(
     cluster: GatewayCluster, is_written_again: bool
--- a/testing/store/test_mirror.py
+++ b/testing/store/test_mirror.py
@@ -148,3 +148,56 @@
     late.apply_snapshot(copy)
     late.merge_peer_values(peer.build_changes_reply(NO_REVISION), "peer")
     assert values_by_key(late) == {"k": b"2", "l": b"5"}
+
+
+def choose_removal(_key: str, known: bytes | None, copy: bytes | None) -> bytes | None:
+    return None if known is None else copy
+
+
+def build_peer_that_saw_removals(number: int) -> StoreMirror:
+    """Return a mirror that saw `k` removed before the store returned."""
+    peer = StoreMirror(choose_removal)
+    known = [build_item("k", "1", 70), build_item("l", "1", 71)]
+    peer.apply_snapshot(build_changes(known, 80))
+    peer.apply_changes(build_changes([build_item("k", None, 90)], 90))
+    copy = [build_item("k", "1", 70, 1), build_item("l", "1", 71, 1)]
+    peer.apply_snapshot(build_changes(copy, number, era=1))
+    return peer
+
+
+@pytest.mark.parametrize(
+    ("written", "expected"),
+    [
+        pytest.param([], None, id="listed-by-the-copy"),
+        pytest.param([build_item("k", "1", 82, 1)], b"1", id="written-again"),
+    ],
+)
+@pytest.mark.parametrize("path", ["merge", "pull", "pull-then-read"])
+def test_instance_that_begins_with_the_copy_takes_removals_of_a_peer(
+    path: str, written: list[Item], expected: bytes | None
+) -> None:
+    peer, late = build_peer_that_saw_removals(80), StoreMirror(choose_removal)
+    present = [build_item("k", "1", 70, 1), build_item("l", "1", 71, 1)]
+    if path == "merge":
+        late.apply_snapshot(build_changes(present, 80, era=1))
+        late.merge_peer_values(peer.build_changes_reply(NO_REVISION), "peer")
+    else:
+        late.apply_peer_reply(peer.build_changes_reply(NO_REVISION), "peer")
+    if path == "pull-then-read":
+        late.apply_snapshot(build_changes(present, 80, era=1))
+    late.apply_changes(build_changes(written, 82, era=1))
+    assert values_by_key(late).get("k") == expected
+    assert values_by_key(late)["l"] == b"1"
+    # It passes on what it took.
+    last = StoreMirror(choose_removal)
+    last.apply_snapshot(build_changes([*present, *written], 82, era=1))
+    last.merge_peer_values(late.build_changes_reply(NO_REVISION), "late")
+    assert values_by_key(last).get("k") == expected
+
+
+def test_peer_that_lags_does_not_remove_what_was_written_again() -> None:
+    late = StoreMirror(choose_removal)
+    late.apply_snapshot(build_changes([build_item("k", "1", 82, 1)], 82, era=1))
+    peer = build_peer_that_saw_removals(80)
+    late.merge_peer_values(peer.build_changes_reply(NO_REVISION), "peer")
+    assert values_by_key(late) == {"k": b"1"}
