Return the store from an older copy in the fault matrix and to gateways

Change: the simulated platform returns from a copy half a second old, which loses a withdrawn key and a leaving service until they are published again, and gives out its indices again: 13 cells and 40 pairs, drawn apart so that the other pairs stay as they are, and the fault twice. A mechanism that is switched off may have several cells now.

--- /dev/null
+++ b/testing/platform/gateways.py
@@ -0,0 +1,148 @@
+"""Complete gateways in one process, with stand-ins for the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import HTTPResponse
+
+from chiveslip.clock import SystemClock
+from chiveslip.daemon.gateway import GatewayInstance
+from chiveslip.platform.main import UserPlatformInterfaces
+from chiveslip.settings.check import check_settings
+from testing.platform.published import build_configuration
+from testing.platform.standins import ReplicaStandIn
+from testing.platform.standins import StoreStandIn
+
+KEY = "key-of-the-trust"
+MAX_WAIT_S = 20.0
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def published_configuration(
+    version: int, *, keys: tuple[str, ...] = (KEY,)
+) -> dict[str, Any]:
+    """Return a version of the configuration that the operator publishes."""
+    return build_configuration(version, keys=keys)
+
+
+@attrs.define
+class Member:
+    """A running gateway and its ports."""
+
+    instance: GatewayInstance
+    callers: int
+    readiness: int
+    peers: int
+    metrics: int
+
+
+@attrs.define
+class GatewayCluster:
+    """Gateways, and the stand-ins that they are connected to."""
+
+    store: StoreStandIn
+    kiosk: ReplicaStandIn
+    engines: list[ReplicaStandIn]
+    members: list[Member] = attrs.field(factory=list)
+
+    async def start_gateway(self, name: str, seeds: list[int]) -> Member:
+        """Start a gateway and wait until it is ready."""
+        member = Member(None, *(_free_port() for _ in range(4)))  # type: ignore[arg-type]
+        addresses = ",".join(f"127.0.0.1:{port}" for port in seeds)
+        settings_text = f"""
+instance: {{id: {name}, data_centre: glasgow}}
+listen:
+  callers: "127.0.0.1:{member.callers}"
+  readiness: "127.0.0.1:{member.readiness}"
+  peers: "127.0.0.1:{member.peers}"
+  metrics: "127.0.0.1:{member.metrics}"
+fleet: {{seeds: "{addresses}", gossip: "50 ms"}}
+store: {{address: "127.0.0.1:{self.store.port}", gather: "10 ms", pause: "50 ms"}}
+gateway: {{order_lease: "300 ms", adapter_load: "20 ms", adapter_reload: "10 ms"}}
+stop: {{notice: "0 s"}}
+"""
+        settings = check_settings(settings_text, name).unwrap()
+        member.instance = GatewayInstance(
+            settings, UserPlatformInterfaces(), SystemClock()
+        )
+        await member.instance.start()
+        self.members.append(member)
+        await wait_until(lambda: self._is_ready(member))
+        return member
+
+    async def _is_ready(self, member: Member) -> bool:
+        answer = await fetch(member.readiness, "/chiveslip/readiness")
+        return answer.code == 200
+
+
+async def wait_until(condition: Callable[[], Any]) -> None:
+    """Wait until a condition is true; fail after `MAX_WAIT_S`."""
+    async with asyncio.timeout(MAX_WAIT_S):
+        while not await condition():
+            await asyncio.sleep(0.02)
+
+
+async def fetch(port: int, path: str, **headers: str) -> HTTPResponse:
+    """Send a GET request to a port of a gateway."""
+    client = AsyncHTTPClient(force_instance=True)
+    try:
+        return await client.fetch(
+            f"http://127.0.0.1:{port}{path}", headers=headers, raise_error=False
+        )
+    finally:
+        client.close()
+
+
+async def send_request(
+    member: Member,
+    path: str,
+    *,
+    adapter: str = "",
+    key: str = KEY,
+    request_id: str = "r1",
+) -> HTTPResponse:
+    """Send a request as a caller."""
+    headers = {
+        "Host": "kiosk.example",
+        "X-Request-Id": request_id,
+        "Authorization": f"Bearer {key}",
+        "X-Deadline-Remaining": "10000",
+    }
+    if adapter:
+        headers |= {"X-Model": f"m/{adapter}", "X-Token-Count": "100,50"}
+    return await fetch(member.callers, path, **headers)
+
+
+@contextlib.asynccontextmanager
+async def running_cluster() -> AsyncIterator[GatewayCluster]:
+    """Publish a configuration and the entries of the stand-ins; stop all at the end."""
+    store = StoreStandIn()
+    cluster = GatewayCluster(
+        store, ReplicaStandIn("k"), [ReplicaStandIn("a"), ReplicaStandIn("b")]
+    )
+    await store.put("servers/k", cluster.kiosk.build_entry("kiosk"))
+    for engine in cluster.engines:
+        await store.put(f"servers/{engine.identity}", engine.build_entry("llm"))
+    await store.put("servers/odd", b"\x00 from another writer")
+    await store.put("op/config", published_configuration(1))
+    try:
+        yield cluster
+    finally:
+        for member in cluster.members:
+            await member.instance.stop()
+        for standin in (store, cluster.kiosk, *cluster.engines):
+            standin.server.stop()
+            await standin.server.close_all_connections()
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -5,6 +5,8 @@
 import asyncio
 import base64
 import json
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -38,6 +40,8 @@
         self.era = 0
         self.reads = 0
         self._copies: list[tuple[int, dict[str, dict[str, Any]]]] = []
+        # Awaited once, before the second page of a read is sent.
+        self.before_second_page: Callable[[], Awaitable[None]] | None = None
         self.changed = asyncio.Condition()
         self.server, self.port = _start_server(
             Application(
@@ -123,6 +127,11 @@
 class _Range(_StoreHandler):
     async def get(self) -> None:
         after = self.get_query_argument("after", "")
+        action = self.store.before_second_page
+        if after and action is not None:
+            self.store.before_second_page = None
+            await action()
+            self.set_header("Store-Era", str(self.store.era))
         items = sorted(
             (item for key, item in self.store.items.items() if key > after),
             key=lambda item: item["key"],
--- a/testing/simulation/faults.py
+++ b/testing/simulation/faults.py
@@ -99,6 +99,26 @@
         cluster.platform.unfreeze()
 
 
+@final
+class ConfigurationReturned(Fault):
+    """The configuration service returns from a copy half a second old.
+
+    Lost are a withdrawn key and a leaving service, which are published again later.
+    """
+
+    def begin(self, cluster: SimulatedCluster) -> None:
+        """Publish what is lost with the return of the service."""
+        copy = cluster.platform.copy()
+        cluster.withdraw_key("south")
+        cluster.mark_leaving(cluster.services[0].name)
+        cluster.run_later(0.5, lambda: cluster.platform.return_from_copy(copy))
+        cluster.run_later(1.5, lambda: self._publish_again(cluster))
+
+    def _publish_again(self, cluster: SimulatedCluster) -> None:
+        cluster.publish_configuration()
+        cluster.publish_lists()
+
+
 @final
 class OwnPause(Fault):
     """The instance that serves the call pauses, and resumes with stale state."""
@@ -322,6 +342,7 @@
     "key-withdrawn": KeyWithdrawn,
     "configuration-down": ConfigurationDown,
     "configuration-stale": ConfigurationStale,
+    "configuration-returned": ConfigurationReturned,
     "own-pause": OwnPause,
     "peer-pause": PeerPause,
     "entry-partition": EntryPartition,
--- a/testing/simulation/platform.py
+++ b/testing/simulation/platform.py
@@ -17,6 +17,14 @@
 PLATFORM_NAME = "platform"
 
 
+@attrs.frozen
+class PublishedCopy:
+    """Documents by name, and parts by content hash, of an earlier time."""
+
+    documents: dict[str, Document]
+    parts: dict[str, bytes]
+
+
 @attrs.define
 class FakePlatform:
     """Published documents, and the injected faults of the configuration service.
@@ -44,6 +52,14 @@
         index = self.documents[name].index + 1 if name in self.documents else 1
         self.documents[name] = Document(content=content, index=index)
 
+    def copy(self) -> PublishedCopy:
+        """Return a copy of all documents and parts."""
+        return PublishedCopy(dict(self.documents), dict(self.parts))
+
+    def return_from_copy(self, copy: PublishedCopy) -> None:
+        """Lose what was published since a copy; its indices are given out again."""
+        self.documents, self.parts = dict(copy.documents), dict(copy.parts)
+
     def freeze(self, except_readers: set[str]) -> None:
         """Serve the current documents from now on, except to some readers."""
         self.frozen_documents = dict(self.documents)
--- a/testing/simulation/switches.py
+++ b/testing/simulation/switches.py
@@ -34,6 +34,7 @@
 from chiveslip.generated import result_codes
 from chiveslip.idempotency import decision
 from chiveslip.idempotency.decision import Granted
+from chiveslip.platform import store
 from chiveslip.services.protocol import PlainHttpProtocol
 from testing.simulation import endpoints
 
@@ -215,6 +216,11 @@
     patch.setattr(ResponseTimer, "remaining_s", remaining_s)
 
 
+def eras_ignored(patch: Patch) -> None:
+    """Take every answer of the store for one of era 0."""
+    patch.setattr(store, "_read_era", lambda _head: 0)
+
+
 SWITCHES: dict[str, Callable[[Patch], None]] = {
     "no-self-fence": no_self_fence,
     "no-hold-off": no_hold_off,
@@ -234,3 +240,6 @@
     "any-end-accepted": any_end_accepted,
     "bound-per-piece": bound_per_piece,
 }
+
+STORE_SWITCHES: dict[str, Callable[[Patch], None]] = {"eras-ignored": eras_ignored}
+"""Switches for the path with the key-value store."""
--- a/testing/test_switched_off.py
+++ b/testing/test_switched_off.py
@@ -10,23 +10,26 @@
 from testing.simulation.switches import SWITCHES
 
 DETECTING_CELLS = {
-    "no-self-fence": Cell("split-view", InjectionPoint.DISPATCH),
-    "no-hold-off": Cell("split-view", InjectionPoint.DISPATCH),
-    "resend-allowed": Cell("endpoint-crash", InjectionPoint.HAND_OVER),
-    "no-record": Cell("cold-restart", InjectionPoint.ACCEPT),
-    "reserve-off": Cell("cold-restart", InjectionPoint.ACCEPT),
-    "revert-allowed": Cell("configuration-stale", InjectionPoint.DISPATCH),
-    "unload-without-count": Cell("cold-restart", InjectionPoint.DISPATCH),
-    "withdrawal-ignored": Cell("key-withdrawn", InjectionPoint.MID_STREAM),
-    "no-drain": Cell("configuration-down", InjectionPoint.STOP),
-    "leaving-ignored": Cell("endpoint-leaving", InjectionPoint.ACCEPT),
-    "end-marker-ignored": Cell("endpoint-crash", InjectionPoint.MID_STREAM),
-    "resume-from-start": Cell("silent-connection", InjectionPoint.MID_STREAM),
-    "not-run-unproved": Cell("crossed-answer", InjectionPoint.ACCEPT),
-    "suspects-forgotten": Cell("poison-request", InjectionPoint.ACCEPT),
-    "echo-ignored": Cell("crossed-answer", InjectionPoint.DISPATCH),
-    "any-end-accepted": Cell("responses-cut", InjectionPoint.DISPATCH),
-    "bound-per-piece": Cell("responses-endless", InjectionPoint.DISPATCH),
+    "no-self-fence": [Cell("split-view", InjectionPoint.DISPATCH)],
+    "no-hold-off": [Cell("split-view", InjectionPoint.DISPATCH)],
+    "resend-allowed": [Cell("endpoint-crash", InjectionPoint.HAND_OVER)],
+    "no-record": [Cell("cold-restart", InjectionPoint.ACCEPT)],
+    "reserve-off": [Cell("cold-restart", InjectionPoint.ACCEPT)],
+    "revert-allowed": [
+        Cell("configuration-stale", InjectionPoint.DISPATCH),
+        Cell("configuration-returned", InjectionPoint.DISPATCH),
+    ],
+    "unload-without-count": [Cell("cold-restart", InjectionPoint.DISPATCH)],
+    "withdrawal-ignored": [Cell("key-withdrawn", InjectionPoint.MID_STREAM)],
+    "no-drain": [Cell("configuration-down", InjectionPoint.STOP)],
+    "leaving-ignored": [Cell("endpoint-leaving", InjectionPoint.ACCEPT)],
+    "end-marker-ignored": [Cell("endpoint-crash", InjectionPoint.MID_STREAM)],
+    "resume-from-start": [Cell("silent-connection", InjectionPoint.MID_STREAM)],
+    "not-run-unproved": [Cell("crossed-answer", InjectionPoint.ACCEPT)],
+    "suspects-forgotten": [Cell("poison-request", InjectionPoint.ACCEPT)],
+    "echo-ignored": [Cell("crossed-answer", InjectionPoint.DISPATCH)],
+    "any-end-accepted": [Cell("responses-cut", InjectionPoint.DISPATCH)],
+    "bound-per-piece": [Cell("responses-endless", InjectionPoint.DISPATCH)],
 }
 
 
@@ -34,10 +37,14 @@
     assert DETECTING_CELLS.keys() == SWITCHES.keys()
 
 
-@pytest.mark.parametrize("name", sorted(SWITCHES))
+@pytest.mark.parametrize(
+    ("name", "cell"),
+    [(name, cell) for name in sorted(SWITCHES) for cell in DETECTING_CELLS[name]],
+    ids=str,
+)
 def test_cell_detects_disabled_mechanism(
-    name: str, monkeypatch: pytest.MonkeyPatch
+    name: str, cell: Cell, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    assert run_scenario([DETECTING_CELLS[name]]).violations == []
+    assert run_scenario([cell]).violations == []
     SWITCHES[name](monkeypatch)
-    assert run_scenario([DETECTING_CELLS[name]]).violations != []
+    assert run_scenario([cell]).violations != []
