--- a/testing/fleet/test_store_changes.py
+++ b/testing/fleet/test_store_changes.py
@@ -40,6 +40,7 @@
 
 
 LOST_CHANGES = 20
+SECOND_RETURN_S = 0.3
 
 
 @pytest.mark.parametrize("path", [StorePath.REFUSED, StorePath.SILENT])
@@ -72,3 +73,37 @@
     assert duration_s <= bound_s - CONNECT_S
     assert all(member.parts.mirror.revision.era == first.era for member in members)
     assert max(member.full_reads for member in members) == 1
+
+
+@pytest.mark.parametrize("path", [StorePath.REFUSED, StorePath.SILENT])
+@pytest.mark.parametrize(
+    ("size", "bound_s"),
+    [pytest.param(6, 2.0, id="small"), pytest.param(91, 3.0, id="large")],
+)
+def test_second_return_of_the_store_reaches_all_instances_within_the_bound(
+    size: int, bound_s: float, path: StorePath
+) -> None:
+    """A third of the instances have to learn of both returns from their peers."""
+    fleet = LargeFleet(size)
+    for number in range(3 * LOST_CHANGES):
+        fleet.store.put(f"servers/i-{number}", b"state")
+    fleet.run(JOIN_S)
+    members = list(fleet.members.values())
+    for member in members[::3]:
+        member.store_path = path
+    fleet.store.return_from_copy(LOST_CHANGES)
+    fleet.store.put("op/config", b"lost again")
+    fleet.run(SECOND_RETURN_S)
+    second = fleet.store.return_from_copy(LOST_CHANGES)
+    last = fleet.store.put("op/config", b"written again")
+    returned_at = fleet.clock.now()
+    while any(member.parts.mirror.revision < last for member in members):
+        fleet.run(STEP_S)
+        assert fleet.clock.now() < returned_at + 30.0
+    duration_s = fleet.clock.now() - returned_at
+    print(f"{size} members, {path.value}, second return: {duration_s:.2f} s")
+    assert duration_s <= bound_s - CONNECT_S
+    assert all(member.parts.mirror.revision.era == second.era for member in members)
+    configurations = {m.parts.mirror.items["op/config"].value for m in members}
+    assert configurations == {b"written again"}
+    assert max(member.full_reads for member in members) <= 2
