--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -750,11 +750,8 @@
         for state in report.states:
             if state.engine in self.withheld_engines:
                 continue
-            self.view.apply_coordinator_report(
-                sender,
-                attrs.evolve(state, age_s=state.age_s + age_s, told_s=age_s),
-                now,
-            )
+            relayed = attrs.evolve(state, age_s=state.age_s + age_s, told_s=age_s)
+            self.view.apply_coordinator_report(sender, relayed, now)
             self._fleet.record_report_age(now - report.read_at[state.engine])
 
 
--- a/src/chiveslip/fleet/use_notices.py
+++ b/src/chiveslip/fleet/use_notices.py
@@ -1,8 +1,8 @@
 """Decides which coordinators are told next that an adapter is in use, or no longer.
 
 In a large fleet an instance exchanges with a few peers in a round, and peers do not
-pass on what it uses. A coordinator takes an adapter for used until it is told the contrary.
-The module does no I/O and reads no clock.
+pass on what it uses. A coordinator takes an adapter for used until it is told the
+contrary. The module does no I/O and reads no clock.
 """
 
 from __future__ import annotations
