Count the rounds of gossip by the fewest peers of a round

The time until all instances have a report was calculated with three peers a round, of which an instance with nothing to tell now asks two. At 81 and 91 members it is the same; at 30 and at 300 it is one round longer, and so are the timeouts that depend on it.

--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -41,6 +41,7 @@
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.gateway_peers import GatewayPeers
+from chiveslip.fleet.gossip_schedule import MIN_FAN_OUT
 from chiveslip.fleet.gossip_schedule import GossipSchedule
 from chiveslip.fleet.gossip_schedule import GossipScheduleSettings
 from chiveslip.fleet.gossip_schedule import schedule_for
@@ -97,8 +98,6 @@
     batch_delay_s=0.35,
     max_watch_s=1.0,
 )
-# Peers to exchange with in a round if there is nothing to tell, as in fleet.gossip.
-_MIN_FAN_OUT = 2
 _LEASE_S = 3.0
 _RETRY_SHARE = 0.2
 _RETRY_SLACK = 222.0
@@ -726,7 +725,7 @@
             self._group_uses_by_coordinator(), others, self._schedule.fan_out - 1
         )
         untold = [name for name in others if name not in told]
-        random_count = max(1, _MIN_FAN_OUT - len(told))
+        random_count = max(1, MIN_FAN_OUT - len(told))
         for name in [*told, *self._fleet.random.sample(untold, random_count)]:
             peer = self._fleet.instances[name]
             peer.receive_own(self)
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -16,6 +16,7 @@
 from chiveslip.fleet.gossip_messages import GossipMessages
 from chiveslip.fleet.gossip_messages import GossipParts
 from chiveslip.fleet.gossip_messages import read_revision
+from chiveslip.fleet.gossip_schedule import MIN_FAN_OUT
 from chiveslip.fleet.store_pulls import StorePulls
 from chiveslip.fleet.use_notices import UseNotices
 from chiveslip.fleet.use_notices import Uses
@@ -26,9 +27,6 @@
 from chiveslip.store.client import StoreRevision
 from chiveslip.tasks import TaskSet
 
-# Peers to exchange with in a round of a large fleet if there is nothing to tell.
-_MIN_FAN_OUT = 2
-
 
 @final
 class Gossip:
@@ -103,7 +101,7 @@
             self._group_uses_by_coordinator(), reachable.keys(), fan_out - 1
         )
         others = sorted(reachable.keys() - set(chosen))
-        random_count = max(1, _MIN_FAN_OUT - len(chosen))
+        random_count = max(1, MIN_FAN_OUT - len(chosen))
         chosen += self._random.sample(others, random_count)
         return [reachable[name].address for name in chosen]
 
--- a/src/chiveslip/fleet/gossip_schedule.py
+++ b/src/chiveslip/fleet/gossip_schedule.py
@@ -12,9 +12,11 @@
 
 import attrs
 
-# Number of peers that an instance of a large fleet sends requests to in one round. On
-# average it receives requests from as many, so twice as many receive its report.
+# Number of peers that an instance of a large fleet sends requests to in one round, and
+# if it has nothing to tell to particular ones. On average it receives requests from as
+# many, so twice as many receive its report.
 _FAN_OUT = 3
+MIN_FAN_OUT = 2
 # Factor by which rounds are longer in a large fleet. An instance then takes part in no
 # more exchanges per second than in a fleet of four.
 _INTERVAL_FACTOR = 2.0
@@ -55,7 +57,7 @@
     interval_s
         Time in seconds between two rounds.
     fan_out
-        Number of peers that an instance sends requests to in one round.
+        Largest number of peers that an instance sends requests to in one round.
     rounds_per_heartbeat
         Number of rounds in which an instance sends the same report of itself.
     relays_reports
@@ -95,7 +97,7 @@
             max_watch_s=settings.max_watch_s,
         )
     interval_s = settings.interval_s * _INTERVAL_FACTOR
-    multiplying_rounds = math.ceil(math.log(members) / math.log(2 * _FAN_OUT + 1))
+    multiplying_rounds = math.ceil(math.log(members) / math.log(2 * MIN_FAN_OUT + 1))
     rounds = _ROUNDS_PER_HEARTBEAT - 1 + multiplying_rounds + _FINAL_ROUNDS
     propagation_s = rounds * interval_s
     size_ratio = members / (settings.fan_out + 1)
