Start with fractional and unreadable bounds of the platform

Callers saw: nothing was served on a deployment whose platform gives retry_budget_slack = 35.83.

Cause: the setting was typed as a count, while the platform promises whole numbers, fractions, or true or false; and any unreadable bound, vital or not, stopped each instance of the fleet alike.

Change: retry_slack is a number. Numbers may have an exponent. The five bounds that deploy/settings.yaml passes on, the seeds and the address of the metrics have a fallback: out of range, the nearest allowed value; unreadable, the default (seeds: the readable ones), each with a warning in the words of the error. Weighed: rounding the slack down (not needed, the budget counts in fractions); refusing to start on what is unreadable (one wrong figure stops a fleet). Addresses that callers, peers and the store need still refuse to start.

--- a/src/chiveslip/cli/configuration_commands.py
+++ b/src/chiveslip/cli/configuration_commands.py
@@ -40,7 +40,9 @@
             raise output.print_errors(
                 [str(error) for error in loaded.failure()], output.EXIT_INVALID_INPUT
             )
-        output.print_result({"ok": True}, f"{self.file}: ok", as_json=self.json)
+        warnings = [str(warning) for warning in loaded.unwrap().warnings]
+        text = "\n".join([*(f"warning: {w}" for w in warnings), f"{self.file}: ok"])
+        output.print_result({"ok": True, "warnings": warnings}, text, as_json=self.json)
 
 
 @cappa.command(name="check")
--- a/src/chiveslip/daemon/main.py
+++ b/src/chiveslip/daemon/main.py
@@ -44,8 +44,9 @@
         for error in loaded.failure():
             print(error, file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
-    settings = loaded.unwrap()
+    settings = loaded.unwrap().settings
     logs.configure(settings.logs.form, settings.logs.level)
+    logs.warn_of_replaced_settings(loaded.unwrap().warnings)
     sys.exit(asyncio.run(_run(settings)))
 
 
--- a/src/chiveslip/logs.py
+++ b/src/chiveslip/logs.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import sys
+from collections.abc import Iterable
 from typing import final
 
 import structlog
@@ -99,6 +100,14 @@
         return _QueueLogger(self._output)
 
 
+def warn_of_replaced_settings(warnings: Iterable[object]) -> None:
+    """Log each invalid setting that was replaced at the load of the settings."""
+    for warning in warnings:
+        get_logger("daemon").warning(
+            "Invalid setting was replaced; correct it.", fault=str(warning)
+        )
+
+
 def get_logger(part: str) -> structlog.typing.FilteringBoundLogger:
     """Return a part's logger; each of its events starts with the part's name."""
     logger: structlog.typing.FilteringBoundLogger = structlog.get_logger(part=part)
--- a/src/chiveslip/platform/main.py
+++ b/src/chiveslip/platform/main.py
@@ -74,8 +74,9 @@
         for error in loaded.failure():
             print(error, file=sys.stderr)
         sys.exit(_EXIT_INVALID_SETTINGS)
-    settings = loaded.unwrap()
+    settings = loaded.unwrap().settings
     logs.configure(settings.logs.form, settings.logs.level, to_standard_output=True)
+    logs.warn_of_replaced_settings(loaded.unwrap().warnings)
     sys.exit(asyncio.run(_run(settings, path)))
 
 
@@ -106,7 +107,8 @@
             "Invalid settings; the active settings are kept.", faults=errors
         )
         return
-    instance.reload(loaded.unwrap())
+    logs.warn_of_replaced_settings(loaded.unwrap().warnings)
+    instance.reload(loaded.unwrap().settings)
 
 
 if __name__ == "__main__":
--- a/src/chiveslip/settings/check.py
+++ b/src/chiveslip/settings/check.py
@@ -17,6 +17,7 @@
 from chiveslip.settings.fields import Address
 from chiveslip.settings.fields import Field
 from chiveslip.settings.fields import Value
+from chiveslip.settings.fields import fallback_text
 from chiveslip.settings.fields import parse_value
 
 
@@ -43,7 +44,21 @@
         return f"{location}: got {self.actual}; expected {self.expected}"
 
 
-def load_settings(path: Path) -> Result[Settings, list[SettingsErrorDetail]]:
+@attrs.frozen(kw_only=True)
+class LoadedSettings:
+    """Valid settings.
+
+    Attributes
+    ----------
+    warnings
+        Values that were invalid and replaced, of settings that allow it.
+    """
+
+    settings: Settings
+    warnings: tuple[SettingsErrorDetail, ...] = ()
+
+
+def load_settings(path: Path) -> Result[LoadedSettings, list[SettingsErrorDetail]]:
     """Read and validate the settings file at `path`."""
     try:
         text = path.read_text(encoding="utf-8")
@@ -54,7 +69,9 @@
     return check_settings(text, str(path))
 
 
-def check_settings(text: str, file: str) -> Result[Settings, list[SettingsErrorDetail]]:
+def check_settings(
+    text: str, file: str
+) -> Result[LoadedSettings, list[SettingsErrorDetail]]:
     """Validate the settings in `text`; `file` is the file's name in errors."""
     try:
         root = yaml.compose(text, Loader=yaml.SafeLoader)
@@ -81,10 +98,11 @@
     def __init__(self, file: str) -> None:
         self._file = file
         self._errors: list[SettingsErrorDetail] = []
+        self._warnings: list[SettingsErrorDetail] = []
 
     def check(
         self, root: yaml.Node | None
-    ) -> Result[Settings, list[SettingsErrorDetail]]:
+    ) -> Result[LoadedSettings, list[SettingsErrorDetail]]:
         if root is not None and not isinstance(root, yaml.MappingNode):
             self._add_error(
                 root, "file", "no mapping", "a mapping of sections with settings"
@@ -99,7 +117,9 @@
         if self._errors:
             return Failure(self._errors)
         built = {name: SECTIONS[name](**values) for name, values in sections.items()}
-        return Success(Settings(**built))
+        return Success(
+            LoadedSettings(settings=Settings(**built), warnings=tuple(self._warnings))
+        )
 
     def _read_section(self, name: str, node: yaml.Node | None) -> dict[str, Any]:
         fields = {field.name: field for field in FIELDS[name]}
@@ -142,11 +162,22 @@
         if not isinstance(node, yaml.ScalarNode):
             self._add_error(node, key, _describe_node(node), field.expected)
             return None
+        text = str(node.value)
         try:
-            return parse_value(field, str(node.value))
+            return parse_value(field, text)
         except ValueError as error:
-            self._add_error(node, key, f"{node.value!r}: {error}", field.expected)
-            return None
+            actual = f"{text!r}: {error}"
+            if not field.has_fallback:
+                self._add_error(node, key, actual, field.expected)
+                return None
+            used = fallback_text(field, text, error)
+            line = node.start_mark.line + 1
+            self._warnings.append(
+                _error_detail(
+                    self._file, line, key, f"{actual}; using {used!r}", field.expected
+                )
+            )
+            return parse_value(field, used)
 
     def _check_relations(
         self, sections: dict[str, dict[str, Any]], root: yaml.Node | None
--- a/src/chiveslip/settings/fields.py
+++ b/src/chiveslip/settings/fields.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Callable
 
@@ -9,7 +10,7 @@
 
 _DURATION_UNITS_S = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
 _SIZE_UNITS_B = {"B": 1, "KiB": 1024, "MiB": 1024**2}
-_QUANTITY = re.compile(r"(\d+(?:\.\d+)?)\s*([A-Za-z%]*)")
+_QUANTITY = re.compile(r"(\d+(?:\.\d+)?(?:[eE][+-]?\d+)?)\s*([A-Za-z%]*)")
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
 Value = str | int | float
@@ -32,6 +33,11 @@
 
     `default`, `min` and `max` are written as in a settings file, with their units. A
     setting without a default is required.
+
+    Attributes
+    ----------
+    has_fallback
+        Whether an invalid value is replaced, with a warning, instead of refused.
     """
 
     name: str
@@ -40,6 +46,7 @@
     min: str | None = None
     max: str | None = None
     choices: tuple[str, ...] = ()
+    has_fallback: bool = False
 
     @property
     def expected(self) -> str:
@@ -51,13 +58,29 @@
         return _EXAMPLES[self.type]
 
 
+class OutOfRangeError(ValueError):
+    """A number lies outside the allowed range.
+
+    Attributes
+    ----------
+    nearest
+        The allowed value that is closest to it, as in a settings file.
+    """
+
+    def __init__(self, nearest: str) -> None:
+        super().__init__("out of range")
+        self.nearest = nearest
+
+
 def parse_value(field: Field, text: str) -> Value | Address | tuple[Address, ...]:
     """Parse `text` as a value of `field`.
 
     Raises
     ------
+    OutOfRangeError
+        If the value is a number beyond the field's limits.
     ValueError
-        If the text has the wrong type, lacks its unit or is out of range.
+        If the text has the wrong type or lacks its unit.
     """
     value = _PARSERS[field.type](text)
     if field.choices and value not in field.choices:
@@ -70,11 +93,34 @@
         return value
     low = _PARSERS[field.type](field.min)
     high = _PARSERS[field.type](field.max)
-    if not low <= value <= high:  # type: ignore[operator]
-        raise ValueError("out of range")
+    if value < low:  # type: ignore[operator]
+        raise OutOfRangeError(field.min)
+    if value > high:  # type: ignore[operator]
+        raise OutOfRangeError(field.max)
     return value
 
 
+def fallback_text(field: Field, text: str, error: ValueError) -> str:
+    """Return what stands in for the invalid `text` of a field with a fallback.
+
+    A number out of range is replaced by the nearest allowed one, a list of addresses
+    by its valid ones, every other value by the default.
+    """
+    if isinstance(error, OutOfRangeError):
+        return error.nearest
+    if field.type != "addresses":
+        return field.default or ""
+    return ",".join(part for part in text.split(",") if _is_address(part.strip()))
+
+
+def _is_address(text: str) -> bool:
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def parse_address(text: str) -> Address:
     """Parse ``host:port``; the host, which should be an IP address, is not checked.
 
@@ -121,7 +167,10 @@
     match = _QUANTITY.fullmatch(text)
     if match is None:
         raise ValueError("not a number with a unit")
-    return float(match[1]), match[2]
+    number = float(match[1])
+    if not math.isfinite(number):
+        raise ValueError("not a finite number")
+    return number, match[2]
 
 
 def _unit_error(unit: str, units: dict[str, float] | dict[str, int]) -> str:
@@ -155,7 +204,7 @@
     return tuple(parse_address(part) for part in parts if part)
 
 
-def _parse_fraction(text: str) -> float:
+def _parse_number(text: str) -> float:
     number, unit = _parse_quantity(text)
     if unit:
         raise ValueError("not a plain number")
@@ -184,7 +233,7 @@
     "count": _parse_count,
     "percent": _parse_percent,
     "addresses": _parse_addresses,
-    "fraction": _parse_fraction,
+    "number": _parse_number,
     "flag": _parse_flag,
 }
 
--- a/testing/platform/gateways.py
+++ b/testing/platform/gateways.py
@@ -74,7 +74,7 @@
 gateway: {{order_lease: "300 ms", adapter_load: "20 ms", adapter_reload: "10 ms"}}
 stop: {{notice: "0 s"}}
 """
-        settings = check_settings(settings_text, name).unwrap()
+        settings = check_settings(settings_text, name).unwrap().settings
         member.instance = GatewayInstance(
             settings, UserPlatformInterfaces(), SystemClock()
         )
--- a/testing/simulation/cluster.py
+++ b/testing/simulation/cluster.py
@@ -194,7 +194,7 @@
         loaded = check_settings(self._settings.format(name=name), "settings.yaml")
         self.network.mark_running(name)
         instance = SimulatedInstance(
-            loaded.unwrap(),
+            loaded.unwrap().settings,
             self.platform,
             self.network,
             self.endpoints,
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -26,7 +26,7 @@
     "count": "int",
     "percent": "float",
     "addresses": "tuple[Address, ...]",
-    "fraction": "float",
+    "number": "float",
     "flag": "bool",
 }
 
@@ -77,14 +77,25 @@
             arguments.append(f"{key}={str(field[key])!r}")
     if "choices" in field:
         arguments.append(f"choices={tuple(field['choices'])!r}")
+    if field.get("fallback"):
+        arguments.append("has_fallback=True")
     return f"Field({', '.join(arguments)})"
 
 
 def render_settings_page(schema: dict[str, dict[str, dict[str, Any]]]) -> str:
     """Return the page with the operators' table of settings."""
     lines = ["# Settings", "", NOTICE.format(source="schema/settings.yaml"), ""]
-    lines += ["Settings without a default are required.", ""]
-    lines += ["| setting | type | default | range | meaning |", "|---|---|---|---|---|"]
+    lines += [
+        "Settings without a default are required. An invalid value stops the start",
+        "and names file, line, setting, value and what is allowed. Where the last",
+        "column says `warned`, the instance starts all the same and warns in the same",
+        "words: a number out of range is replaced by the nearest allowed one, a list",
+        "of addresses by its valid ones, every other value (text, a negative number,",
+        "NaN) by the default.",
+        "",
+        "| setting | type | default | range | meaning | invalid value |",
+        "|---|---|---|---|---|---|",
+    ]
     for section, fields in schema.items():
         for name, field in fields.items():
             if "choices" in field:
@@ -96,7 +107,8 @@
             default = field.get("default", "none")
             lines.append(
                 f"| `{section}.{name}` | {field['type']} | `{default}` "
-                f"| {allowed_values} | {field['doc']} |"
+                f"| {allowed_values} | {field['doc']} "
+                f"| {'warned' if field.get('fallback') else 'refused'} |"
             )
     return "\n".join(lines) + "\n"
 
