Grant an organisation's units by one instance, which the others ask

Cause: until peers reported their use, an instance admitted at most 4 / instances of a bucket, whoever had the callers.

Change: the first live instance in an organisation's rendezvous order grants its units, ahead of demand while they abound; the second one does while the first does not answer, and an instance's own part is used only without both.

--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -31,6 +31,9 @@
 from chiveslip.fleet.gossip_schedule import schedule_for
 from chiveslip.fleet.membership import Membership
 from chiveslip.fleet.store_pulls import StorePulls
+from chiveslip.gateway.allowance_requests import AllowanceDecision
+from chiveslip.gateway.allowance_requests import AllowanceRequests
+from chiveslip.gateway.allowances import Grant
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -44,6 +47,7 @@
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.load_times import LoadTimes
 from chiveslip.gateway.metrics import GatewayMetrics
+from chiveslip.gateway.routing import Organisation
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.settings.fields import Address
 from chiveslip.store.catch_up import PeerCatchUp
@@ -136,6 +140,7 @@
     messages: GossipMessages
     gossip: Gossip
     store_pulls: StorePulls
+    requests: AllowanceRequests
     store_path: StorePath = StorePath.SERVED
     next_round_at: float = 0.0
     next_read_at: float = 0.0
@@ -189,6 +194,17 @@
         member.traffic.sent_bytes += reply.ByteSize()
         return reply
 
+    async def request_units(
+        self, peer: str, organisation: str, units: float, ahead: float
+    ) -> Grant:
+        """Return what a member grants of an organisation."""
+        member = self._fleet.members.get(peer)
+        if member is None or not member.is_running:
+            raise PeerError(f"{peer} is not running")
+        known = self._fleet.organisations[organisation]
+        now = self._fleet.clock.now()
+        return member.parts.allowances.grant(known, units, ahead, now)
+
     async def changes(
         self, address: Address, after: StoreRevision
     ) -> wire.ChangesReply:
@@ -207,6 +223,7 @@
         self.clock = ManualClock()
         self.random = random.Random(SEED)
         self.store = FleetStore()
+        self.organisations: dict[str, Organisation] = {}
         self.members: dict[str, Member] = {}
         names = [f"m{number}" for number in range(size)]
         self._seeds = tuple(Address(name, 1) for name in names[:3])
@@ -231,6 +248,13 @@
         """Return the members that are running."""
         return [member for member in self.members.values() if member.is_running]
 
+    def admit(
+        self, member: Member, organisation: Organisation, units: float
+    ) -> AllowanceDecision:
+        """Return a member's decision on a request of an organisation."""
+        self.organisations[organisation.name] = organisation
+        return asyncio.run(member.requests.admit(organisation, units))
+
     def _build_member(self, name: str) -> Member:
         clock = self.clock
         membership = Membership(
@@ -267,7 +291,12 @@
         parts = GossipParts(
             membership=membership,
             allowances=SharedAllowances(
-                schedule=schedule, instance_count=lambda: membership.size
+                schedule=schedule,
+                instance_count=lambda: membership.size,
+                live_instances=lambda: membership.live_members(clock.now()),
+                heard_share=lambda: membership.heard_share(
+                    schedule().max_heartbeat_age_s, clock.now()
+                ),
             ),
             engine_view=view,
             engine_failures=EngineFailures(),
@@ -300,7 +329,14 @@
             seeds=self._seeds,
             generator=self.random,
         )
-        return Member(name, parts, messages, gossip, store_pulls)
+        requests = AllowanceRequests(
+            instance=name,
+            allowances=parts.allowances,
+            peers=peers,
+            metrics=parts.metrics,
+            clock=clock,
+        )
+        return Member(name, parts, messages, gossip, store_pulls, requests)
 
 
 def record_typical_use(fleet: LargeFleet) -> None:
--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -48,6 +48,7 @@
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
 from chiveslip.fleet.use_notices import UseNotices
 from chiveslip.fleet.use_notices import Uses
+from chiveslip.gateway.allowance_requests import AllowanceRequests
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
@@ -641,9 +642,17 @@
                 protocol=SimulatedProtocol(),
                 metrics=fleet.metrics,
                 sender=cast(Sender, SimulatedSender(fleet, self.directory)),
-                allowances=SharedAllowances(
-                    schedule=lambda: schedule,
-                    instance_count=lambda: len(fleet.instance_names),
+                allowances=AllowanceRequests(
+                    instance=name,
+                    allowances=SharedAllowances(
+                        schedule=lambda: schedule,
+                        instance_count=lambda: len(fleet.instance_names),
+                        live_instances=lambda: fleet.instance_names,
+                        heard_share=lambda: 1.0,
+                    ),
+                    peers=cast(GatewayPeers, SimulatedPeers(fleet)),
+                    metrics=fleet.metrics,
+                    clock=clock,
                 ),
                 retry_budget=RetryBudget(
                     share=_RETRY_SHARE, slack=_RETRY_SLACK, window_s=_RETRY_WINDOW_S
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -30,6 +30,7 @@
 from chiveslip.fleet.member_log import MemberLog
 from chiveslip.fleet.membership import Membership
 from chiveslip.fleet.store_pulls import StorePulls
+from chiveslip.gateway.allowance_requests import AllowanceRequests
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.catalogue import Catalogue
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
@@ -194,7 +195,12 @@
             metrics=self._metrics,
         )
         allowances = SharedAllowances(
-            schedule=self._schedule, instance_count=lambda: self._membership.size
+            schedule=self._schedule,
+            instance_count=lambda: self._membership.size,
+            live_instances=lambda: self._membership.live_members(clock.now()),
+            heard_share=lambda: self._membership.heard_share(
+                self._schedule().max_heartbeat_age_s, clock.now()
+            ),
         )
         suspects = CrashSuspects(_MAX_CRASHES)
         parts = GossipParts(
@@ -232,7 +238,11 @@
             generator=self._random,
         )
         service = GatewayPeerService(
-            messages, parts, store_pulls, self._mirror.build_changes_reply
+            messages,
+            parts,
+            store_pulls,
+            self._mirror.build_changes_reply,
+            self._catalogue.find_organisation,
         )
         self._peer_server = Server([service])
         load_requests = LoadRequests(
@@ -248,7 +258,13 @@
                 protocol=protocol,
                 metrics=self._metrics,
                 sender=Sender(connector, protocol, clock, directory.accepts_work),
-                allowances=allowances,
+                allowances=AllowanceRequests(
+                    instance=settings.instance.id,
+                    allowances=allowances,
+                    peers=self._peers,
+                    metrics=self._metrics,
+                    clock=clock,
+                ),
                 retry_budget=RetryBudget(
                     share=settings.gateway.retry_share,
                     slack=settings.gateway.retry_slack,
--- a/src/chiveslip/fleet/gateway_peers.py
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -10,6 +10,7 @@
 from chiveslip.fleet.channels import ChannelOptions
 from chiveslip.fleet.channels import PeerChannels
 from chiveslip.fleet.channels import PeerError
+from chiveslip.gateway.allowances import Grant
 from chiveslip.gateway.engine_coordinator import LoadOutcome
 from chiveslip.gateway.engine_coordinator import LoadResult
 from chiveslip.generated import peer_pb2 as wire
@@ -20,6 +21,8 @@
 # The reply to a load comes when its order was accepted, which may wait for other loads.
 # Another engine can still answer in time after this.
 _LOAD_TIMEOUT_S = 1.2
+# A request waits this long for each of two instances; short calls have 0.1 s in all.
+_GRANT_TIMEOUT_S = 0.15
 _OPTIONS = ChannelOptions(
     keepalive_s=2.0,
     keepalive_timeout_s=1.0,
@@ -78,11 +81,7 @@
         max_wait_s
             How long in seconds the request can wait for the adapter.
         """
-        address = self._address_of(peer)
-        if address is None:
-            raise PeerError(
-                f"the address of {peer} is unknown; it is not a known member"
-            )
+        address = self._known_address(peer)
         request = wire.LoadRequest(
             endpoint=engine,
             adapter=adapter[0],
@@ -95,6 +94,46 @@
         outcome = _OUTCOMES_BY_WIRE_VALUE.get(reply.outcome, LoadOutcome.FAILED)
         return LoadResult(outcome=outcome, ready_in_s=reply.ready_after_seconds)
 
+    async def request_units(
+        self, peer: str, organisation: str, units: float, ahead: float
+    ) -> Grant:
+        """Ask the instance that grants an organisation's units for some of them.
+
+        Parameters
+        ----------
+        units
+            Units that are needed.
+        ahead
+            Units wanted beyond these.
+
+        Raises
+        ------
+        PeerError
+            Also if the peer does not know the organisation, or answers nonsense.
+        """
+        address = self._known_address(peer)
+        request = wire.GrantRequest(organisation=organisation, units=units, ahead=ahead)
+        reply = await self._call(
+            address, _GRANT_TIMEOUT_S, lambda stub, t: stub.Grant(request, timeout=t)
+        )
+        grant = Grant(units=reply.units, retry_after_s=reply.retry_after_seconds)
+        is_whole = grant.units >= units and grant.units <= units + ahead
+        is_refusal = grant.units == 0 and grant.retry_after_s > 0
+        if not reply.is_decided or not (is_whole or is_refusal):
+            raise PeerError(
+                f"{peer} granted {grant.units} of {units} + {ahead} units of "
+                f"{organisation}; expected all, some ahead, or a time to wait"
+            )
+        return grant
+
+    def _known_address(self, peer: str) -> Address:
+        address = self._address_of(peer)
+        if address is None:
+            raise PeerError(
+                f"the address of {peer} is unknown; it is not a known member"
+            )
+        return address
+
     async def changes(
         self, address: Address, after: StoreRevision
     ) -> wire.ChangesReply:
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import final
@@ -21,6 +22,7 @@
 from chiveslip.fleet.use_notices import UseNotices
 from chiveslip.fleet.use_notices import Uses
 from chiveslip.gateway.engine_view import Adapter
+from chiveslip.gateway.routing import Organisation
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated.peer_grpc import GatewayPeerBase
 from chiveslip.settings.fields import Address
@@ -151,11 +153,13 @@
         parts: GossipParts,
         store_pulls: StorePulls,
         changes_after: Callable[[StoreRevision], wire.ChangesReply],
+        find_organisation: Callable[[str], Organisation | None],
     ) -> None:
         self._messages = messages
         self._parts = parts
         self._store_pulls = store_pulls
         self._changes_after = changes_after
+        self._find_organisation = find_organisation
         self._tasks = TaskSet("gossip")
 
     async def Exchange(  # noqa: N802
@@ -204,3 +208,25 @@
             return
         after = StoreRevision(request.after_era, request.after_revision)
         await stream.send_message(self._changes_after(after))
+
+    async def Grant(  # noqa: N802
+        self, stream: Stream[wire.GrantRequest, wire.GrantReply]
+    ) -> None:
+        """Grant units of an organisation's allowance, or say when to ask again."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        organisation = self._find_organisation(request.organisation)
+        is_valid = 0 <= request.units < math.inf and 0 <= request.ahead < math.inf
+        if organisation is None or not is_valid:
+            await stream.send_message(wire.GrantReply())
+            return
+        grant = self._parts.allowances.grant(
+            organisation, request.units, request.ahead, self._parts.clock.now()
+        )
+        reply = wire.GrantReply(
+            is_decided=True,
+            units=grant.units,
+            retry_after_seconds=grant.retry_after_s,
+        )
+        await stream.send_message(reply)
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -155,6 +155,7 @@
         return message
 
     def _add_allowances(self, message: wire.Gossip, now: float) -> None:
+        self._parts.allowances.return_expired_credits(now)
         levels = self._parts.allowances.current_levels(now)
         for name, tokens in self._parts.allowances.used.items():
             message.allowance_uses.add(
--- a/src/chiveslip/fleet/gossip_schedule.py
+++ b/src/chiveslip/fleet/gossip_schedule.py
@@ -26,6 +26,8 @@
 # Rounds until the last instances have a report, after those in which the number of
 # instances that have it multiplies.
 _FINAL_ROUNDS = 2
+# Rounds of a small fleet without a heartbeat after which an instance may be lost.
+_MAX_MISSED_ROUNDS = 4
 # Upper limit of the delay after a read of the store that brought a change: a
 # configuration change has to be active within three seconds.
 _MAX_BATCH_DELAY_S = 1.2
@@ -67,6 +69,8 @@
         its report to all others directly.
     heartbeat_timeout_s
         An instance without a newer heartbeat for this time in seconds is lost.
+    max_heartbeat_age_s
+        An instance without a newer heartbeat for this time in seconds may be lost.
     batch_delay_s
         Delay in seconds after a read of the store that brought a change.
     max_watch_s
@@ -79,6 +83,7 @@
     relays_reports: bool
     propagation_s: float
     heartbeat_timeout_s: float
+    max_heartbeat_age_s: float
     batch_delay_s: float
     max_watch_s: float
 
@@ -93,6 +98,9 @@
             relays_reports=False,
             propagation_s=0.0,
             heartbeat_timeout_s=settings.heartbeat_timeout_s,
+            max_heartbeat_age_s=min(
+                _MAX_MISSED_ROUNDS * settings.interval_s, settings.heartbeat_timeout_s
+            ),
             batch_delay_s=settings.batch_delay_s,
             max_watch_s=settings.max_watch_s,
         )
@@ -108,15 +116,17 @@
         settings.batch_delay_s * size_ratio,
         max(_MAX_BATCH_DELAY_S, settings.batch_delay_s),
     )
+    heartbeat_timeout_s = max(
+        settings.heartbeat_timeout_s, propagation_s + 2 * interval_s
+    )
     return GossipSchedule(
         interval_s=interval_s,
         fan_out=_FAN_OUT,
         rounds_per_heartbeat=_ROUNDS_PER_HEARTBEAT,
         relays_reports=True,
         propagation_s=propagation_s,
-        heartbeat_timeout_s=max(
-            settings.heartbeat_timeout_s, propagation_s + 2 * interval_s
-        ),
+        heartbeat_timeout_s=heartbeat_timeout_s,
+        max_heartbeat_age_s=heartbeat_timeout_s,
         batch_delay_s=batch_delay_s,
         max_watch_s=max_watch_s,
     )
--- a/src/chiveslip/fleet/membership.py
+++ b/src/chiveslip/fleet/membership.py
@@ -192,6 +192,25 @@
             names.append(self._instance)
         return sorted(names)
 
+    def heard_share(self, max_age_s: float, now: float) -> float:
+        """Return the part of the fleet that was heard recently, this instance included.
+
+        Members that announced their stop are no part of the fleet. Others are for
+        `_MEMBER_RETENTION_S`: they may be alive behind a partition.
+
+        Parameters
+        ----------
+        max_age_s
+            Largest age in seconds of a member's last heartbeat.
+        """
+        ages_s = [
+            now - member.last_seen_at
+            for member in self._members.values()
+            if not member.update.stopping
+        ]
+        heard = sum(age_s <= max_age_s for age_s in ages_s)
+        return (1 + heard) / (1 + len(ages_s))
+
     def reachable(self, now: float) -> list[MemberUpdate]:
         """Return the updates of all members that are not lost, even if they stop."""
         timeout_s = self._heartbeat_timeout_s
--- a/src/chiveslip/gateway/catalogue.py
+++ b/src/chiveslip/gateway/catalogue.py
@@ -14,6 +14,7 @@
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.routing import EngineCapacity
+from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import RoutingTable
 
 # Entries that expired while the store was unreachable are renewed within this time
@@ -49,6 +50,7 @@
         self._clock = clock
         self._store_reconnected_at = store_reconnected_at
         self._table: RoutingTable | None = None
+        self._organisations: dict[str, Organisation] = {}
         self._versions: dict[str, int] = {}
         self._expired: dict[str, float] = {}
         self._log = logs.get_logger("catalogue")
@@ -58,6 +60,10 @@
         """The active routing table, or None before the first."""
         return self._table
 
+    def find_organisation(self, name: str) -> Organisation | None:
+        """Return an organisation of the active table that has a key, or None."""
+        return self._organisations.get(name)
+
     def newest_version(self, adapter: str) -> int:
         """Return the newest known version of an adapter."""
         return self._versions.get(adapter, _FIRST_VERSION)
@@ -68,6 +74,7 @@
             return
         previous = 0 if self._table is None else self._table.version
         self._table = table
+        self._organisations = {o.name: o for o in table.keys.values()}
         self._audit.add(
             AuditKind.CONFIGURATION_ACCEPTED,
             revision=table.version,
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -20,7 +20,7 @@
 from chiveslip.dispatch.retry_budget import RetryBudget
 from chiveslip.dispatch.suspects import CrashedEndpoint
 from chiveslip.dispatch.suspects import CrashSuspects
-from chiveslip.gateway.allowances import SharedAllowances
+from chiveslip.gateway.allowance_requests import AllowanceRequests
 from chiveslip.gateway.call import AttemptTimes
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.call import EngineEstimate
@@ -124,7 +124,7 @@
     protocol: GatewayProtocol
     metrics: GatewayMetrics
     sender: Sender
-    allowances: SharedAllowances
+    allowances: AllowanceRequests
     retry_budget: RetryBudget
     endpoint_health: EndpointHealth
     crash_suspects: CrashSuspects
@@ -149,7 +149,7 @@
     async def handle(self, request: IngressRequest, reply: IngressReply) -> None:
         """Answer one request."""
         now = self._dependencies.clock.now()
-        admitted = self._admit(request, reply, now)
+        admitted = await self._admit(request, reply, now)
         if isinstance(admitted, Refusal):
             request_id = self._dependencies.protocol.parse_request(
                 request.headers
@@ -188,13 +188,11 @@
         if refusal is None:
             return None
         if not call.was_sent and call.organisation is not None:
-            self._dependencies.allowances.refund(
-                call.organisation, call.units, self._dependencies.clock.now()
-            )
+            self._dependencies.allowances.refund(call.organisation, call.units)
         await self._refusal_writer.write(call.reply, call.metadata.request_id, refusal)
         return refusal
 
-    def _admit(
+    async def _admit(
         self, request: IngressRequest, reply: IngressReply, now: float
     ) -> Call | Refusal:
         if not self._dependencies.accepts_requests():
@@ -235,15 +233,14 @@
             metadata.prompt_tokens, metadata.output_tokens, organisation
         )
         if organisation is not None:
-            is_alone = self._dependencies.live_instance_count() <= 1
-            wait_s = self._dependencies.allowances.admit(
-                organisation, units, now, is_alone=is_alone
-            )
-            if wait_s > 0:
+            decision = await self._dependencies.allowances.admit(organisation, units)
+            if decision.retry_after_s > 0:
                 return _refusal(
                     result_codes.ALLOWANCE_EXCEEDED,
-                    f"{organisation.name} has exceeded its allowance.",
-                    wait_s,
+                    f"{organisation.name} has exceeded its allowance: of "
+                    f"{organisation.rate:.0f} units a second, {units:.0f} are not "
+                    f"left ({decision.source.value}).",
+                    decision.retry_after_s,
                 )
         max_wait_s = route.timeout_s
         if metadata.max_wait_s is not None:
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -59,6 +59,17 @@
             ("framing", "ending", "position"),
             registry=registry,
         )
+        self.allowance_decisions = Counter(
+            "chiveslip_allowance_decisions",
+            "Decisions on allowances by what they were made from, and result.",
+            ("source", "result"),
+            registry=registry,
+        )
+        self.allowance_requests_unanswered = Counter(
+            "chiveslip_allowance_requests_unanswered",
+            "Requests for units that the instance that grants them did not answer.",
+            registry=registry,
+        )
         self.load_wait = Histogram(
             "chiveslip_load_wait_seconds",
             "Time that requests waited for their adapter.",
--- a/testing/fleet/test_large_fleet.py
+++ b/testing/fleet/test_large_fleet.py
@@ -114,15 +114,11 @@
         now = fleet.clock.now()
         for _ in range(round(7.5 * rate * 0.05 / units)):
             member = fleet.random.choice(members)
-            if (
-                member.parts.allowances.admit(overloaded, units, now, is_alone=False)
-                == 0.0
-            ):
+            if fleet.admit(member, overloaded, units).retry_after_s == 0:
                 admitted.append((now - started_at, units))
         if fleet.random.random() < 0.6 * rate * 0.05 / units:
             member = fleet.random.choice(members)
-            wait_s = member.parts.allowances.admit(normal, units, now, is_alone=False)
-            refusals += wait_s > 0
+            refusals += fleet.admit(member, normal, units).retry_after_s > 0
         fleet.run(0.05)
     worst = max(
         sum(u for at, u in admitted if start <= at < start + 8)
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -28,8 +28,10 @@
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.dispatch.retry_budget import RetryBudget
 from chiveslip.dispatch.suspects import CrashSuspects
+from chiveslip.fleet.gateway_peers import GatewayPeers
 from chiveslip.fleet.gossip_schedule import GossipScheduleSettings
 from chiveslip.fleet.gossip_schedule import schedule_for
+from chiveslip.gateway.allowance_requests import AllowanceRequests
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import EndpointState
@@ -298,8 +300,17 @@
                 protocol=dialect,
                 metrics=GatewayMetrics(),
                 sender=Sender(connector, dialect, clock, directory.accepts_work),
-                allowances=SharedAllowances(
-                    schedule=lambda: schedule_for(1, PACE), instance_count=lambda: 1
+                allowances=AllowanceRequests(
+                    instance="here",
+                    allowances=SharedAllowances(
+                        schedule=lambda: schedule_for(1, PACE),
+                        instance_count=lambda: 1,
+                        live_instances=lambda: ["here"],
+                        heard_share=lambda: 1.0,
+                    ),
+                    peers=GatewayPeers(lambda _name: None, 1.0),
+                    metrics=GatewayMetrics(),
+                    clock=clock,
                 ),
                 retry_budget=RetryBudget(share=0.2, slack=50, window_s=10.0),
                 endpoint_health=health,
--- a/testing/gateway/test_allowances.py
+++ b/testing/gateway/test_allowances.py
@@ -24,7 +24,19 @@
 
 def shared_allowances(instances: int = 6) -> SharedAllowances:
     pace = schedule_for(instances, SETTINGS)
-    return SharedAllowances(schedule=lambda: pace, instance_count=lambda: instances)
+    return SharedAllowances(
+        schedule=lambda: pace,
+        instance_count=lambda: instances,
+        live_instances=lambda: [f"i{number}" for number in range(instances)],
+        heard_share=lambda: 1.0,
+    )
+
+
+def admit(
+    allowances: SharedAllowances, organisation: Organisation, units: float, now: float
+) -> float:
+    """Charge a request to the bucket; return 0, or the time after which to return."""
+    return allowances.grant(organisation, units, 0.0, now).retry_after_s
 
 
 def organisation(rate: float = RATE, burst: float = BURST) -> Organisation:
@@ -51,19 +63,16 @@
     requests: list[int], admitted: int
 ) -> None:
     allowances = shared_allowances()
-    waits = [
-        allowances.admit(organisation(), units, 0.0, is_alone=True)
-        for units in requests
-    ]
+    waits = [admit(allowances, organisation(), units, 0.0) for units in requests]
     assert waits.count(0.0) == admitted
 
 
 def test_refusal_returns_the_wait_until_the_request_fits() -> None:
     allowances = shared_allowances()
-    allowances.admit(organisation(), BURST, 0.0, is_alone=True)
-    wait_s = allowances.admit(organisation(), 500.0, 0.0, is_alone=True)
+    admit(allowances, organisation(), BURST, 0.0)
+    wait_s = admit(allowances, organisation(), 500.0, 0.0)
     assert wait_s == pytest.approx(0.5)
-    assert allowances.admit(organisation(), 500.0, wait_s, is_alone=True) == 0.0
+    assert admit(allowances, organisation(), 500.0, wait_s) == 0.0
 
 
 @pytest.mark.parametrize(
@@ -81,56 +90,57 @@
 ) -> None:
     allowances = shared_allowances()
     if has_bucket:
-        allowances.admit(organisation(), 1.0, 0.0, is_alone=True)
+        admit(allowances, organisation(), 1.0, 0.0)
     allowances.lower_to_peer_levels({"trust": level}, 0.0)
-    wait_s = allowances.admit(organisation(), units, at, is_alone=True)
+    wait_s = admit(allowances, organisation(), units, at)
     assert (wait_s == 0.0) is is_admitted
 
 
 def test_request_within_the_rate_is_admitted_after_a_restart_of_all_instances() -> None:
     """No instance is left that knows what was used before."""
     allowances = shared_allowances()
-    assert allowances.admit(organisation(), 500.0, 0.0, is_alone=False) == 0.0
+    assert admit(allowances, organisation(), 500.0, 0.0) == 0.0
 
 
 def test_reported_use_of_peers_is_charged() -> None:
     allowances = shared_allowances()
-    allowances.admit(organisation(), 100.0, 0.0, is_alone=True)
+    admit(allowances, organisation(), 100.0, 0.0)
     allowances.record_peer_use("peer", 1, {"trust": 5000.0})
-    assert allowances.admit(organisation(), 100.0, 0.0, is_alone=True) == 0.0
+    assert admit(allowances, organisation(), 100.0, 0.0) == 0.0
     allowances.record_peer_use("peer", 1, {"trust": 7000.0})
-    assert allowances.admit(organisation(), 100.0, 0.0, is_alone=True) > 0
+    assert admit(allowances, organisation(), 100.0, 0.0) > 0
 
 
 def test_use_of_a_restarted_peer_is_not_charged_twice() -> None:
     allowances = shared_allowances()
-    allowances.admit(organisation(), 100.0, 0.0, is_alone=True)
+    admit(allowances, organisation(), 100.0, 0.0)
     allowances.record_peer_use("peer", 1, {"trust": 900.0})
     allowances.record_peer_use("peer", 2, {"trust": 900.0})
-    assert allowances.admit(organisation(), 1800.0, 0.0, is_alone=True) == 0.0
+    assert admit(allowances, organisation(), 1800.0, 0.0) == 0.0
 
 
 def test_refund_restores_the_charge() -> None:
     allowances = shared_allowances()
-    allowances.admit(organisation(), BURST, 0.0, is_alone=True)
-    allowances.refund(organisation(), BURST, 0.0)
+    admit(allowances, organisation(), BURST, 0.0)
+    allowances.return_units("trust", BURST)
     assert allowances.used["trust"] == 0.0
-    assert allowances.admit(organisation(), BURST, 0.0, is_alone=True) == 0.0
+    assert admit(allowances, organisation(), BURST, 0.0) == 0.0
 
 
 def test_lower_limit_applies_to_the_next_request() -> None:
     allowances = shared_allowances()
-    allowances.admit(organisation(), 100.0, 0.0, is_alone=True)
+    admit(allowances, organisation(), 100.0, 0.0)
     low = organisation(rate=100.0, burst=100.0)
-    assert allowances.admit(low, 100.0, 0.0, is_alone=True) == 0.0
-    assert allowances.admit(low, 100.0, 0.0, is_alone=True) > 0
+    assert admit(allowances, low, 100.0, 0.0) == 0.0
+    assert admit(allowances, low, 100.0, 0.0) > 0
 
 
-def test_six_instances_with_delayed_reports_stay_near_the_rate() -> None:
+def test_six_instances_without_a_grantor_stay_near_the_rate() -> None:
     """An organisation sends eight times its rate through six instances.
 
-    Peers learn of each other's use up to 0.3 s late. The users' bound over eight
-    seconds is 1.25 x (rate x 8 + burst) + 11,000.
+    None of them gets an answer from another one, but peers learn of each other's use
+    up to 0.3 s late. The users' bound over eight seconds is
+    1.25 x (rate x 8 + burst) + 11,000.
     """
     rate, burst = 44_000.0, 44_000.0
     fleet = [shared_allowances() for _ in range(6)]
@@ -140,10 +150,8 @@
     for step in range(1600):
         now = step * 0.01
         for index, member in enumerate(fleet):
-            if (
-                member.admit(organisation(rate, burst), units, now, is_alone=False)
-                == 0.0
-            ):
+            trust = organisation(rate, burst)
+            if member.admit_from_share(trust, units, now) == 0.0:
                 admitted.append((now, units))
             reports[index].append((now, dict(member.used)))
         if step % 25 == 0:
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -174,6 +174,32 @@
     assert len(holders) == 1
 
 
+async def test_units_of_an_allowance_are_granted_by_one_of_two_instances(
+    cluster: GatewayCluster,
+) -> None:
+    first = await cluster.start_gateway("one", [])
+    await cluster.start_gateway("two", [first.peers])
+    await wait_until(lambda: _decides_from(cluster, "peer"))
+    texts = [
+        (await fetch(member.metrics, "/metrics")).body.decode()
+        for member in cluster.members
+    ]
+    assert not any('source="share",result="refused"' in text for text in texts)
+
+
+async def _decides_from(cluster: GatewayCluster, source: str) -> bool:
+    """Send a request through each instance; return whether one decided from this."""
+    for number, member in enumerate(cluster.members):
+        answer = await send_request(member, "/once/a", request_id=f"r{number}")
+        assert answer.code == 200
+    texts = [
+        (await fetch(member.metrics, "/metrics")).body.decode()
+        for member in cluster.members
+    ]
+    counted = f'decisions_total{{result="admitted",source="{source}"}}'
+    return any(counted in text for text in texts)
+
+
 async def test_planned_stop_completes_running_requests(cluster: GatewayCluster) -> None:
     member = await cluster.start_gateway("one", [])
     cluster.kiosk.release_event = asyncio.Event()
