Tell until when a new coordinator holds off, and place requests by it

Cause: each planned stop gives the engines of one instance to others, which may not order for lease and agreement (3.8 s) after the predecessor's last order. A request asked three such coordinators and was refused, although others could load, or the hold-off ended within its deadline. The same answer came for adapters that the engine held already, and it did not say for how long it was true.

Change: the coordinator answers "held off" with the time left, and with "usable" for what its engine holds. The asker remembers the time: it counts as part of a load in the cost of the engine, so requests go where loads are allowed; if there is no such engine a request waits for the earliest one, and is refused at once, with the time, if that is too late. No rule of orders is loosened: no order is sent earlier.

--- a/src/chiveslip/fleet/gateway_peers.py
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -37,6 +37,7 @@
     LoadOutcome.NO_ROOM: wire.LoadReply.NO_ROOM,
     LoadOutcome.NOT_COORDINATOR: wire.LoadReply.NOT_HOME,
     LoadOutcome.TOO_LATE: wire.LoadReply.TOO_LATE,
+    LoadOutcome.HELD_OFF: wire.LoadReply.HELD_OFF,
     LoadOutcome.FAILED: wire.LoadReply.REFUSED,
 }
 _OUTCOMES_BY_WIRE_VALUE = {value: outcome for outcome, value in WIRE_OUTCOMES.items()}
--- a/src/chiveslip/gateway/engine_coordinator.py
+++ b/src/chiveslip/gateway/engine_coordinator.py
@@ -58,6 +58,8 @@
     USABLE = "usable"
     NO_ROOM = "no room"
     NOT_COORDINATOR = "not the coordinator"
+    HELD_OFF = "held off"
+    """Orders of the previous coordinator are not ruled out yet."""
     TOO_LATE = "too late"
     NO_ANSWER = "no answer from the coordinator"
     NOT_ASKED = "not asked, as the coordinator did not answer"
@@ -71,7 +73,8 @@
     Attributes
     ----------
     ready_in_s
-        Time in seconds until the adapter is usable, or would be if it is too late.
+        Time in seconds until the adapter is usable, or would be if it is too late; if
+        the coordinator holds off, until it may order.
     """
 
     outcome: LoadOutcome
@@ -222,11 +225,14 @@
         seconds the adapter is expected to be usable.
         """
         coordinated = self._engines.get(engine)
-        if coordinated is None or not self._can_order(coordinated):
+        if coordinated is None or not self._rights.is_coordinator_of(engine):
             return LoadResult(outcome=LoadOutcome.NOT_COORDINATOR)
         known = self._known_result(coordinated, adapter)
         if known is not None:
             return known
+        held_s = coordinated.orders_allowed_from - self._clock.now()
+        if held_s > 0:
+            return LoadResult(outcome=LoadOutcome.HELD_OFF, ready_in_s=held_s)
         order_by = self._clock.now() + _MAX_ORDER_WAIT_S
         expected_s = self._expected_load_s(coordinated, adapter)
         if expected_s > max_wait_s:
--- a/src/chiveslip/gateway/engine_search.py
+++ b/src/chiveslip/gateway/engine_search.py
@@ -83,6 +83,11 @@
         self._asked.pop(engine, None)
         self._last_asked = None
 
+    def reconsider(self, engine: str) -> None:
+        """Compare an engine that turned out worse with all others again."""
+        self._asked.pop(engine, None)
+        self._last_asked = None
+
     def record_no_answer(self, engine: str) -> None:
         """Record that an engine that was asked did not answer."""
         self.exclude(engine)
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -38,6 +38,8 @@
 _DEFAULT_PROMPT_TOKENS = 500
 # Engines that may be asked to load the adapter of one request before it is refused.
 _MAX_LOAD_REQUESTS = 3
+# Coordinators that may answer that they hold off, in addition.
+_MAX_HELD_OFF = 16
 _RETRY_AFTER_S = 0.3
 # A request that its caller gave up after this time without an event counts as failed.
 _MIN_UNANSWERED_S = 1.0
@@ -62,12 +64,25 @@
     ----------
     asked
         Engines for which a load was requested.
+    held_off
+        Answers of coordinators that they hold off.
     """
 
     asked: int = 0
+    held_off: int = 0
     min_load_s: float | None = None
     outcomes: list[str] = attrs.field(factory=list)
 
+    @property
+    def may_ask(self) -> bool:
+        """Whether another coordinator may be asked for a load."""
+        return self.asked < _MAX_LOAD_REQUESTS and self.held_off < _MAX_HELD_OFF
+
+    def record_held_off(self, engine: str) -> None:
+        """Record an engine whose coordinator may not order yet."""
+        self.held_off += 1
+        self.outcomes.append(f"{engine} {LoadOutcome.HELD_OFF.value}")
+
     def record_load(self, engine: str, load: LoadResult) -> None:
         """Record an engine that cannot have the adapter in time."""
         if load.outcome is not LoadOutcome.NOT_ASKED:
@@ -136,7 +151,7 @@
             self._placement.record_request(
                 request.adapter, request.prompt_tokens, self._clock.now()
             )
-        while failed_loads.asked < _MAX_LOAD_REQUESTS:
+        while failed_loads.may_ask:
             choice = await self._choose_engine(call, search)
             if choice is None:
                 break
@@ -144,10 +159,20 @@
             left_s = call.first_event_deadline - started_at
             if choice.wait_s > left_s:
                 return _too_late(choice.wait_s - left_s)
+            if not choice.is_present:
+                held_s = self._view.loads_held_s(choice.engine.id, started_at)
+                if held_s > 0:
+                    await asyncio.sleep(held_s)
+                    call.load_wait_s += self._clock.now() - started_at
+                    continue
             known_load = self._view.known_load(choice.engine.id, started_at)
             load = await self._ensure_adapter(
                 call, choice.engine.id, request.adapter, left_s
             )
+            if load.outcome is LoadOutcome.HELD_OFF:
+                search.reconsider(choice.engine.id)
+                failed_loads.record_held_off(choice.engine.id)
+                continue
             if load.outcome is not LoadOutcome.USABLE:
                 search.exclude(choice.engine.id)
                 failed_loads.record_load(choice.engine.id, load)
--- a/src/chiveslip/gateway/engine_view.py
+++ b/src/chiveslip/gateway/engine_view.py
@@ -126,6 +126,7 @@
         self._peer_uses: dict[str, dict[str, tuple[float, EngineUseUpdate]]] = {}
         self._loads = EngineLoads()
         self._contents_told_at: dict[str, float] = {}
+        self._loads_held_until: dict[str, float] = {}
 
     @property
     def receives_all_peers(self) -> bool:
@@ -228,6 +229,7 @@
         """Forget the models, adapters and report of an engine that is gone."""
         self._contents.pop(engine, None)
         self._contents_told_at.pop(engine, None)
+        self._loads_held_until.pop(engine, None)
         self._loads.forget(engine)
 
     def has_model(self, engine: str, model: str) -> bool:
@@ -261,6 +263,14 @@
         contents.ready_at[adapter] = ready_at
         contents.missing_at.pop(adapter, None)
 
+    def hold_loads(self, engine: str, until: float) -> None:
+        """Record that no adapter can be ordered at an engine before a local time."""
+        self._loads_held_until[engine] = until
+
+    def loads_held_s(self, engine: str, now: float) -> float:
+        """Return the time in seconds until adapters can be ordered at an engine."""
+        return max(self._loads_held_until.get(engine, now) - now, 0.0)
+
     def record_missing_adapter(self, engine: str, adapter: Adapter, now: float) -> None:
         """Record that an engine does not hold an adapter or is dropping it."""
         contents = self._contents.get(engine)
--- a/src/chiveslip/gateway/load_requests.py
+++ b/src/chiveslip/gateway/load_requests.py
@@ -84,6 +84,8 @@
                 self._record_no_answer(coordinator)
                 return LoadResult(outcome=LoadOutcome.NO_ANSWER)
             self._unanswered.pop(coordinator, None)
+        if load.outcome is LoadOutcome.HELD_OFF:
+            self._view.hold_loads(engine, self._clock.now() + load.ready_in_s)
         if load.outcome is LoadOutcome.USABLE:
             ready_at = self._clock.now() + load.ready_in_s
             self._view.expect_adapter(engine, adapter, ready_at)
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -216,19 +216,21 @@
         """Return the choice that an engine would be, with its cost."""
         wait_s = self._estimate_wait_s(engine.id, capacity, prompt_tokens, now)
         is_present = True
+        held_s = 0.0
         load_s = 0.0
         no_slot_cost = 0.0
         if adapter is not None:
             ready_at = self._view.ready_at(engine.id, adapter)
             is_present = ready_at is not None
             if ready_at is None:
+                held_s = self._view.loads_held_s(engine.id, now)
                 load_s = self._load_times.expected_load_s(engine.id, adapter, now)
                 in_use = self._view.adapters_in_use(engine.id, now)
                 if len(in_use) >= capacity.adapter_slots:
                     no_slot_cost = _NO_SLOT_COST_S
             else:
                 load_s = max(ready_at - now, 0.0)
-        estimate_s = max(wait_s, load_s) + load_s / 10
+        estimate_s = max(wait_s, held_s + load_s) + load_s / 10
         # A first event that is overdue here shows what no report has told yet. It does
         # not refuse requests: a less urgent one may wait rightly.
         overdue_s = min(self._view.overdue_s(engine.id, now), _MAX_OVERDUE_S)
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -9,6 +9,7 @@
 import attrs
 import pytest
 
+from chiveslip import hashing
 from chiveslip.clock import ManualClock
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
 from chiveslip.gateway.call import Call
@@ -271,3 +272,65 @@
     refusal = harness.choose()
     assert isinstance(refusal, Refusal)
     assert refusal.advised_retry_after_s == pytest.approx(retry_after_s)
+
+
+def hold_off_at(harness: SelectorHarness, held_s: dict[str, float]) -> None:
+    """Let the coordinators of these engines hold off their loads for a time."""
+    until = {name: harness.clock.now() + s for name, s in held_s.items()}
+
+    def answer(name: str) -> LoadResult:
+        left_s = until.get(name, 0.0) - harness.clock.now()
+        if left_s <= 0:
+            return LoadResult(outcome=LoadOutcome.USABLE)
+        harness.view.hold_loads(name, until[name])
+        return LoadResult(outcome=LoadOutcome.HELD_OFF, ready_in_s=left_s)
+
+    harness.answer = answer
+
+
+def add_engines(harness: SelectorHarness, names: list[str]) -> None:
+    for name in names:
+        harness.directory.put(engine(name))
+        harness.view.update_engine(
+            name, 1, frozenset({"m"}), frozenset(), harness.clock.now()
+        )
+
+
+def test_request_is_sent_where_loads_are_allowed_while_others_hold_off(
+    harness: SelectorHarness,
+) -> None:
+    names = [f"e{number}" for number in range(1, 9)]
+    add_engines(harness, names)
+    ranked = hashing.rank("m/a1", names)
+    hold_off_at(harness, dict.fromkeys(ranked[:-1], 3.8))
+    target = harness.choose()
+    assert isinstance(target, Target)
+    assert target.endpoint.id == ranked[-1]
+
+
+@pytest.mark.parametrize(
+    ("held_s", "is_served"),
+    [pytest.param(1.5, True, id="in-time"), pytest.param(3.8, False, id="too-late")],
+)
+async def test_request_waits_for_loads_if_they_are_allowed_in_time(
+    harness: SelectorHarness,
+    monkeypatch: pytest.MonkeyPatch,
+    held_s: float,
+    is_served: bool,
+) -> None:
+    slept: list[float] = []
+
+    async def sleep(seconds: float) -> None:
+        slept.append(seconds)
+        harness.clock.advance(seconds)
+
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    hold_off_at(harness, {"e1": held_s, "e2": held_s})
+    result = await harness.selector.select_target(harness.make_call())
+    if is_served:
+        assert isinstance(result, Target)
+        assert sum(slept) >= held_s - 0.01
+        return
+    assert isinstance(result, Refusal)
+    assert not slept
+    assert result.advised_retry_after_s == pytest.approx(held_s + 0.275 - 3.2, abs=0.1)
