Test that a malformed request for units costs only that request

The instance that grants units is asked by peers of any build: unknown organisations, negative, infinite and not-a-number units get no decision, and the instance goes on serving.

--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import AsyncIterator
 
 import pytest
 from tornado.httpclient import HTTPResponse
 
+from chiveslip.fleet.channels import PeerError
+from chiveslip.fleet.gateway_peers import GatewayPeers
 from chiveslip.gateway.engine_load import MAX_REPORT_AGE_S
+from chiveslip.settings.fields import Address
 from testing.platform.gateways import KEY
 from testing.platform.gateways import GatewayCluster
 from testing.platform.gateways import Member
@@ -187,6 +191,31 @@
     assert not any('source="share",result="refused"' in text for text in texts)
 
 
+@pytest.mark.parametrize(
+    ("organisation", "units", "ahead"),
+    [
+        pytest.param("nobody", 1.0, 0.0, id="unknown-organisation"),
+        pytest.param("trust", math.nan, 0.0, id="nan"),
+        pytest.param("trust", -1.0, 0.0, id="negative"),
+        pytest.param("trust", math.inf, 0.0, id="infinite"),
+        pytest.param("trust", 1.0, -5.0, id="negative-ahead"),
+    ],
+)
+async def test_malformed_request_for_units_costs_only_that_request(
+    cluster: GatewayCluster, organisation: str, units: float, ahead: float
+) -> None:
+    member = await cluster.start_gateway("one", [])
+    peers = GatewayPeers(lambda _: Address("127.0.0.1", member.peers), 1.0)
+    try:
+        with pytest.raises(PeerError):
+            await peers.request_units("one", organisation, units, ahead)
+        grant = await peers.request_units("one", "trust", 10.0, 0.0)
+    finally:
+        peers.close()
+    assert grant.units == 10.0
+    assert (await send_request(member, "/once/a")).code == 200
+
+
 async def _decides_from(cluster: GatewayCluster, source: str) -> bool:
     """Send a request through each instance; return whether one decided from this."""
     for number, member in enumerate(cluster.members):
