Look again each quarter of a second while loads are held off

Cause: a request slept until the earliest hold-off ended, although another engine had got its adapter or might load it meanwhile. Before, it was refused and its caller came back after 0.3 s, which found such an engine.

Change: it looks again after 0.25 s at the latest.

Failed before: test_request_that_waits_takes_an_engine_that_got_the_adapter_meanwhile.

--- a/src/chiveslip/gateway/allowances.py
+++ b/src/chiveslip/gateway/allowances.py
@@ -24,7 +24,7 @@
 from chiveslip.gateway.routing import Organisation
 
 # Instances that may be asked for units: the second one while the first does not answer.
-MAX_GRANTORS = 2
+_MAX_GRANTORS = 2
 # Shortest retry delay that a refused caller is told.
 _MIN_RETRY_AFTER_S = 0.1
 # Without a grantor, all instances together use at most this many times a bucket.
@@ -161,7 +161,7 @@
         grantors = self._grantors.get(organisation)
         if grantors is None:
             ranked = hashing.rank(f"allowance {organisation}", live)
-            grantors = self._grantors[organisation] = ranked[:MAX_GRANTORS]
+            grantors = self._grantors[organisation] = ranked[:_MAX_GRANTORS]
         return grantors
 
     def record_demand(
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -40,6 +40,9 @@
 _MAX_LOAD_REQUESTS = 3
 # Coordinators that may answer that they hold off, in addition.
 _MAX_HELD_OFF = 16
+# A request that waits for a hold-off looks again after this time whether another engine
+# has got its adapter meanwhile, or may load it.
+_MAX_HELD_WAIT_S = 0.25
 _RETRY_AFTER_S = 0.3
 # A request that its caller gave up after this time without an event counts as failed.
 _MIN_UNANSWERED_S = 1.0
@@ -162,7 +165,7 @@
             if not choice.is_present:
                 held_s = self._view.loads_held_s(choice.engine.id, started_at)
                 if held_s > 0:
-                    await asyncio.sleep(held_s)
+                    await asyncio.sleep(min(held_s, _MAX_HELD_WAIT_S))
                     call.load_wait_s += self._clock.now() - started_at
                     continue
             known_load = self._view.known_load(choice.engine.id, started_at)
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -334,3 +334,20 @@
     assert isinstance(result, Refusal)
     assert not slept
     assert result.advised_retry_after_s == pytest.approx(held_s + 0.275 - 3.2, abs=0.1)
+
+
+async def test_request_that_waits_takes_an_engine_that_got_the_adapter_meanwhile(
+    harness: SelectorHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def sleep(seconds: float) -> None:
+        harness.clock.advance(seconds)
+        now = harness.clock.now()
+        harness.view.expect_adapter("e2", ("m/a1", 1), now)
+
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    hold_off_at(harness, {"e1": 2.0, "e2": 2.0})
+    started_at = harness.clock.now()
+    target = await harness.selector.select_target(harness.make_call())
+    assert isinstance(target, Target)
+    assert target.endpoint.id == "e2"
+    assert harness.clock.now() - started_at <= 0.5
