--- a/testing/gateway/test_allowance_fleet.py
+++ b/testing/gateway/test_allowance_fleet.py
@@ -103,6 +103,17 @@
     assert fleet.worst_window(surging) <= 1.0
 
 
+def test_six_instances_with_delayed_reports_stay_near_the_rate() -> None:
+    """An organisation sends eight times its rate through six instances."""
+    fleet = AllowanceFleet(6)
+    generator = random.Random(20261204)
+    trust = organisation("trust", 44_000.0, 44_000.0)
+    while fleet.clock.now() < 16.0:
+        send(fleet, generator, trust, 8.0, on_all)
+        fleet.advance(STEP_S)
+    assert fleet.worst_window(trust) <= 1.0
+
+
 @pytest.mark.parametrize("size", [6, 91])
 def test_lost_grantor_does_not_stop_requests_inside_the_rate(size: int) -> None:
     fleet = AllowanceFleet(size)
