Log the shared parts of a request's prompt with each failed attempt

Of the crashes of the incident, the logs named the requests and their organisations, but not what the requests had in common: H1 (nothing is counted for a part that they share) could not be told from H2 (crashes are missed). X-Prompt-Prefix was read nowhere.

The ids of all parts but the last are now read into RequestMetadata.shared_parts, and logged with 'Attempt failed.'. Nothing decides by them yet.

--- a/src/chiveslip/gateway/protocol.py
+++ b/src/chiveslip/gateway/protocol.py
@@ -34,6 +34,9 @@
     last_event_id
         Id of the last event that the caller has received, to resume its stream after
         it, or empty.
+    shared_parts
+        Ids of the parts of its prompt, in order, without the last one, which belongs
+        to the request or its session alone.
     """
 
     request_id: str
@@ -44,6 +47,7 @@
     prompt_tokens: int | None
     output_tokens: int | None
     last_event_id: str
+    shared_parts: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chiveslip/gateway/telemetry.py
+++ b/src/chiveslip/gateway/telemetry.py
@@ -67,6 +67,7 @@
             result=attempt.result.value,
             detail=attempt.detail,
             **_describe_end(attempt),
+            shared_parts=call.metadata.shared_parts,
             after_s=_round_seconds(self._clock.now() - call.arrived_at),
         )
 
--- a/src/chiveslip/platform/protocol.py
+++ b/src/chiveslip/platform/protocol.py
@@ -15,6 +15,7 @@
 _DEADLINE_REMAINING = "X-Deadline-Remaining"
 _MODEL = "X-Model"
 _TOKEN_COUNT = "X-Token-Count"
+_PROMPT_PREFIX = "X-Prompt-Prefix"
 _LAST_EVENT_ID = "Last-Event-Id"
 _AUTHORIZATION = "Authorization"
 _SIGNATURE = "X-Server-Signature"
@@ -26,6 +27,8 @@
 _RESULT_CODE = "X-Result-Code"
 _AUTHORIZATION_SCHEME = "bearer"
 _MAX_PRIORITY = 9
+# Parts of one prompt that are read; a longer list is the caller's own mistake.
+_MAX_SHARED_PARTS = 256
 _STATUS_MISDIRECTED = 421
 # Statuses that tell a caller that the request did not run. A replica's response with
 # one of them is not genuine, since only 421 and X-Not-Executed prove that it is true.
@@ -83,6 +86,7 @@
             prompt_tokens=prompt,
             output_tokens=output,
             last_event_id=headers.get(_LAST_EVENT_ID, ""),
+            shared_parts=_parse_shared_parts(headers.get(_PROMPT_PREFIX, "")),
         )
 
     def build_endpoint_headers(
@@ -150,3 +154,9 @@
     if not prompt.strip().isdigit() or not output.strip().isdigit():
         return None, None
     return int(prompt), int(output)
+
+
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts but the last, from ID:TOKENS pairs."""
+    ids = [pair.partition(":")[0].strip().lower() for pair in text.split(",")]
+    return tuple(part for part in ids[:-1][:_MAX_SHARED_PARTS] if part)
