Show that requests with one crashing prompt part reach engine after engine

Three gateways and eight engines over sockets, six sound requests a second beside six with a part on which every engine crashes that begins to answer it.

--- a/testing/platform/gateways.py
+++ b/testing/platform/gateways.py
@@ -113,6 +113,7 @@
     adapter: str = "",
     key: str = KEY,
     request_id: str = "r1",
+    **further_headers: str,
 ) -> HTTPResponse:
     """Send a request as a caller."""
     headers = {
@@ -123,15 +124,22 @@
     }
     if adapter:
         headers |= {"X-Model": f"m/{adapter}", "X-Token-Count": "100,50"}
+    headers |= {k.replace("_", "-"): value for k, value in further_headers.items()}
     return await fetch(member.callers, path, **headers)
 
 
 @contextlib.asynccontextmanager
-async def running_cluster() -> AsyncIterator[GatewayCluster]:
-    """Publish a configuration and the entries of the stand-ins; stop all at the end."""
+async def running_cluster(engines: str = "ab") -> AsyncIterator[GatewayCluster]:
+    """Publish a configuration and the entries of the stand-ins; stop all at the end.
+
+    Parameters
+    ----------
+    engines
+        Names of the engines, a letter each.
+    """
     store = StoreStandIn()
     cluster = GatewayCluster(
-        store, ReplicaStandIn("k"), [ReplicaStandIn("a"), ReplicaStandIn("b")]
+        store, ReplicaStandIn("k"), [ReplicaStandIn(name) for name in engines]
     )
     await store.put("servers/k", cluster.kiosk.build_entry("kiosk"))
     for engine in cluster.engines:
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -12,6 +13,8 @@
 import attrs
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
+from tornado.iostream import IOStream
+from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 from tornado.web import RequestHandler
@@ -20,8 +23,8 @@
 from testing.platform.response_faults import ResponseFaults
 
 
-def _start_server(application: Application) -> tuple[HTTPServer, int]:
-    sockets = bind_sockets(0, "127.0.0.1")
+def _start_server(application: Application, port: int = 0) -> tuple[HTTPServer, int]:
+    sockets = bind_sockets(port, "127.0.0.1")
     server = HTTPServer(application)
     server.add_sockets(sockets)
     return server, sockets[0].getsockname()[1]
@@ -200,15 +203,38 @@
         self.response_faults = ResponseFaults(identity)
         # Event that requests wait for, or None if they are answered at once.
         self.release_event: asyncio.Event | None = None
-        self.server, self.port = _start_server(
-            Application(
-                [
-                    ("/chiveslip/report", _Report, {"replica": self}),
-                    ("/chiveslip/order", _Order, {"replica": self}),
-                    (".*", _Inference, {"replica": self}),
-                ]
-            )
+        # Part of a prompt on which the process crashes as it begins to answer.
+        self.crashing_part = ""
+        self.pause_between_events_s = 0.0
+        self.starts = 1
+        self._streams: set[IOStream] = set()
+        self._application = Application(
+            [
+                ("/chiveslip/report", _Report, {"replica": self}),
+                ("/chiveslip/order", _Order, {"replica": self}),
+                (".*", _Inference, {"replica": self}),
+            ]
         )
+        self.server, self.port = _start_server(self._application)
+
+    def crash(self) -> None:
+        """Close the port and break off all requests."""
+        self.server.stop()
+        for stream in self._streams:
+            stream.close()
+        self._streams.clear()
+
+    def start_again(self) -> None:
+        """Start with nothing loaded but the base models, at the same port."""
+        self.starts += 1
+        self.models = {name: set() for name in self.models}
+        self.accepted_orders = self.fence = 0
+        self.server, self.port = _start_server(self._application, self.port)
+
+    def keep_stream(self, stream: IOStream) -> None:
+        """Remember a connection, which a crash breaks off."""
+        self._streams = {known for known in self._streams if not known.closed()}
+        self._streams.add(stream)
 
     def build_entry(self, service: str, **changes: Any) -> dict[str, Any]:
         """Return the entry with which the replica registers in the store."""
@@ -218,7 +244,7 @@
             "zone": "glasgow",
             "slots": 8,
             "state": "ready",
-            "born": 1,
+            "born": self.starts,
             "models": self.list_models(),
             "sequence": self.accepted_orders,
         } | changes
@@ -235,13 +261,17 @@
     def initialize(self, replica: ReplicaStandIn) -> None:
         self.replica = replica
 
+    def prepare(self) -> None:
+        assert self.request.connection is not None
+        self.replica.keep_stream(self.request.connection.stream)  # type: ignore[attr-defined]
+
 
 class _Report(_ReplicaHandler):
     async def get(self) -> None:
         document = {
             "models": self.replica.list_models(),
             "sequence": self.replica.accepted_orders,
-            "born": 1,
+            "born": self.replica.starts,
             "running": 0,
             "waiting": 0,
             "kv_used": 0,
@@ -312,13 +342,20 @@
             self.finish(b"done")
             return
         self.set_header("Content-Type", "text/event-stream")
+        parts = request.headers.get("X-Prompt-Prefix", "").split(",")
+        if replica.crashing_part in [part.partition(":")[0] for part in parts[:-1]]:
+            await self.flush()
+            replica.crash()
+            return
         for number in range(first_event, 4):
+            await asyncio.sleep(replica.pause_between_events_s)
             if replica.interrupt_after is not None and number > replica.interrupt_after:
                 replica.interrupt_after = None
                 request.connection.stream.close()  # type: ignore[union-attr]
                 return
             self.write(f"id: {number}\ndata: {replica.identity}\n\n")
-            await self.flush()
+            with contextlib.suppress(StreamClosedError):
+                await self.flush()
 
     async def _answer_wrongly(
         self,
