Block the prompt parts on which endpoints crash, over all instances

Callers saw streams broken off and 502s for seconds: requests that shared one part of their prompt crashed engine after engine, 14 and 15 of them, and took every stream on these with them. In the record, the one request at each crash that had got no byte of its answer was of one organisation.

Now, when an endpoint crashes, the parts of those requests are suspected whose answers it had not begun. An answer that goes on, anywhere, clears its parts. Three separate episodes block a part on all instances, five if it was answered before. A part that has never been answered explains the crashes of its neighbours. The coordinator of a part lets one request pass as a trial, 5 s after the last crash, then ever more rarely. One organisation cannot have the part of another refused. Gossip tells at most 64 parts in a message, those with the most crashes first.

The fingerprint of a request has its model and shared parts, too: requests with one path and an empty body had shared one. An engine that answers again at once, or another one at its address, counts as crashed (its report says so). Broken-off requests of an engine share one check.

--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -19,6 +19,7 @@
 import attrs
 
 from chiveslip.clock import ManualClock
+from chiveslip.dispatch.part_suspects import PartSuspects
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.gateway_peers import GatewayPeers
@@ -302,6 +303,7 @@
             engine_failures=EngineFailures(),
             coordinator=coordinator,
             suspects=CrashSuspects(3),
+            part_suspects=PartSuspects(),
             mirror=StoreMirror(),
             schedule=schedule,
             metrics=GatewayMetrics(),
--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -37,6 +37,7 @@
 from bench.simulated_engine import WeightStore
 from chiveslip import hashing
 from chiveslip.clock import Clock
+from chiveslip.dispatch.part_suspects import PartSuspects
 from chiveslip.dispatch.retry_budget import RetryBudget
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.fleet.channels import PeerError
@@ -52,6 +53,8 @@
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
+from chiveslip.gateway.crash_detection import CrashDetector
+from chiveslip.gateway.crash_guard import CrashGuard
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_control import EngineControl
@@ -88,6 +91,7 @@
 from chiveslip.gateway.sending import AttemptResult
 from chiveslip.gateway.sending import Sender
 from chiveslip.gateway.sending import StreamState
+from chiveslip.gateway.telemetry import RequestTelemetry
 from chiveslip.services.health import EndpointHealth
 
 _ENGINES = 30
@@ -368,7 +372,9 @@
         stream: StreamState,
         *,
         withholds_failure: bool,
+        may_send: Callable[[], bool],
         on_first_event: Callable[[], None],
+        on_progress: Callable[[], None],
     ) -> Attempt:
         """Send a request to an engine and forward its answer."""
         engine = self._fleet.process(context.endpoint)
@@ -636,12 +642,14 @@
             newest_version=lambda adapter: 1,
             clock=clock,
         )
+        sender = cast(Sender, SimulatedSender(fleet, self.directory))
+        telemetry = RequestTelemetry(fleet.metrics, clock)
         self.gateway = Gateway(
             GatewayDependencies(
                 clock=clock,
                 protocol=SimulatedProtocol(),
-                metrics=fleet.metrics,
-                sender=cast(Sender, SimulatedSender(fleet, self.directory)),
+                telemetry=telemetry,
+                sender=sender,
                 allowances=AllowanceRequests(
                     instance=name,
                     allowances=SharedAllowances(
@@ -658,7 +666,14 @@
                     share=_RETRY_SHARE, slack=_RETRY_SLACK, window_s=_RETRY_WINDOW_S
                 ),
                 endpoint_health=self.health,
-                crash_suspects=CrashSuspects(3),
+                crash_guard=CrashGuard(
+                    requests=CrashSuspects(3),
+                    parts=PartSuspects(),
+                    detector=CrashDetector(sender, control),
+                    may_try=lambda _part: False,
+                    telemetry=telemetry,
+                    clock=clock,
+                ),
                 engine_selector=selector,
                 service_selector=selector,
                 generator=fleet.random,
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -17,6 +17,7 @@
 from chiveslip.clock import Clock
 from chiveslip.dispatch.connection import ConnectionPool
 from chiveslip.dispatch.connection import Connector
+from chiveslip.dispatch.part_suspects import PartSuspects
 from chiveslip.dispatch.retry_budget import RetryBudget
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.fleet.gateway_peers import GatewayPeers
@@ -34,6 +35,8 @@
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.catalogue import Catalogue
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
+from chiveslip.gateway.crash_detection import CrashDetector
+from chiveslip.gateway.crash_guard import CrashGuard
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.engine_control import EngineControl
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
@@ -54,6 +57,7 @@
 from chiveslip.gateway.report_log import ReportLog
 from chiveslip.gateway.sending import Sender
 from chiveslip.gateway.service_selection import ServiceTargetSelector
+from chiveslip.gateway.telemetry import RequestTelemetry
 from chiveslip.generated.settings import Settings
 from chiveslip.services.endpoint_selector import EndpointSelector
 from chiveslip.services.health import EndpointHealth
@@ -203,6 +207,7 @@
             ),
         )
         suspects = CrashSuspects(_MAX_CRASHES)
+        part_suspects = PartSuspects()
         parts = GossipParts(
             membership=self._membership,
             allowances=allowances,
@@ -210,6 +215,7 @@
             engine_failures=engine_failures,
             coordinator=self._coordinator,
             suspects=suspects,
+            part_suspects=part_suspects,
             mirror=self._mirror,
             schedule=self._schedule,
             metrics=self._metrics,
@@ -252,12 +258,22 @@
             view=view,
             clock=clock,
         )
+        sender = Sender(connector, protocol, clock, directory.accepts_work)
+        telemetry = RequestTelemetry(self._metrics, clock)
+        self._crash_guard = CrashGuard(
+            requests=suspects,
+            parts=part_suspects,
+            detector=CrashDetector(sender, control),
+            may_try=lambda part: rights.has_joined() and rights.is_coordinator_of(part),
+            telemetry=telemetry,
+            clock=clock,
+        )
         gateway = Gateway(
             GatewayDependencies(
                 clock=clock,
                 protocol=protocol,
-                metrics=self._metrics,
-                sender=Sender(connector, protocol, clock, directory.accepts_work),
+                telemetry=telemetry,
+                sender=sender,
                 allowances=AllowanceRequests(
                     instance=settings.instance.id,
                     allowances=allowances,
@@ -271,7 +287,7 @@
                     window_s=settings.gateway.retry_window,
                 ),
                 endpoint_health=self._health,
-                crash_suspects=suspects,
+                crash_guard=self._crash_guard,
                 engine_selector=EngineTargetSelector(
                     directory=directory,
                     view=view,
@@ -434,6 +450,7 @@
         metrics.coordinated_engines.set(self._coordinator.engine_count)
         metrics.store_outage.set(self._reader.outage_s)
         metrics.store_era.set(self._mirror.revision.era)
+        metrics.blocked_parts.set(self._crash_guard.count_blocked())
         metrics.running_requests.set(self._ingress.running_requests)
         self._update_report_ages()
         table = self._catalogue.table
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -10,12 +10,16 @@
 import math
 import random
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import final
 
 import attrs
 
 from chiveslip import logs
 from chiveslip.clock import Clock
+from chiveslip.dispatch.part_suspects import PartCrash
+from chiveslip.dispatch.part_suspects import PartReport
+from chiveslip.dispatch.part_suspects import PartSuspects
 from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.fleet.gossip_schedule import GossipSchedule
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
@@ -45,6 +49,10 @@
 _MAX_CACHED_ADAPTER_NAMES = 4096
 # Every report repeats the address of its instance.
 _MAX_CACHED_ADDRESSES = 1024
+# Suspected parts of prompts in one message; those with the most crashes come first.
+_MAX_PART_SUSPECTS = 64
+# Key under which the news that a part was cleared counts as told, beside its crashes.
+_CLEARED_NEWS = "cleared {}"
 
 
 @attrs.frozen(kw_only=True)
@@ -57,6 +65,7 @@
     engine_failures: EngineFailures
     coordinator: EngineCoordinator
     suspects: CrashSuspects
+    part_suspects: PartSuspects
     mirror: StoreMirror
     schedule: Callable[[], GossipSchedule]
     metrics: GatewayMetrics
@@ -72,6 +81,7 @@
         self._random = generator
         self._report_cache = ReportCache()
         self._suspect_news = SuspectNews()
+        self._part_news = SuspectNews()
         self._log = logs.get_logger("gossip")
 
     def build_request(self) -> wire.Gossip:
@@ -110,6 +120,13 @@
             for suspect in message.crash_suspects
             for crash in suspect.crashes
         )
+        self._part_news.record_told(
+            (suspect.part, key)
+            for suspect in message.part_suspects
+            for key in _list_news(
+                (crash.endpoint for crash in suspect.crashes), suspect.clearances
+            )
+        )
 
     def apply(self, message: wire.Gossip) -> None:
         """Apply the gossip of a peer."""
@@ -128,6 +145,7 @@
             self._apply_report(sender_report, now)
         self._apply_uses(message, now)
         self._apply_suspects(message, now)
+        self._apply_part_suspects(message, now)
         self._apply_reports(message, now)
 
     def _build_own_gossip(
@@ -152,8 +170,27 @@
             suspect = message.crash_suspects.add(fingerprint=fingerprint)
             for endpoint, crashed_at in endpoints.items():
                 suspect.crashes.add(endpoint=endpoint, age_seconds=now - crashed_at)
+        self._add_part_suspects(message, now, is_for_newcomer=is_for_newcomer)
         return message
 
+    def _add_part_suspects(
+        self, message: wire.Gossip, now: float, *, is_for_newcomer: bool
+    ) -> None:
+        parts = self._parts
+        reports = {report.part: report for report in parts.part_suspects.prune(now)}
+        news = {
+            part: dict.fromkeys(_list_news(report.crashes, report.clearances), now)
+            for part, report in reports.items()
+        }
+        told: Crashes = news
+        if not is_for_newcomer:
+            told = self._part_news.select(news, parts.schedule().fan_out)
+        strongest = sorted(
+            told, key=lambda part: _strength(reports[part]), reverse=True
+        )
+        for part in strongest[:_MAX_PART_SUSPECTS]:
+            message.part_suspects.append(_build_part_suspect(reports[part], now))
+
     def _add_allowances(self, message: wire.Gossip, now: float) -> None:
         self._parts.allowances.return_expired_credits(now)
         levels = self._parts.allowances.current_levels(now)
@@ -243,6 +280,43 @@
                     suspect.fingerprint, crash.endpoint, crashed_at, now
                 )
 
+    def _apply_part_suspects(self, message: wire.Gossip, now: float) -> None:
+        suspects = self._parts.part_suspects
+        for suspect in message.part_suspects:
+            age_s = suspect.progress_age_seconds
+            if suspect.HasField("progress_age_seconds") and 0 <= age_s < math.inf:
+                suspects.record_peer_progress(suspect.part, now - age_s)
+            for crash in suspect.crashes:
+                if not 0 <= crash.age_seconds < math.inf:
+                    continue
+                known = PartCrash(
+                    now - crash.age_seconds, frozenset(crash.organisations)
+                )
+                suspects.record_peer_crash(suspect.part, crash.endpoint, known, now)
+
+
+def _list_news(endpoints: Iterable[str], clearances: int) -> list[str]:
+    """Return the keys under which what is known of a part counts as told."""
+    return [*endpoints, *([_CLEARED_NEWS.format(clearances)] if clearances else ())]
+
+
+def _strength(report: PartReport) -> tuple[int, float]:
+    times = (crash.crashed_at for crash in report.crashes.values())
+    return len(report.crashes), max(times, default=report.progressed_at or 0.0)
+
+
+def _build_part_suspect(report: PartReport, now: float) -> wire.PartSuspect:
+    suspect = wire.PartSuspect(part=report.part, clearances=report.clearances)
+    if report.progressed_at is not None:
+        suspect.progress_age_seconds = max(now - report.progressed_at, 0.0)
+    for endpoint, crash in report.crashes.items():
+        suspect.crashes.add(
+            endpoint=endpoint,
+            age_seconds=max(now - crash.crashed_at, 0.0),
+            organisations=sorted(crash.organisations),
+        )
+    return suspect
+
 
 def _build_member(update: MemberUpdate) -> wire.MemberState:
     return wire.MemberState(
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import attrs
 
 from chiveslip.gateway.engine_view import KnownLoad
@@ -23,10 +25,14 @@
         Local time in seconds at which the endpoint was chosen.
     sent_at
         Local time in seconds at which the request was sent, or None if it was not.
+    progressed_at
+        Local time in seconds at which the answer went on after its first part, or
+        None if it did not.
     """
 
     chosen_at: float
     sent_at: float | None = None
+    progressed_at: float | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -63,6 +69,29 @@
     outcome: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class CrashTraits:
+    """What a request may have in common with others that crash endpoints.
+
+    Attributes
+    ----------
+    fingerprint
+        Hash of the organisation, method, host, target, model, shared parts and body;
+        the same for repeats of a request.
+    parts
+        Hashes of the parts of its prompt that other requests share.
+    organisation
+        Hash of the name of its organisation.
+    is_trial
+        Whether it is sent to find out whether blocked parts still crash endpoints.
+    """
+
+    fingerprint: str
+    parts: tuple[str, ...] = ()
+    organisation: str = ""
+    is_trial: bool = False
+
+
 @attrs.define(kw_only=True, eq=False)
 class Call:
     """A request that was admitted.
@@ -73,9 +102,10 @@
         Local time in seconds at which the final answer is due.
     units
         Units charged to the organisation's allowance.
-    fingerprint
-        Hash of the organisation, method, host, target and body; the same for repeats
-        of a request.
+    traits
+        By what it is suspected of crashing endpoints.
+    is_for_engine
+        Whether its service runs models.
     was_sent
         Whether a byte of the request may have reached an endpoint, unless the
         endpoint says that it did not run the request.
@@ -104,6 +134,8 @@
         Time in seconds that the request waited for its adapter.
     first_event_at
         Local time in seconds of the answer's first part, or None before.
+    crash_check
+        Check whether the last endpoint crashed, or None if none was started.
     """
 
     request: IngressRequest
@@ -116,7 +148,8 @@
     arrived_at: float
     deadline: float
     units: float
-    fingerprint: str
+    traits: CrashTraits
+    is_for_engine: bool = False
     was_sent: bool = False
     attempts: int = 0
     runs: int = 0
@@ -130,6 +163,7 @@
     estimate_s: float | None = None
     load_wait_s: float = 0.0
     first_event_at: float | None = None
+    crash_check: asyncio.Task[None] | None = None
 
     @property
     def first_event_deadline(self) -> float:
--- a/src/chiveslip/gateway/engine_control.py
+++ b/src/chiveslip/gateway/engine_control.py
@@ -15,6 +15,10 @@
     """The engine did not answer, or its answer could not be read."""
 
 
+class OtherEngineError(EngineControlError):
+    """A different engine answers at this address."""
+
+
 @attrs.frozen(kw_only=True)
 class EngineReport:
     """State that an engine reports of itself, a few hundred milliseconds old.
@@ -108,6 +112,8 @@
         ------
         EngineControlError
             If the report is unavailable or cannot be read.
+        OtherEngineError
+            If another engine answers at the address.
         """
 
     @abc.abstractmethod
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import abc
-import asyncio
 import random
 from collections.abc import Callable
 from typing import final
@@ -17,20 +16,22 @@
 
 from chiveslip import hashing
 from chiveslip.clock import Clock
+from chiveslip.dispatch.part_suspects import hash_parts
 from chiveslip.dispatch.retry_budget import RetryBudget
-from chiveslip.dispatch.suspects import CrashedEndpoint
-from chiveslip.dispatch.suspects import CrashSuspects
 from chiveslip.gateway.allowance_requests import AllowanceRequests
 from chiveslip.gateway.call import AttemptTimes
 from chiveslip.gateway.call import Call
+from chiveslip.gateway.call import CrashTraits
 from chiveslip.gateway.call import EngineEstimate
+from chiveslip.gateway.crash_guard import CrashGuard
+from chiveslip.gateway.crash_guard import make_traits
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
 from chiveslip.gateway.ingress import IngressReply
 from chiveslip.gateway.ingress import IngressRequest
-from chiveslip.gateway.metrics import GatewayMetrics
 from chiveslip.gateway.protocol import ForwardingContext
 from chiveslip.gateway.protocol import GatewayProtocol
+from chiveslip.gateway.protocol import RequestMetadata
 from chiveslip.gateway.refusals import RefusalWriter
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import RetryPolicy
@@ -44,15 +45,12 @@
 from chiveslip.results import Refusal
 from chiveslip.results import ResultCode
 from chiveslip.services.health import EndpointHealth
-from chiveslip.tasks import TaskSet
 
 # Counts all attempts, also those at endpoints that did not run the request. A fourth
 # refusal in a row means that the service is full.
 _MAX_ATTEMPTS = 4
 # A request with less time left than a round trip to an endpoint is not sent again.
 _MIN_REMAINING_S = 0.005
-# A process that crashed closes its port within milliseconds of its connections.
-_CRASH_CHECK_DELAY_S = 0.05
 # Another instance can accept the request at once.
 _OTHER_INSTANCE_RETRY_AFTER_S = 0.05
 # The usual reasons for which endpoints do not accept a request (an adapter load, a
@@ -122,12 +120,12 @@
 
     clock: Clock
     protocol: GatewayProtocol
-    metrics: GatewayMetrics
+    telemetry: RequestTelemetry
     sender: Sender
     allowances: AllowanceRequests
     retry_budget: RetryBudget
     endpoint_health: EndpointHealth
-    crash_suspects: CrashSuspects
+    crash_guard: CrashGuard
     engine_selector: TargetSelector
     service_selector: TargetSelector
     generator: random.Random
@@ -143,8 +141,8 @@
     def __init__(self, dependencies: GatewayDependencies) -> None:
         self._dependencies = dependencies
         self._refusal_writer = RefusalWriter(dependencies.protocol)
-        self._tasks = TaskSet("gateway")
-        self._telemetry = RequestTelemetry(dependencies.metrics, dependencies.clock)
+        self._telemetry = dependencies.telemetry
+        self._guard = dependencies.crash_guard
 
     async def handle(self, request: IngressRequest, reply: IngressReply) -> None:
         """Answer one request."""
@@ -176,11 +174,9 @@
     async def _serve(self, call: Call) -> Refusal | None:
         """Answer an admitted request; return the refusal if it was answered by one."""
         now = call.arrived_at
-        service = call.table.services.get(call.service)
-        is_engine = service is not None and service.engine is not None
         selector = (
             self._dependencies.engine_selector
-            if is_engine
+            if call.is_for_engine
             else self._dependencies.service_selector
         )
         self._dependencies.retry_budget.record_request(call.service, now)
@@ -221,14 +217,9 @@
             organisation = table.keys.get(hashing.key_hash(metadata.key))
             if organisation is None:
                 return _refusal(result_codes.KEY_REFUSED, "The key is unknown.")
-        fingerprint = _fingerprint(request, organisation)
-        blocked_s = self._dependencies.crash_suspects.blocked_for_s(fingerprint, now)
-        if blocked_s > 0:
-            return _refusal(
-                result_codes.CRASH_SUSPECT,
-                "Endpoints crashed while they ran this request.",
-                blocked_s,
-            )
+        traits = self._guard.admit(_find_traits(request, metadata, organisation))
+        if isinstance(traits, Refusal):
+            return traits
         units = _request_units(
             metadata.prompt_tokens, metadata.output_tokens, organisation
         )
@@ -245,6 +236,7 @@
         max_wait_s = route.timeout_s
         if metadata.max_wait_s is not None:
             max_wait_s = min(max_wait_s, metadata.max_wait_s)
+        service = route.choose_service(self._dependencies.generator)
         return Call(
             request=request,
             reply=reply,
@@ -252,11 +244,12 @@
             table=table,
             route=route,
             organisation=organisation,
-            service=route.choose_service(self._dependencies.generator),
+            service=service,
+            is_for_engine=table.is_for_engine(service),
             arrived_at=now,
             deadline=now + max_wait_s,
             units=units,
-            fingerprint=fingerprint,
+            traits=traits,
         )
 
     async def _run_attempts(
@@ -281,7 +274,10 @@
                 return None
             if attempt.result is AttemptResult.FAILED:
                 last_failure = attempt
-            if not self._try_start_retry(call, attempt, stream):
+            if attempt.result is AttemptResult.WITHHELD:
+                target = self._guard.find_refusal(call.traits) or target
+                break
+            if not await self._try_start_retry(call, attempt, stream):
                 break
         if last_failure is not None and last_failure.head is not None:
             await self._dependencies.sender.forward_answer(
@@ -326,7 +322,9 @@
                 context,
                 stream,
                 withholds_failure=withholds_failure,
+                may_send=lambda: self._guard.find_refusal(call.traits) is None,
                 on_first_event=lambda: self._record_first_event(call, selector, target),
+                on_progress=lambda: self._record_progress(call),
             )
         finally:
             selector.record_end(call, target, attempt)
@@ -340,6 +338,10 @@
             call.first_event_at = self._dependencies.clock.now()
         selector.record_first_event(call, target)
 
+    def _record_progress(self, call: Call) -> None:
+        call.attempt_times[-1].progressed_at = self._dependencies.clock.now()
+        self._guard.record_progress(call)
+
     def _record_attempt(
         self, call: Call, endpoint: ListedEndpoint, attempt: Attempt
     ) -> None:
@@ -353,36 +355,21 @@
         if result is AttemptResult.ANSWERED:
             if not attempt.is_failure:
                 health.record_success(endpoint.id)
-            self._dependencies.crash_suspects.clear(call.fingerprint, now)
+            self._guard.record_answered(call)
             call.runs += 1
             return
         if is_unreachable or not attempt.is_failure:
             return
         call.runs += 1
         if result in (AttemptResult.UNKNOWN, AttemptResult.TRUNCATED):
-            self._tasks.start(self._check_for_crash(call.fingerprint, endpoint))
+            self._guard.record_interrupted(call, endpoint)
         self._telemetry.record_failed_attempt(call, endpoint.id, attempt)
 
-    async def _check_for_crash(
-        self, fingerprint: str, endpoint: ListedEndpoint
-    ) -> None:
-        """Record a crash suspect if the endpoint is down.
-
-        A lost connection alone does not make the request a suspect.
-        """
-        await asyncio.sleep(_CRASH_CHECK_DELAY_S)
-        if await self._dependencies.sender.is_reachable(endpoint):
-            return
-        crashed = CrashedEndpoint(endpoint.id, str(endpoint.started))
-        now = self._dependencies.clock.now()
-        self._dependencies.crash_suspects.record_crash(fingerprint, crashed, now)
-        self._telemetry.record_crash_suspect(fingerprint, endpoint.id)
-
     async def join(self) -> None:
         """Wait until all background tasks have ended."""
-        await self._tasks.join()
+        await self._guard.join()
 
-    def _try_start_retry(
+    async def _try_start_retry(
         self, call: Call, attempt: Attempt, stream: StreamState
     ) -> bool:
         """Return whether to send the request again.
@@ -395,7 +382,7 @@
             return False
         if attempt.result in (AttemptResult.NOT_SENT, AttemptResult.ENDPOINT_LEFT):
             return True
-        if attempt.result is AttemptResult.DEADLINE_PASSED:
+        if attempt.result is AttemptResult.DEADLINE_PASSED or call.traits.is_trial:
             return False
         if attempt.result not in (AttemptResult.NOT_RUN, AttemptResult.LACKS_ADAPTER):
             if (
@@ -405,7 +392,7 @@
                 return False
             if stream.has_head and not stream.splitter.can_resume:
                 return False
-            if self._dependencies.crash_suspects.is_blocked(call.fingerprint, now):
+            if not await self._guard.may_repeat(call):
                 return False
             stream.splitter.begin_response()
         return self._dependencies.retry_budget.take_retry(
@@ -451,7 +438,14 @@
     return float(prompt_tokens + (output_tokens or 0))
 
 
-def _fingerprint(request: IngressRequest, organisation: Organisation | None) -> str:
+def _find_traits(
+    request: IngressRequest,
+    metadata: RequestMetadata,
+    organisation: Organisation | None,
+) -> CrashTraits:
     name = organisation.name if organisation is not None else ""
-    parts = f"{name} {request.method} {request.host}{request.target}\n".encode()
-    return hashing.fast_hash(parts + request.body)
+    parts = hash_parts(metadata.shared_parts)
+    work = " ".join((metadata.model, metadata.adapter, *parts))
+    head = f"{name} {request.method} {request.host}{request.target}\n{work}\n"
+    fingerprint = hashing.fast_hash(head.encode() + request.body)
+    return make_traits(fingerprint, parts, name)
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -88,6 +88,16 @@
             ("engine",),
             registry=registry,
         )
+        self.blocked_parts = Gauge(
+            "chiveslip_blocked_prompt_parts",
+            "Parts of prompts whose requests are refused, as they crashed endpoints.",
+            registry=registry,
+        )
+        self.part_trials = Counter(
+            "chiveslip_prompt_part_trials",
+            "Requests with a blocked part that this instance sent as a trial.",
+            registry=registry,
+        )
         self.orders = Counter(
             "chiveslip_orders",
             "Orders to engines by operation and answer.",
--- a/src/chiveslip/gateway/routing.py
+++ b/src/chiveslip/gateway/routing.py
@@ -168,6 +168,11 @@
                 return route
         return None
 
+    def is_for_engine(self, service: str) -> bool:
+        """Return whether engines run a service."""
+        found = self.services.get(service)
+        return found is not None and found.engine is not None
+
 
 def group_by_host(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
     """Return the routes by host, the longest prefix first."""
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -11,6 +11,7 @@
 import asyncio
 import enum
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import final
 
 import attrs
@@ -57,6 +58,8 @@
     """No connection could be opened."""
     ENDPOINT_LEFT = "endpoint left"
     """The endpoint began to leave before the request was sent."""
+    WITHHELD = "withheld"
+    """Not sent: endpoints crashed on requests like it meanwhile."""
     NOT_RUN = "not run"
     """The endpoint says that it did not run the request."""
     LACKS_ADAPTER = "lacks adapter"
@@ -103,6 +106,7 @@
             AttemptResult.NOT_RUN,
             AttemptResult.LACKS_ADAPTER,
             AttemptResult.ENDPOINT_LEFT,
+            AttemptResult.WITHHELD,
         )
 
 
@@ -160,7 +164,9 @@
         stream: StreamState,
         *,
         withholds_failure: bool,
+        may_send: Callable[[], bool],
         on_first_event: Callable[[], None],
+        on_progress: Callable[[], None],
     ) -> Attempt:
         """Send a request to one endpoint and forward its answer.
 
@@ -169,8 +175,13 @@
         withholds_failure
             Whether a failure that the endpoint answers (a status of 500 or more) is
             returned for a retry rather than forwarded.
+        may_send
+            Returns whether the request may still be sent; called once the connection
+            is open.
         on_first_event
             Called when the first part of a streamed answer arrives.
+        on_progress
+            Called when the second part of a streamed answer arrives.
         """
         try:
             exchange = await self._connector.open(context.endpoint.address, fresh=False)
@@ -180,9 +191,16 @@
             # The endpoint may have begun to leave while the connection was opened.
             if not self._accepts_work(context.endpoint):
                 return Attempt(result=AttemptResult.ENDPOINT_LEFT)
+            if not may_send():
+                return Attempt(result=AttemptResult.WITHHELD)
             async with asyncio.timeout(self._remaining_s(call) + _WRITE_GRACE_S):
                 attempt = await self._exchange(
-                    exchange, call, context, stream, withholds_failure, on_first_event
+                    exchange,
+                    call,
+                    context,
+                    stream,
+                    withholds_failure,
+                    (on_first_event, on_progress),
                 )
             return attrs.evolve(attempt, end=exchange.end)
         except TimeoutError:
@@ -202,7 +220,7 @@
         context: ForwardingContext,
         stream: StreamState,
         withholds_failure: bool,
-        on_first_event: Callable[[], None],
+        on_parts: Sequence[Callable[[], None]],
     ) -> Attempt:
         outgoing = OutgoingRequest(
             method=call.request.method,
@@ -237,9 +255,7 @@
                 detail=f"unverified answer with status {head.status}",
             )
         if call.route.is_stream and head.status < 300:
-            return await self._forward_stream(
-                exchange, head, call, stream, on_first_event
-            )
+            return await self._forward_stream(exchange, head, call, stream, on_parts)
         return await self._forward_whole(
             exchange, head, call, stream, withholds_failure
         )
@@ -279,15 +295,21 @@
         head: ResponseHead,
         call: Call,
         stream: StreamState,
-        on_first_event: Callable[[], None],
+        on_parts: Sequence[Callable[[], None]],
     ) -> Attempt:
+        """Forward a stream.
+
+        Parameters
+        ----------
+        on_parts
+            Called when its first parts arrive, one for each.
+        """
         splits_events = _is_event_stream(head)
-        has_data = False
+        remaining_callbacks = list(reversed(on_parts))
         try:
             async for chunk in exchange.chunks():
-                if not has_data:
-                    has_data = True
-                    on_first_event()
+                if remaining_callbacks:
+                    remaining_callbacks.pop()()
                 part = stream.splitter.feed(chunk) if splits_events else chunk
                 if part:
                     self._start_answer(call, head, stream)
--- a/src/chiveslip/gateway/telemetry.py
+++ b/src/chiveslip/gateway/telemetry.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import final
 
 from chiveslip import logs
@@ -83,12 +84,32 @@
             ", ".join(str(value) for value in description.values() if value != "")
         )
 
-    def record_crash_suspect(self, fingerprint: str, endpoint: str) -> None:
-        """Log that an endpoint crashed while it ran a request."""
+    def record_crash_suspect(
+        self, fingerprint: str, endpoint: str, parts: Sequence[str]
+    ) -> None:
+        """Log that an endpoint crashed while it ran a request.
+
+        Parameters
+        ----------
+        parts
+            Hashes of the parts of its prompt that are suspected for it.
+        """
         self._log.warning(
-            "Crash suspected.", fingerprint=fingerprint, endpoint=endpoint
+            "Crash suspected.",
+            fingerprint=fingerprint,
+            endpoint=endpoint,
+            part_hashes=parts,
         )
 
+    def record_blocked_parts(self, parts: Sequence[str]) -> None:
+        """Log that requests with parts of prompts, given by hashes, are blocked."""
+        self._log.warning("Prompt parts blocked.", part_hashes=parts)
+
+    def record_part_trial(self, parts: Sequence[str]) -> None:
+        """Log that a request with blocked parts is sent as a trial."""
+        self._metrics.part_trials.inc()
+        self._log.warning("Blocked prompt parts tried.", part_hashes=parts)
+
     def record_end(
         self, call: Call, refusal: Refusal | None, *, is_cancelled: bool
     ) -> None:
--- a/src/chiveslip/platform/replicas.py
+++ b/src/chiveslip/platform/replicas.py
@@ -21,6 +21,7 @@
 from chiveslip.gateway.engine_control import EngineOrder
 from chiveslip.gateway.engine_control import EngineReport
 from chiveslip.gateway.engine_control import OrderAnswer
+from chiveslip.gateway.engine_control import OtherEngineError
 from chiveslip.platform import fields
 from chiveslip.platform.fields import UnreadableError
 from chiveslip.settings.fields import parse_address
@@ -43,6 +44,9 @@
 }
 
 
+_STATUS_MISDIRECTED = 421
+
+
 class _IdleConnectionLostError(EngineControlError):
     """The endpoint had dropped the idle connection that was used again."""
 
@@ -123,6 +127,8 @@
             status, body = await self._send(
                 engine, outgoing, lambda: True, is_fresh=True
             )
+        if status == _STATUS_MISDIRECTED:
+            raise OtherEngineError(f"report: another engine answers for {engine.id}")
         if status != 200:
             raise EngineControlError(f"report: expected status 200, received {status}")
         try:
--- a/testing/fleet/test_large_fleet.py
+++ b/testing/fleet/test_large_fleet.py
@@ -235,3 +235,69 @@
     coordinator.is_running = True
     fleet.run(3.0)
     assert not coordinator.parts.engine_view.adapters_in_use("engine-1", clock.now())
+
+
+def count_blocking(fleet: LargeFleet, part: str) -> int:
+    """Return how many running instances block a part."""
+    return sum(
+        part in member.parts.part_suspects.blocked_parts
+        for member in fleet.running_members()
+    )
+
+
+@pytest.mark.parametrize("size", [6, MEDIUM, LARGE])
+def test_part_that_crashes_engines_is_blocked_by_all_instances(
+    fleet_of: FleetOf, size: int
+) -> None:
+    """Each crash is seen by another instance, beside hundreds of harmless parts."""
+    fleet = fleet_of(size)
+    fleet.run(5.0)
+    members = fleet.running_members()
+    for number in range(3):
+        observer = members[number].parts.part_suspects
+        neighbours = [f"p{number}-{n}" for n in range(120)]
+        observer.record_crash(
+            ["bad", *neighbours], "o", f"engine-{number}/1", fleet.clock.now()
+        )
+        fleet.run(1.0)
+    fleet.run(schedule_for(size, SETTINGS).propagation_s + 0.5)
+    assert count_blocking(fleet, "bad") == size
+    members[-1].parts.part_suspects.record_progress(["bad"], fleet.clock.now())
+    fleet.run(schedule_for(size, SETTINGS).propagation_s + 0.5)
+    assert count_blocking(fleet, "bad") == 0
+
+
+def test_answer_known_to_one_instance_clears_a_part_of_later_crashes(
+    fleet_of: FleetOf,
+) -> None:
+    fleet = fleet_of(MEDIUM)
+    fleet.run(5.0)
+    members = fleet.running_members()
+    for number in range(4):
+        now = fleet.clock.now()
+        members[number].parts.part_suspects.record_crash(
+            ["common"], "o", f"engine-{number}/1", now
+        )
+        members[-1].parts.part_suspects.record_progress(["common"], now + 0.3)
+        fleet.run(2.0)
+    fleet.run(schedule_for(MEDIUM, SETTINGS).propagation_s)
+    assert count_blocking(fleet, "common") == 0
+
+
+def test_instance_that_starts_later_learns_the_blocked_parts(
+    fleet_of: FleetOf,
+) -> None:
+    fleet = fleet_of(MEDIUM)
+    newcomer = fleet.members[f"m{MEDIUM - 1}"]
+    newcomer.is_running = False
+    fleet.run(5.0)
+    for number in range(3):
+        now = fleet.clock.now()
+        fleet.members["m0"].parts.part_suspects.record_crash(
+            ["bad"], "o", f"engine-{number}/1", now
+        )
+        fleet.run(1.0)
+    fleet.run(20.0)
+    newcomer.is_running = True
+    fleet.run(1.0)
+    assert newcomer.parts.part_suspects.blocked_parts == {"bad"}
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -22,6 +22,7 @@
 from chiveslip.dispatch.connection import ResponseHead
 from chiveslip.dispatch.connection import ResponseTimeoutError
 from chiveslip.dispatch.outgoing import OutgoingRequest
+from chiveslip.dispatch.part_suspects import PartSuspects
 from chiveslip.dispatch.response_end import Ending
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
@@ -33,6 +34,8 @@
 from chiveslip.fleet.gossip_schedule import schedule_for
 from chiveslip.gateway.allowance_requests import AllowanceRequests
 from chiveslip.gateway.allowances import SharedAllowances
+from chiveslip.gateway.crash_detection import CrashDetector
+from chiveslip.gateway.crash_guard import CrashGuard
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -48,7 +51,9 @@
 from chiveslip.gateway.routing import group_by_host
 from chiveslip.gateway.sending import Sender
 from chiveslip.gateway.service_selection import ServiceTargetSelector
+from chiveslip.gateway.telemetry import RequestTelemetry
 from chiveslip.platform.protocol import PlatformProtocol
+from chiveslip.platform.replicas import ReplicaControl
 from chiveslip.services.endpoint_selector import EndpointSelector
 from chiveslip.services.health import EndpointHealth
 from chiveslip.settings.fields import Address
@@ -198,6 +203,7 @@
     connector: ScriptedConnector
     clock: ManualClock
     suspects: CrashSuspects
+    parts: PartSuspects
     directory: EndpointDirectory
 
     def send_request(self, path: str, **headers: str) -> RecordingReply:
@@ -294,12 +300,15 @@
             clock=clock,
         )
         dialect = PlatformProtocol()
+        parts = PartSuspects()
+        sender = Sender(connector, dialect, clock, directory.accepts_work)
+        telemetry = RequestTelemetry(GatewayMetrics(), clock)
         gateway = Gateway(
             GatewayDependencies(
                 clock=clock,
                 protocol=dialect,
-                metrics=GatewayMetrics(),
-                sender=Sender(connector, dialect, clock, directory.accepts_work),
+                telemetry=telemetry,
+                sender=sender,
                 allowances=AllowanceRequests(
                     instance="here",
                     allowances=SharedAllowances(
@@ -314,7 +323,14 @@
                 ),
                 retry_budget=RetryBudget(share=0.2, slack=50, window_s=10.0),
                 endpoint_health=health,
-                crash_suspects=suspects,
+                crash_guard=CrashGuard(
+                    requests=suspects,
+                    parts=parts,
+                    detector=CrashDetector(sender, ReplicaControl(connector, clock)),
+                    may_try=lambda _part: True,
+                    telemetry=telemetry,
+                    clock=clock,
+                ),
                 engine_selector=selector,
                 service_selector=selector,
                 generator=generator,
@@ -323,6 +339,6 @@
                 accepts_requests=lambda: takes_requests,
             )
         )
-        return GatewayHarness(gateway, connector, clock, suspects, directory)
+        return GatewayHarness(gateway, connector, clock, suspects, parts, directory)
 
     return build
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -13,6 +13,7 @@
 from chiveslip.clock import ManualClock
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
 from chiveslip.gateway.call import Call
+from chiveslip.gateway.call import CrashTraits
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -151,7 +152,7 @@
             arrived_at=now,
             deadline=now + ROUTE.timeout_s,
             units=0.0,
-            fingerprint="",
+            traits=CrashTraits(fingerprint=""),
         )
 
 
--- a/testing/gateway/test_telemetry.py
+++ b/testing/gateway/test_telemetry.py
@@ -10,6 +10,7 @@
 from chiveslip import logs
 from chiveslip.clock import ManualClock
 from chiveslip.gateway.call import Call
+from chiveslip.gateway.call import CrashTraits
 from chiveslip.gateway.call import EngineEstimate
 from chiveslip.gateway.call import LoadWait
 from chiveslip.gateway.engine_view import KnownLoad
@@ -53,7 +54,7 @@
         arrived_at=clock.now(),
         deadline=clock.now() + 8.0,
         units=1.0,
-        fingerprint="",
+        traits=CrashTraits(fingerprint=""),
     )
 
 
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -23,8 +23,8 @@
 from testing.platform.response_faults import ResponseFaults
 
 
-def _start_server(application: Application, port: int = 0) -> tuple[HTTPServer, int]:
-    sockets = bind_sockets(port, "127.0.0.1")
+def _start_server(application: Application) -> tuple[HTTPServer, int]:
+    sockets = bind_sockets(0, "127.0.0.1")
     server = HTTPServer(application)
     server.add_sockets(sockets)
     return server, sockets[0].getsockname()[1]
@@ -225,11 +225,11 @@
         self._streams.clear()
 
     def start_again(self) -> None:
-        """Start with nothing loaded but the base models, at the same port."""
+        """Start with nothing loaded but the base models, at another port."""
         self.starts += 1
         self.models = {name: set() for name in self.models}
         self.accepted_orders = self.fence = 0
-        self.server, self.port = _start_server(self._application, self.port)
+        self.server, self.port = _start_server(self._application)
 
     def keep_stream(self, stream: IOStream) -> None:
         """Remember a connection, which a crash breaks off."""
--- a/testing/platform/test_crashing_parts.py
+++ b/testing/platform/test_crashing_parts.py
@@ -55,8 +55,8 @@
 
     @property
     def counted_from(self) -> float:
-        """Time in seconds of the fifth crash."""
-        return self.crashed_at[LAST_CRASH_COUNTED - 1]
+        """Time in seconds of the fifth crash, or of the last if there are fewer."""
+        return self.crashed_at[:LAST_CRASH_COUNTED][-1]
 
     def late_crashing_requests(self) -> int:
         """Return how many requests with the part came to engines too late."""
