Do not believe a refusal that a kept connection does not show to be its own

Another operator's report: a faulty replica wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran, or these ran twice.

It can happen here in two ways, both shown over sockets: a copy without a request id was taken for the answer, as errors may come without one (a request of an at-most-once route then ran at two endpoints), and a copy of the refusal of the same request, which is sent again to an address that refused it, has its own id.

On a reused connection an answer must now echo the id of its request; others are skipped like crossed ones. A request is sent again to an address that has had it on a new connection. The three tests failed before (three requests for two; one connection for two).

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -204,12 +204,15 @@
     is_too_large
         Whether the response exceeds the limit on bytes.
     is_crossed
-        Whether the last response on the connection belongs to another request.
+        Whether the last response on the connection belongs to another request, or on
+        a reused connection does not say to which it belongs.
     max_idle_s
         How long the connection may stay idle afterwards, or None to close it.
     """
 
-    def __init__(self, request_id: str, method: str, max_bytes: int) -> None:
+    def __init__(
+        self, request_id: str, method: str, max_bytes: int, *, is_reused: bool
+    ) -> None:
         self.head: asyncio.Future[ResponseHead] = asyncio.Future()
         self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue(maxsize=16)
         self.is_finished = False
@@ -220,6 +223,7 @@
         self.is_too_large = False
         self._request_id = request_id
         self._method = method
+        self._is_reused = is_reused
         self._max_bytes = max_bytes
         self._all_bytes = 0
 
@@ -266,8 +270,9 @@
             return True
         echoed = headers.get(REQUEST_ID_HEADER)
         if echoed is None:
-            # An error response may have been sent before the endpoint read the id.
-            return status >= 400
+            # An error response may have been sent before the endpoint read the id; on
+            # a reused connection, it may be a copy of an earlier one.
+            return status >= 400 and not self._is_reused
         return echoed == self._request_id
 
 
@@ -293,7 +298,7 @@
         self._stream = stream
         self._pool = pool
         self._address = address
-        self._receiver = _Receiver("", "", 0)
+        self._receiver = _Receiver("", "", 0, is_reused=reused)
         self._timer = ResponseTimer(ResponseLimits(max_s=0.0, max_body_bytes=0))
         self._reader: asyncio.Task[None] | None = None
         self._end: ResponseEnd | None = None
@@ -314,7 +319,10 @@
     async def send(self, outgoing: OutgoingRequest, limits: ResponseLimits) -> None:
         """Send the request; from here on the endpoint may run it."""
         self._receiver = _Receiver(
-            outgoing.request_id, outgoing.method, limits.max_body_bytes
+            outgoing.request_id,
+            outgoing.method,
+            limits.max_body_bytes,
+            is_reused=self._reused,
         )
         self._timer = ResponseTimer(limits)
         connection = HTTP1Connection(self._stream, True, _PARAMETERS)
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -13,6 +13,7 @@
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import Route
 from chiveslip.gateway.routing import RoutingTable
+from chiveslip.settings.fields import Address
 
 
 @attrs.define(kw_only=True)
@@ -115,6 +116,8 @@
         Attempts that may have run the request.
     attempted_endpoints
         Ids of the endpoints of all attempts, in order.
+    sent_addresses
+        Addresses to which it was sent.
     retryable_endpoint
         Attempted endpoint that was not ready yet and may be asked once more, or
         empty.
@@ -154,6 +157,7 @@
     attempts: int = 0
     runs: int = 0
     attempted_endpoints: list[str] = attrs.field(factory=list)
+    sent_addresses: set[Address] = attrs.field(factory=set)
     retryable_endpoint: str = ""
     attempt_results: list[str] = attrs.field(factory=list)
     answer_ends: list[str] = attrs.field(factory=list)
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -183,8 +183,12 @@
         on_progress
             Called when the second part of a streamed answer arrives.
         """
+        address = context.endpoint.address
+        # On a connection that refused this request, a copy of the refusal would look
+        # like the answer.
+        is_repeated = address in call.sent_addresses
         try:
-            exchange = await self._connector.open(context.endpoint.address, fresh=False)
+            exchange = await self._connector.open(address, fresh=is_repeated)
         except ConnectError as error:
             return Attempt(result=AttemptResult.NOT_SENT, detail=str(error))
         try:
@@ -232,6 +236,7 @@
             request_id=call.metadata.request_id,
         )
         call.was_sent = True
+        call.sent_addresses.add(context.endpoint.address)
         call.attempt_times[-1].sent_at = self._clock.now()
         try:
             await exchange.send(outgoing, self._build_limits(call))
--- a/testing/gateway/test_broken_answers.py
+++ b/testing/gateway/test_broken_answers.py
@@ -170,3 +170,47 @@
     for size in range(len(document)):
         reply = await exchange(path, [head + document[:size], CLOSE])
         assert reply.status == 502, size
+
+
+REFUSAL = b"HTTP/1.1 503 Busy\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+ANSWER = HEAD.encode() + b"Content-Length: 4\r\n\r\ndone"
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/freely/x"])
+@pytest.mark.parametrize(
+    "copied_id",
+    [
+        pytest.param(b"", id="no id"),
+        pytest.param(b"X-Request-Id: r0\r\n", id="id of another request"),
+    ],
+)
+async def test_refusal_written_again_on_a_kept_connection_is_not_believed(
+    make_gateway: Callable[..., GatewayHarness],
+    start_endpoint: StartEndpoint,
+    path: str,
+    copied_id: bytes,
+) -> None:
+    """The second request runs, after a copy of an earlier refusal."""
+    first = [ANSWER.replace(b"r1", b"r0")]
+    endpoint = await start_endpoint(first, [REFUSAL % copied_id, 0.05, ANSWER])
+    pool = ConnectionPool(ManualClock(), 1.0)
+    harness = make_gateway(connector=pool, address=endpoint.address)
+    await harness.exchange(path, X_Request_Id="r0")
+    reply = await harness.exchange(path)
+    pool.close()
+    assert (endpoint.connections, endpoint.requests) == (1, 2)
+    assert (reply.status, reply.body) == (200, b"done")
+
+
+async def test_refused_request_is_sent_again_on_a_new_connection(
+    make_gateway: Callable[..., GatewayHarness], start_endpoint: StartEndpoint
+) -> None:
+    """A copy of its refusal on the same connection would have its own id."""
+    refusal = REFUSAL % b"X-Request-Id: r1\r\n"
+    endpoint = await start_endpoint([refusal], [ANSWER])
+    pool = ConnectionPool(ManualClock(), 1.0)
+    harness = make_gateway(connector=pool, address=endpoint.address)
+    reply = await harness.exchange("/once/x")
+    pool.close()
+    assert (endpoint.connections, endpoint.requests) == (2, 2)
+    assert (reply.status, reply.body) == (200, b"done")
