Break off a stream that the next endpoint does not go on with

Another operator's report: a stream had begun and broke off, the next replica answered with an error, and clients found its text in their stream, or the stream ended as if it were complete.

It can happen here with answers below 300 (errors of 300 and more broke the stream off already): a 200 of another type was copied into the stream, and a 204 or an empty answer of no named type ended it as complete.

A stream now goes on only with a 200 whose body consists of events, and ends with an answer without an event only if this names its type.

--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import enum
+import http
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import final
@@ -259,18 +260,21 @@
                 result=AttemptResult.UNKNOWN,
                 detail=f"unverified answer with status {head.status}",
             )
-        if call.route.is_stream and head.status < 300:
+        is_stream = call.route.is_stream and head.status < 300
+        if stream.has_head and not (is_stream and _may_resume(head)):
+            return Attempt(
+                result=AttemptResult.TRUNCATED,
+                detail=f"the stream was not resumed: status {head.status}",
+            )
+        if is_stream:
             return await self._forward_stream(exchange, head, call, stream, on_parts)
-        return await self._forward_whole(
-            exchange, head, call, stream, withholds_failure
-        )
+        return await self._forward_whole(exchange, head, call, withholds_failure)
 
     async def _forward_whole(
         self,
         exchange: Exchange,
         head: ResponseHead,
         call: Call,
-        stream: StreamState,
         withholds_failure: bool,
     ) -> Attempt:
         try:
@@ -279,11 +283,6 @@
             return self._build_timeout_attempt(call, error)
         except ExchangeInterruptedError as error:
             return Attempt(result=AttemptResult.UNKNOWN, detail=str(error))
-        if stream.has_head:
-            return Attempt(
-                result=AttemptResult.TRUNCATED,
-                detail=f"resumption answered with status {head.status}",
-            )
         if withholds_failure and head.status >= 500:
             return Attempt(result=AttemptResult.FAILED, head=head, body=body)
         await self.forward_answer(call, head, body)
@@ -310,6 +309,7 @@
             Called when its first parts arrive, one for each.
         """
         splits_events = _is_event_stream(head)
+        is_resumed = stream.has_head
         remaining_callbacks = list(reversed(on_parts))
         try:
             async for chunk in exchange.chunks():
@@ -333,6 +333,9 @@
             if splits_events
             else find_body_fault(exchange.end)
         )
+        if fault is None and is_resumed and not _names_event_stream(head):
+            # An answer of no named type that has no event shows no end of a stream.
+            fault = _find_missing_event(stream.splitter.position)
         if fault is not None:
             return self._build_interrupted_attempt(stream, fault, AttemptResult.UNKNOWN)
         self._start_answer(call, head, stream)
@@ -380,5 +383,20 @@
 
 def _is_event_stream(head: ResponseHead) -> bool:
     """Return whether the body consists of events; so it does if no type is named."""
-    content_type = head.headers.get("Content-Type", _EVENT_STREAM)
+    return "Content-Type" not in head.headers or _names_event_stream(head)
+
+
+def _names_event_stream(head: ResponseHead) -> bool:
+    content_type = head.headers.get("Content-Type", "")
     return content_type.partition(";")[0].strip().lower() == _EVENT_STREAM
+
+
+def _may_resume(head: ResponseHead) -> bool:
+    """Return whether an answer may go on with a stream that was interrupted."""
+    return head.status == http.HTTPStatus.OK and _is_event_stream(head)
+
+
+def _find_missing_event(position: EventPosition) -> str | None:
+    if position is EventPosition.BEFORE_FIRST:
+        return "the resumed stream has no event"
+    return None
--- a/testing/gateway/test_broken_answers.py
+++ b/testing/gateway/test_broken_answers.py
@@ -214,3 +214,54 @@
     pool.close()
     assert (endpoint.connections, endpoint.requests) == (2, 2)
     assert (reply.status, reply.body) == (200, b"done")
+
+
+ERROR_BODY = b"Content-Length: 5\r\n\r\nerror"
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        pytest.param(b"HTTP/1.1 500 Failure\r\n%s" + ERROR_BODY, id="failure"),
+        pytest.param(b"HTTP/1.1 404 Unknown\r\n%s" + ERROR_BODY, id="unknown"),
+        pytest.param(
+            b"HTTP/1.1 503 Busy\r\n%sX-Not-Executed: 1\r\n" + ERROR_BODY, id="refusal"
+        ),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\n%sContent-Type: text/plain\r\n" + ERROR_BODY,
+            id="success of another type",
+        ),
+        pytest.param(b"HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", id="no event"),
+        pytest.param(b"HTTP/1.1 204 None\r\n%s\r\n", id="no body"),
+        pytest.param(
+            b"HTTP/1.1 206 Part\r\n%sContent-Type: text/event-stream\r\n" + ERROR_BODY,
+            id="part",
+        ),
+    ],
+)
+async def test_error_of_the_next_endpoint_is_not_mixed_into_a_begun_stream(
+    exchange: Callable[..., object], second: bytes
+) -> None:
+    headers = b"X-Request-Id: r1\r\nX-Server-Signature: sig\r\n"
+    first = [*by_chunks(FIRST, len(EVENTS)), 0.05, CLOSE]
+    reply = await exchange("/resumable/x", first, [second % headers, CLOSE])
+    assert (reply.status, reply.body, reply.is_complete) == (200, FIRST, False)
+
+
+async def test_whole_answer_of_another_type_on_a_stream_route_is_forwarded(
+    exchange: Callable[..., object],
+) -> None:
+    head = f"{HEAD}Content-Type: text/plain\r\nContent-Length: 4\r\n\r\n".encode()
+    reply = await exchange("/stream/x", [head + b"done"])
+    assert (reply.status, reply.body, reply.is_complete) == (200, b"done", True)
+
+
+@pytest.mark.parametrize("path", [*STREAM_PATHS, "/once/x", "/freely/x"])
+@pytest.mark.parametrize("end", [CLOSE, RESET], ids=["closed", "reset"])
+async def test_answer_cut_within_its_head_is_not_passed_off_as_whole(
+    exchange: Callable[..., object], path: str, end: Step
+) -> None:
+    head = f"{HEAD}Content-Type: text/event-stream\r\nContent-Length: 30\r\n\r\n"
+    for size in range(1, len(head)):
+        reply = await exchange(path, [head[:size].encode(), end])
+        assert not is_passed_off_as_whole(reply), head[:size]
