Believe endpoints that say they leave, and let those rest that ask for it

Until now, knowledge of leaving came from the store alone, and Retry-After of an endpoint was not read: requests went on to both.

Such headers are decoded once, into an EndpointStatement, and recorded for the incarnation that sent them, also from reports and answers to orders. The directory of endpoints reads this record, so that selection, retries, resumed streams, requests that wait for a connection and the coordination of loads all follow it, whatever the store says. Leaving is told to peers; a rest holds for this instance only, also for reports and orders. If all endpoints of a service rest, callers are refused at once with the time at which the first one ends. Values that are no positive number are no rest; a longer one is cut to 300 s.

--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -37,6 +37,7 @@
 from chiveslip.gateway.allowances import Grant
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
+from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_control import EngineControl
 from chiveslip.gateway.engine_control import EngineControlError
@@ -304,6 +305,7 @@
             coordinator=coordinator,
             suspects=CrashSuspects(3),
             part_suspects=PartSuspects(),
+            statements=EndpointStatements(clock),
             mirror=StoreMirror(),
             schedule=schedule,
             metrics=GatewayMetrics(),
--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -55,6 +55,7 @@
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
 from chiveslip.gateway.crash_detection import CrashDetector
 from chiveslip.gateway.crash_guard import CrashGuard
+from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_control import EngineControl
@@ -590,7 +591,7 @@
         self.has_quorum = True
         self.reads_store = True
         self.live_instances = fleet.instance_names
-        self.directory = EndpointDirectory()
+        self.directory = EndpointDirectory(EndpointStatements(clock))
         self.withheld_engines: set[str] = set()
         self.relayed: dict[str, RelayedReport] = {}
         self.view = EngineView(receives_all_peers=lambda: not schedule.relays_reports)
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -37,6 +37,7 @@
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
 from chiveslip.gateway.crash_detection import CrashDetector
 from chiveslip.gateway.crash_guard import CrashGuard
+from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.engine_control import EngineControl
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
@@ -99,7 +100,9 @@
         """Return the client of the key-value store."""
 
     @abc.abstractmethod
-    def make_engine_control(self, connector: Connector, clock: Clock) -> EngineControl:
+    def make_engine_control(
+        self, connector: Connector, clock: Clock, statements: EndpointStatements
+    ) -> EngineControl:
         """Return the client for the reports and orders of engines."""
 
     @abc.abstractmethod
@@ -147,7 +150,8 @@
             ),
         )
         self._member_log = MemberLog(settings.instance.id)
-        directory = EndpointDirectory()
+        self._statements = EndpointStatements(clock)
+        directory = EndpointDirectory(self._statements)
         self._health = EndpointHealth()
         self._directory = directory
         view = EngineView(
@@ -189,7 +193,7 @@
             has_quorum=self._has_quorum,
             clock=clock,
         )
-        control = interfaces.make_engine_control(connector, clock)
+        control = interfaces.make_engine_control(connector, clock, self._statements)
         self._coordinator = EngineCoordinator(
             rights=rights,
             control=control,
@@ -216,6 +220,7 @@
             coordinator=self._coordinator,
             suspects=suspects,
             part_suspects=part_suspects,
+            statements=self._statements,
             mirror=self._mirror,
             schedule=self._schedule,
             metrics=self._metrics,
@@ -258,7 +263,9 @@
             view=view,
             clock=clock,
         )
-        sender = Sender(connector, protocol, clock, directory.accepts_work)
+        sender = Sender(
+            connector, protocol, clock, directory.accepts_work, self._statements
+        )
         telemetry = RequestTelemetry(self._metrics, clock)
         self._crash_guard = CrashGuard(
             requests=suspects,
@@ -439,6 +446,7 @@
         )
         self._coordinator.update_engines(engines)
         self._health.retain_only(self._directory.by_id)
+        self._statements.retain_only(self._directory.by_id)
         await self._coordinator.read_reports()
         await self._coordinator.load_models()
 
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -34,6 +34,9 @@
 from chiveslip.fleet.suspect_news import Crashes
 from chiveslip.fleet.suspect_news import SuspectNews
 from chiveslip.gateway.allowances import SharedAllowances
+from chiveslip.gateway.endpoint_statements import EndpointStatement
+from chiveslip.gateway.endpoint_statements import EndpointStatements
+from chiveslip.gateway.endpoint_statements import Incarnation
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
 from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_view import EngineView
@@ -66,6 +69,7 @@
     coordinator: EngineCoordinator
     suspects: CrashSuspects
     part_suspects: PartSuspects
+    statements: EndpointStatements
     mirror: StoreMirror
     schedule: Callable[[], GossipSchedule]
     metrics: GatewayMetrics
@@ -146,6 +150,7 @@
         self._apply_uses(message, now)
         self._apply_suspects(message, now)
         self._apply_part_suspects(message, now)
+        self._apply_leaving_endpoints(message)
         self._apply_reports(message, now)
 
     def _build_own_gossip(
@@ -171,6 +176,12 @@
             for endpoint, crashed_at in endpoints.items():
                 suspect.crashes.add(endpoint=endpoint, age_seconds=now - crashed_at)
         self._add_part_suspects(message, now, is_for_newcomer=is_for_newcomer)
+        for leaving in parts.statements.leaving():
+            message.leaving_endpoints.add(
+                endpoint=leaving.endpoint,
+                started=leaving.started,
+                address=str(leaving.address),
+            )
         return message
 
     def _add_part_suspects(
@@ -294,6 +305,23 @@
                 )
                 suspects.record_peer_crash(suspect.part, crash.endpoint, known, now)
 
+    def _apply_leaving_endpoints(self, message: wire.Gossip) -> None:
+        for leaving in message.leaving_endpoints:
+            try:
+                address = _parse_address(leaving.address)
+            except ValueError as error:
+                self._log.warning(
+                    "Address of a leaving endpoint is invalid.",
+                    peer=message.sender.instance,
+                    endpoint=leaving.endpoint,
+                    cause=str(error),
+                )
+                continue
+            incarnation = Incarnation(leaving.endpoint, leaving.started, address)
+            self._parts.statements.record(
+                incarnation, EndpointStatement(is_leaving=True)
+            )
+
 
 def _list_news(endpoints: Iterable[str], clearances: int) -> list[str]:
     """Return the keys under which what is known of a part counts as told."""
--- /dev/null
+++ b/src/chiveslip/gateway/endpoint_statements.py
@@ -0,0 +1,116 @@
+"""What endpoints said of themselves in their answers to this instance.
+
+An endpoint knows sooner than the store that it leaves, and it alone knows that it wants
+no requests for a while. A statement holds for the incarnation that made it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import final
+
+import attrs
+
+from chiveslip import logs
+from chiveslip.clock import Clock
+from chiveslip.settings.fields import Address
+
+# A longer rest is cut to this: an endpoint that never wants a request leaves.
+MAX_REST_S = 300.0
+
+
+@attrs.frozen(kw_only=True)
+class EndpointStatement:
+    """What one answer of an endpoint says of it.
+
+    Attributes
+    ----------
+    is_leaving
+        Whether it takes no new requests any more.
+    rest_s
+        Time in seconds for which it wants no requests of this instance; 0 if it asks
+        for none.
+    """
+
+    is_leaving: bool = False
+    rest_s: float = 0.0
+
+
+NO_STATEMENT = EndpointStatement()
+
+
+@attrs.frozen
+class Incarnation:
+    """One start of an endpoint.
+
+    Attributes
+    ----------
+    started
+        Start time that it publishes, or 0.
+    """
+
+    endpoint: str
+    started: int
+    address: Address
+
+
+@final
+class EndpointStatements:
+    """Statements of endpoints that are still in force."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._leaving: set[Incarnation] = set()
+        self._rests_until: dict[Incarnation, float] = {}
+        self._log = logs.get_logger("endpoints")
+
+    def record(self, incarnation: Incarnation, statement: EndpointStatement) -> None:
+        """Record what an answer said of its endpoint."""
+        if statement.is_leaving and incarnation not in self._leaving:
+            self._leaving.add(incarnation)
+            self._log.info("Endpoint says that it leaves.", **_describe(incarnation))
+        if statement.rest_s > 0:
+            rest_s = min(statement.rest_s, MAX_REST_S)
+            if not self.rest_s(incarnation):
+                self._log.info(
+                    "Endpoint asks for rest.",
+                    rest_s=round(rest_s, 3),
+                    asked_s=statement.rest_s,
+                    **_describe(incarnation),
+                )
+            until = max(
+                self._clock.now() + rest_s, self._rests_until.get(incarnation, 0.0)
+            )
+            self._rests_until[incarnation] = until
+
+    def is_leaving(self, incarnation: Incarnation) -> bool:
+        """Return whether an endpoint has said that it leaves."""
+        return incarnation in self._leaving
+
+    def rest_s(self, incarnation: Incarnation) -> float:
+        """Return the time in seconds until an endpoint wants requests again."""
+        until = self._rests_until.get(incarnation)
+        return 0.0 if until is None else max(until - self._clock.now(), 0.0)
+
+    def leaving(self) -> list[Incarnation]:
+        """Return the endpoints that have said that they leave."""
+        return sorted(self._leaving, key=lambda i: (i.endpoint, i.started))
+
+    def retain_only(self, endpoints: Iterable[str]) -> None:
+        """Drop the statements of all other endpoints, and rests that have ended."""
+        known = set(endpoints)
+        now = self._clock.now()
+        self._leaving = {i for i in self._leaving if i.endpoint in known}
+        self._rests_until = {
+            incarnation: until
+            for incarnation, until in self._rests_until.items()
+            if until > now and incarnation.endpoint in known
+        }
+
+
+def _describe(incarnation: Incarnation) -> dict[str, str | int]:
+    return {
+        "endpoint": incarnation.endpoint,
+        "started": incarnation.started,
+        "address": str(incarnation.address),
+    }
--- a/src/chiveslip/gateway/endpoints.py
+++ b/src/chiveslip/gateway/endpoints.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from chiveslip.gateway.endpoint_statements import EndpointStatements
+from chiveslip.gateway.endpoint_statements import Incarnation
 from chiveslip.settings.fields import Address
 
 
@@ -45,12 +47,18 @@
     models: tuple[str, ...] = ()
     adapters: frozenset[tuple[str, int]] = frozenset()
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The start of the endpoint that is described."""
+        return Incarnation(self.id, self.started, self.address)
+
 
 @final
 class EndpointDirectory:
-    """Endpoints by id and by service."""
+    """Endpoints by id and by service, with what they said of themselves."""
 
-    def __init__(self) -> None:
+    def __init__(self, statements: EndpointStatements) -> None:
+        self._statements = statements
         self._by_id: dict[str, ListedEndpoint] = {}
         self._ready: dict[str, list[ListedEndpoint]] = {}
 
@@ -81,10 +89,36 @@
             and listed.address == chosen.address
             and listed.service == chosen.service
             and listed.started == chosen.started
+            and not self._statements.is_leaving(listed.incarnation)
+            and not self._statements.rest_s(listed.incarnation)
+        )
+
+    def find_available(self, service: str) -> list[ListedEndpoint]:
+        """Return the ready endpoints of `service` that want requests now."""
+        return [
+            endpoint
+            for endpoint in self.find_ready(service)
+            if not self._statements.rest_s(endpoint.incarnation)
+        ]
+
+    def rest_s(self, service: str) -> float:
+        """Return the time in seconds until a resting endpoint wants requests; or 0."""
+        rests = (
+            self._statements.rest_s(endpoint.incarnation)
+            for endpoint in self.find_ready(service)
         )
+        return min((rest_s for rest_s in rests if rest_s > 0), default=0.0)
 
     def find_ready(self, service: str) -> list[ListedEndpoint]:
-        """Return the endpoints of `service` that take new work, sorted by id."""
+        """Return the endpoints of `service` that are not leaving, sorted by id."""
+        is_leaving = self._statements.is_leaving
+        return [
+            endpoint
+            for endpoint in self._find_listed_ready(service)
+            if not is_leaving(endpoint.incarnation)
+        ]
+
+    def _find_listed_ready(self, service: str) -> list[ListedEndpoint]:
         found = self._ready.get(service)
         if found is None:
             found = sorted(
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -194,13 +194,17 @@
                 continue
             estimate = EngineEstimate(first_event_s=estimate_s, known_load=known_load)
             return self._place(call, request, choice, load, estimate, started_at)
-        return failed_loads.build_refusal(is_any_excluded=bool(search.excluded))
+        refusal = failed_loads.build_refusal(is_any_excluded=bool(search.excluded))
+        rest_s = self._directory.rest_s(call.service)
+        if rest_s > 0 and not self._directory.find_available(call.service):
+            return attrs.evolve(refusal, retry_after_s=rest_s)
+        return refusal
 
     async def _choose_engine(self, call: Call, search: EngineSearch) -> Choice | None:
         """Return an engine that has answered recently, or None if there is none."""
         silent: list[ListedEndpoint] = []
         while True:
-            engines = self._directory.find_ready(call.service)
+            engines = self._directory.find_available(call.service)
             choice = search.choose(engines, self._clock.now())
             if choice is None or not search.needs_report(choice, self._clock.now()):
                 return choice
--- a/src/chiveslip/gateway/protocol.py
+++ b/src/chiveslip/gateway/protocol.py
@@ -11,6 +11,8 @@
 import attrs
 from tornado.httputil import HTTPHeaders
 
+from chiveslip.gateway.endpoint_statements import NO_STATEMENT
+from chiveslip.gateway.endpoint_statements import EndpointStatement
 from chiveslip.gateway.endpoints import ListedEndpoint
 
 
@@ -89,11 +91,14 @@
     lacks_adapter
         Whether it did not run the request because it lacks the adapter or is not the
         expected endpoint.
+    statement
+        What the endpoint says of itself.
     """
 
     is_genuine: bool
     did_not_run: bool
     lacks_adapter: bool
+    statement: EndpointStatement = NO_STATEMENT
 
 
 class GatewayProtocol(abc.ABC):
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -32,6 +32,7 @@
 from chiveslip.dispatch.response_end import find_stream_fault
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.gateway.call import Call
+from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
 from chiveslip.gateway.protocol import ForwardingContext
@@ -135,6 +136,8 @@
     ----------
     accepts_work
         Returns whether an endpoint that was chosen earlier still takes new work.
+    statements
+        Where answers are recorded that tell something of their endpoint.
     """
 
     def __init__(
@@ -143,11 +146,13 @@
         protocol: GatewayProtocol,
         clock: Clock,
         accepts_work: Callable[[ListedEndpoint], bool],
+        statements: EndpointStatements,
     ) -> None:
         self._connector = connector
         self._protocol = protocol
         self._clock = clock
         self._accepts_work = accepts_work
+        self._statements = statements
 
     async def is_reachable(self, endpoint: ListedEndpoint) -> bool:
         """Return whether a new connection to an endpoint can be opened."""
@@ -247,6 +252,7 @@
         except ExchangeInterruptedError as error:
             return Attempt(result=AttemptResult.UNKNOWN, detail=str(error))
         metadata = self._protocol.parse_answer(head.status, head.headers)
+        self._statements.record(context.endpoint.incarnation, metadata.statement)
         if metadata.did_not_run:
             call.was_sent = False
             await exchange.skip_rest(_MAX_REFUSAL_BODY_S)
--- a/src/chiveslip/gateway/service_selection.py
+++ b/src/chiveslip/gateway/service_selection.py
@@ -35,7 +35,7 @@
     async def select_target(self, call: Call) -> Target | Refusal:
         """Return a healthy endpoint with few requests, preferably a close one."""
         now = self._clock.now()
-        listed = self._directory.find_ready(call.service)
+        listed = self._directory.find_available(call.service)
         endpoint = self._endpoint_selector.select_endpoint(
             listed, call.attempted_endpoints, now
         )
@@ -43,10 +43,13 @@
             return Refusal(
                 code=result_codes.NO_ENDPOINT,
                 detail=f"No ready endpoint is left to try, out of {len(listed)}.",
-                retry_after_s=_RETRY_AFTER_S,
+                retry_after_s=_RETRY_AFTER_S if listed else self._rest_s(call),
             )
         return Target(endpoint=endpoint, chosen_at=now)
 
+    def _rest_s(self, call: Call) -> float:
+        return max(self._directory.rest_s(call.service), _RETRY_AFTER_S)
+
     def record_start(self, call: Call, target: Target) -> None:
         """Count the request as running at its endpoint."""
         self._endpoint_selector.record_start(target.endpoint.id)
--- a/src/chiveslip/platform/main.py
+++ b/src/chiveslip/platform/main.py
@@ -19,6 +19,7 @@
 from chiveslip.daemon.gateway import PlatformInterfaces
 from chiveslip.dispatch.connection import Connector
 from chiveslip.gateway.catalogue import Catalogue
+from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.engine_control import EngineControl
 from chiveslip.gateway.protocol import GatewayProtocol
 from chiveslip.generated.settings import Settings
@@ -51,9 +52,11 @@
         store = settings.store
         return PlatformStore(connector, store.address, store.timeout)
 
-    def make_engine_control(self, connector: Connector, clock: Clock) -> EngineControl:
+    def make_engine_control(
+        self, connector: Connector, clock: Clock, statements: EndpointStatements
+    ) -> EngineControl:
         """Return the client for reports and orders of engines."""
-        return ReplicaControl(connector, clock)
+        return ReplicaControl(connector, clock, statements)
 
     def choose_store_value(
         self, key: str, known: bytes | None, copy: bytes | None
--- a/src/chiveslip/platform/protocol.py
+++ b/src/chiveslip/platform/protocol.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import http
+import math
 from typing import final
 
 from tornado.httputil import HTTPHeaders
 
+from chiveslip.gateway.endpoint_statements import EndpointStatement
 from chiveslip.gateway.protocol import AnswerMetadata
 from chiveslip.gateway.protocol import ForwardingContext
 from chiveslip.gateway.protocol import GatewayProtocol
@@ -24,6 +27,8 @@
 _EXPECTED_INSTANCE = "X-Expected-Instance"
 _EXPECTED_VERSION = "X-Expected-Version"
 _PRIORITY = "X-Request-Priority"
+_LEAVING = "Server-Leaving"
+_RETRY_AFTER = "Retry-After"
 _RESULT_CODE = "X-Result-Code"
 _AUTHORIZATION_SCHEME = "bearer"
 _MAX_PRIORITY = 9
@@ -124,6 +129,7 @@
             is_genuine=is_signed and not not_run and status not in _NOT_RUN_STATUSES,
             did_not_run=not_run,
             lacks_adapter=status == _STATUS_MISDIRECTED,
+            statement=parse_statement(status, headers),
         )
 
     def build_answer_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
@@ -142,6 +148,28 @@
         return headers
 
 
+def parse_statement(status: int, headers: HTTPHeaders) -> EndpointStatement:
+    """Return what a replica's response says of the replica itself.
+
+    A time of rest is a positive number of seconds; a date or another text is none.
+    """
+    rest_s = 0.0
+    if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+        rest_s = _parse_seconds(headers.get(_RETRY_AFTER, ""))
+    return EndpointStatement(
+        is_leaving=headers.get(_LEAVING, "").strip() == "1", rest_s=rest_s
+    )
+
+
+def _parse_seconds(text: str) -> float:
+    """Return a positive number of seconds, or 0 if the text is none."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    return seconds if 0 < seconds < math.inf else 0.0
+
+
 def _parse_milliseconds(text: str) -> float | None:
     try:
         return max(float(text) / 1000, 0.0)
--- a/src/chiveslip/platform/replicas.py
+++ b/src/chiveslip/platform/replicas.py
@@ -14,6 +14,7 @@
 from chiveslip.dispatch.connection import ResponseTimeoutError
 from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_limits import ResponseLimits
+from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_control import EngineControl
@@ -24,6 +25,7 @@
 from chiveslip.gateway.engine_control import OtherEngineError
 from chiveslip.platform import fields
 from chiveslip.platform.fields import UnreadableError
+from chiveslip.platform.protocol import parse_statement
 from chiveslip.settings.fields import parse_address
 
 SERVERS_PREFIX = "servers/"
@@ -43,7 +45,6 @@
     421: OrderAnswer.WRONG_ENGINE,
 }
 
-
 _STATUS_MISDIRECTED = 421
 
 
@@ -110,9 +111,12 @@
 class ReplicaControl(EngineControl):
     """Reads reports and sends orders over HTTP."""
 
-    def __init__(self, connector: Connector, clock: Clock) -> None:
+    def __init__(
+        self, connector: Connector, clock: Clock, statements: EndpointStatements
+    ) -> None:
         self._connector = connector
         self._clock = clock
+        self._statements = statements
 
     async def read_report(self, engine: ListedEndpoint) -> EngineReport:
         """Read the report of an engine."""
@@ -121,12 +125,16 @@
             path="/chiveslip/report",
             headers={_EXPECTED_INSTANCE: engine.id},
         )
+        if self._statements.rest_s(engine.incarnation):
+            raise EngineControlError("report: the engine asked for rest")
         try:
             status, body = await self._send(engine, outgoing, lambda: True)
         except _IdleConnectionLostError:
             status, body = await self._send(
                 engine, outgoing, lambda: True, is_fresh=True
             )
+        except _WithheldError as error:
+            raise EngineControlError("report: the engine asked for rest") from error
         if status == _STATUS_MISDIRECTED:
             raise OtherEngineError(f"report: another engine answers for {engine.id}")
         if status != 200:
@@ -196,10 +204,12 @@
         except ConnectError as error:
             raise EngineControlError(str(error)) from error
         try:
-            if not may_send():
+            if not may_send() or self._statements.rest_s(engine.incarnation):
                 raise _WithheldError
             await exchange.send(outgoing, _RESPONSE_LIMITS)
             head = await exchange.head()
+            statement = parse_statement(head.status, head.headers)
+            self._statements.record(engine.incarnation, statement)
             body = await exchange.body()
         except ResponseTimeoutError as error:
             raise EngineControlError(str(error)) from error
--- a/testing/fleet/test_large_fleet.py
+++ b/testing/fleet/test_large_fleet.py
@@ -13,7 +13,10 @@
 from bench.large_fleet import SETTINGS
 from bench.large_fleet import LargeFleet
 from chiveslip.fleet.gossip_schedule import schedule_for
+from chiveslip.gateway.endpoint_statements import EndpointStatement
+from chiveslip.gateway.endpoint_statements import Incarnation
 from chiveslip.gateway.routing import Organisation
+from chiveslip.settings.fields import Address
 
 FleetOf = Callable[[int], LargeFleet]
 LARGE = 81
@@ -301,3 +304,16 @@
     newcomer.is_running = True
     fleet.run(1.0)
     assert newcomer.parts.part_suspects.blocked_parts == {"bad"}
+
+
+def test_endpoint_that_leaves_is_told_to_all_instances(fleet_of: FleetOf) -> None:
+    fleet = fleet_of(MEDIUM)
+    fleet.run(5.0)
+    leaving = Incarnation("engine-1", 7, Address("10.0.0.9", 8000))
+    statement = EndpointStatement(is_leaving=True)
+    fleet.members["m3"].parts.statements.record(leaving, statement)
+    fleet.run(schedule_for(MEDIUM, SETTINGS).propagation_s)
+    members = fleet.running_members()
+    assert all(m.parts.statements.is_leaving(leaving) for m in members)
+    later = Incarnation("engine-1", 8, Address("10.0.0.9", 8000))
+    assert not any(m.parts.statements.is_leaving(later) for m in members)
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -36,6 +36,7 @@
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.crash_detection import CrashDetector
 from chiveslip.gateway.crash_guard import CrashGuard
+from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -204,6 +205,7 @@
     clock: ManualClock
     suspects: CrashSuspects
     parts: PartSuspects
+    statements: EndpointStatements
     directory: EndpointDirectory
 
     def send_request(self, path: str, **headers: str) -> RecordingReply:
@@ -278,7 +280,8 @@
     ) -> GatewayHarness:
         clock = clock or ManualClock()
         connector = connector or ScriptedConnector(list(script))
-        directory = EndpointDirectory()
+        statements = EndpointStatements(clock)
+        directory = EndpointDirectory(statements)
         for index in range(4):
             directory.put(
                 ListedEndpoint(
@@ -301,7 +304,7 @@
         )
         dialect = PlatformProtocol()
         parts = PartSuspects()
-        sender = Sender(connector, dialect, clock, directory.accepts_work)
+        sender = Sender(connector, dialect, clock, directory.accepts_work, statements)
         telemetry = RequestTelemetry(GatewayMetrics(), clock)
         gateway = Gateway(
             GatewayDependencies(
@@ -326,7 +329,9 @@
                 crash_guard=CrashGuard(
                     requests=suspects,
                     parts=parts,
-                    detector=CrashDetector(sender, ReplicaControl(connector, clock)),
+                    detector=CrashDetector(
+                        sender, ReplicaControl(connector, clock, statements)
+                    ),
                     may_try=lambda _part: True,
                     telemetry=telemetry,
                     clock=clock,
@@ -339,6 +344,8 @@
                 accepts_requests=lambda: takes_requests,
             )
         )
-        return GatewayHarness(gateway, connector, clock, suspects, parts, directory)
+        return GatewayHarness(
+            gateway, connector, clock, suspects, parts, statements, directory
+        )
 
     return build
--- a/testing/gateway/test_catalogue.py
+++ b/testing/gateway/test_catalogue.py
@@ -10,6 +10,7 @@
 from chiveslip.audit import AuditTrail
 from chiveslip.clock import ManualClock
 from chiveslip.gateway.catalogue import Catalogue
+from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -62,7 +63,7 @@
 def make_harness() -> Callable[[float], CatalogueHarness]:
     def build(reconnected_at: float) -> CatalogueHarness:
         clock = ManualClock()
-        directory = EndpointDirectory()
+        directory = EndpointDirectory(EndpointStatements(clock))
         catalogue = Catalogue(
             directory=directory,
             view=EngineView(),
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -14,6 +14,7 @@
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.call import CrashTraits
+from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -159,7 +160,7 @@
 @pytest.fixture
 def harness() -> SelectorHarness:
     clock = ManualClock()
-    directory = EndpointDirectory()
+    directory = EndpointDirectory(EndpointStatements(clock))
     view = EngineView()
     health = EndpointHealth()
     times = LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=8)
--- a/testing/platform/test_endless_responses.py
+++ b/testing/platform/test_endless_responses.py
@@ -13,6 +13,7 @@
 
 from chiveslip.clock import SystemClock
 from chiveslip.dispatch.connection import ConnectionPool
+from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.engine_control import EngineControlError
 from chiveslip.gateway.engine_control import EngineOrder
 from chiveslip.gateway.engine_control import Operation
@@ -63,7 +64,9 @@
 
 
 async def read_report(pool: ConnectionPool, address: Address) -> None:
-    await ReplicaControl(pool, SystemClock()).read_report(listed_engine(address))
+    await ReplicaControl(
+        pool, SystemClock(), EndpointStatements(SystemClock())
+    ).read_report(listed_engine(address))
 
 
 async def send_order(pool: ConnectionPool, address: Address) -> None:
@@ -75,7 +78,7 @@
         fence=1,
         after_orders=0,
     )
-    control = ReplicaControl(pool, SystemClock())
+    control = ReplicaControl(pool, SystemClock(), EndpointStatements(SystemClock()))
     await control.send_order(listed_engine(address), order, lambda: True)
 
 
--- a/testing/platform/test_replicas.py
+++ b/testing/platform/test_replicas.py
@@ -20,6 +20,8 @@
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
 from chiveslip.dispatch.response_limits import ResponseLimits
+from chiveslip.gateway.endpoint_statements import EndpointStatement
+from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.engine_control import EngineControlError
 from chiveslip.gateway.engine_control import EngineOrder
@@ -54,6 +56,10 @@
     assert endpoint.adapters == {("m/a1", 2), ("m/a2", 1)}
 
 
+def statements() -> EndpointStatements:
+    return EndpointStatements(ManualClock())
+
+
 @pytest.mark.parametrize(
     ("state", "expected"),
     [("ready", EndpointState.READY), ("draining", EndpointState.LEAVING)],
@@ -136,7 +142,11 @@
     ],
 )
 def test_invalid_report_raises_an_error(status: int, body: bytes) -> None:
-    control = ReplicaControl(FixedResponseConnector(status, body), ManualClock())
+    control = ReplicaControl(
+        FixedResponseConnector(status, body),
+        ManualClock(),
+        statements(),
+    )
     with pytest.raises(EngineControlError):
         asyncio.run(control.read_report(ENGINE))
 
@@ -145,7 +155,11 @@
     body = json.dumps(
         {"sequence": 2, "models": ENTRY["models"], "coming": ["m/a9@3"], "born": 5}
     ).encode()
-    control = ReplicaControl(FixedResponseConnector(200, body), ManualClock())
+    control = ReplicaControl(
+        FixedResponseConnector(200, body),
+        ManualClock(),
+        statements(),
+    )
     report = asyncio.run(control.read_report(ENGINE))
     assert report.loading_adapters == {("m/a9", 3)}
     assert report.models == {"m"}
@@ -165,14 +179,18 @@
     ],
 )
 def test_status_is_mapped_to_an_order_answer(status: int, answer: OrderAnswer) -> None:
-    control = ReplicaControl(FixedResponseConnector(status, b""), ManualClock())
+    control = ReplicaControl(
+        FixedResponseConnector(status, b""),
+        ManualClock(),
+        statements(),
+    )
     order = build_order()
     assert asyncio.run(control.send_order(ENGINE, order, lambda: True)) is answer
 
 
 def test_order_is_not_sent_if_it_is_no_longer_allowed_once_connected() -> None:
     connector = FixedResponseConnector(202, b"")
-    control = ReplicaControl(connector, ManualClock())
+    control = ReplicaControl(connector, ManualClock(), statements())
     answer = asyncio.run(control.send_order(ENGINE, build_order(), lambda: False))
     assert answer is OrderAnswer.WITHHELD
     assert not connector.sent_requests
@@ -207,7 +225,7 @@
     order: EngineOrder, fields: dict[str, Any]
 ) -> None:
     connector = FixedResponseConnector(202, b"")
-    control = ReplicaControl(connector, ManualClock())
+    control = ReplicaControl(connector, ManualClock(), statements())
     asyncio.run(control.send_order(ENGINE, order, lambda: True))
     request = connector.sent_requests[0]
     assert request.headers["X-Expected-Instance"] == "i-7f"
@@ -218,3 +236,15 @@
         "precondition": 2,
     }
     assert json.loads(request.body) == common_fields | fields
+
+
+def test_resting_engine_gets_neither_orders_nor_reads_of_its_report() -> None:
+    connector = FixedResponseConnector(200, b"{}")
+    resting = statements()
+    resting.record(ENGINE.incarnation, EndpointStatement(rest_s=5.0))
+    control = ReplicaControl(connector, ManualClock(), resting)
+    with pytest.raises(EngineControlError, match="asked for rest"):
+        asyncio.run(control.read_report(ENGINE))
+    answer = asyncio.run(control.send_order(ENGINE, build_order(), lambda: True))
+    assert answer is OrderAnswer.WITHHELD
+    assert not connector.sent_requests
