Bound the waiting times that coordinators of engines tell

A malformed answer (held off for 1e9 s, without end, or for no number) was kept as it is, and its receiver placed no load at that engine any more. Times that a peer tells are now taken as at most 8 s, and no number as none; the coordinator is asked again after that.

--- a/src/chiveslip/gateway/load_requests.py
+++ b/src/chiveslip/gateway/load_requests.py
@@ -6,8 +6,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import final
 
+import attrs
+
 from chiveslip.clock import Clock
 from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.gateway_peers import GatewayPeers
@@ -22,6 +25,8 @@
 # this time.
 _COORDINATOR_PAUSE_S = 1.0
 _MAX_UNANSWERED = 2
+# Bound of a time that a coordinator tells. After it, the coordinator is asked again.
+_MAX_TOLD_WAIT_S = 8.0
 
 
 @final
@@ -84,6 +89,7 @@
                 self._record_no_answer(coordinator)
                 return LoadResult(outcome=LoadOutcome.NO_ANSWER)
             self._unanswered.pop(coordinator, None)
+            load = attrs.evolve(load, ready_in_s=_bound_wait_s(load.ready_in_s))
         if load.outcome is LoadOutcome.HELD_OFF:
             self._view.hold_loads(engine, self._clock.now() + load.ready_in_s)
         if load.outcome is LoadOutcome.USABLE:
@@ -96,3 +102,13 @@
         self._unanswered[coordinator] = unanswered
         if unanswered >= _MAX_UNANSWERED:
             self._paused_until[coordinator] = self._clock.now() + _COORDINATOR_PAUSE_S
+
+
+def _bound_wait_s(told_s: float) -> float:
+    """Return a time that a peer told, within what a coordinator can mean.
+
+    A malformed answer must not keep an engine from this instance for good.
+    """
+    if math.isnan(told_s):
+        return 0.0
+    return min(max(told_s, 0.0), _MAX_TOLD_WAIT_S)
