Repeat a request of proven parts without waiting for the check of a crash

Parts that an answer has gone on with cannot be suspected; only requests with others wait now, 0.2 s at most.

--- a/src/chiveslip/dispatch/part_suspects.py
+++ b/src/chiveslip/dispatch/part_suspects.py
@@ -197,7 +197,7 @@
             The endpoint and its incarnation.
         """
         parts = tuple(parts)
-        if self._are_proven(parts):
+        if parts and self.are_proven(parts):
             self._crashed.add(now)
         crash = PartCrash(now, frozenset({organisation}))
         for part in parts:
@@ -233,7 +233,7 @@
     def record_progress(self, parts: Iterable[str], now: float) -> None:
         """Record that an answer to a request with these parts has gone on."""
         parts = tuple(parts)
-        if self._are_proven(parts):
+        if parts and self.are_proven(parts):
             self._answered.add(now)
         for part in parts:
             self.record_peer_progress(part, now)
@@ -265,6 +265,10 @@
         suspects = (self._suspects.get(part) for part in parts)
         return any(s is not None and s.crashes and not s.is_proven for s in suspects)
 
+    def are_proven(self, parts: Iterable[str]) -> bool:
+        """Return whether an answer with each of the parts has gone on."""
+        return all(self._progressed_at(part) > -math.inf for part in parts)
+
     def find_blocked(self, parts: Iterable[str], organisation: str) -> tuple[str, ...]:
         """Return those parts that block a request of an organisation."""
         blocks = self._current_blocks()
@@ -315,11 +319,6 @@
             for part, suspect in self._suspects.items()
         ]
 
-    def _are_proven(self, parts: tuple[str, ...]) -> bool:
-        return bool(parts) and all(
-            self._progressed_at(part) > -math.inf for part in parts
-        )
-
     def _weigh_crash(self, now: float) -> float:
         """Return how much of an episode a crash counts now."""
         crashed = self._crashed.at(now)
--- a/src/chiveslip/gateway/crash_guard.py
+++ b/src/chiveslip/gateway/crash_guard.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import final
 
@@ -27,6 +28,9 @@
 
 # Advised to callers of a blocked part, at the least: a trial takes this long.
 _MIN_RETRY_AFTER_S = 1.0
+# A process that crashed refuses connections sooner; a longer check is of an endpoint
+# that cannot be reached.
+_MAX_CHECK_WAIT_S = 0.2
 
 
 @final
@@ -132,8 +136,9 @@
         """
         if call.traits.is_trial:
             return False
-        if call.crash_check is not None and call.traits.parts:
-            await call.crash_check
+        is_proven = self._parts.are_proven(call.traits.parts)
+        if call.crash_check is not None and not is_proven:
+            await asyncio.wait([call.crash_check], timeout=_MAX_CHECK_WAIT_S)
         return self.find_refusal(call.traits) is None and not self._parts.is_suspect(
             call.traits.parts
         )
