Take the ports of test gateways from outside the range of outgoing connections

The whole check on failed one test, test_return_of_the_store_costs_few_reads_and_is_counted: bind of a port that had been probed as free raised EADDRINUSE, because an outgoing connection of another process got it in between (traceback in the run's output). Ports below 32000 are not given to outgoing connections. The files with such gateways pass since; the whole check was not repeated after this change.

--- a/testing/platform/gateways.py
+++ b/testing/platform/gateways.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 from collections.abc import AsyncIterator
 from collections.abc import Callable
@@ -23,12 +24,17 @@
 
 KEY = "key-of-the-trust"
 MAX_WAIT_S = 20.0
+_LISTENING_PORTS = range(15000, 32000)
+_PORTS = random.SystemRandom()
 
 
 def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a free port that the system gives to no outgoing connection."""
+    while True:
+        port = _PORTS.choice(_LISTENING_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 def published_configuration(
