--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -183,6 +183,8 @@
         member = self._fleet.members.get(address.host)
         if member is None or not member.is_running:
             raise PeerError(f"no member is running at {address.host}")
+        if self._fleet.is_cut(self._sender, address.host):
+            raise PeerError(f"no path to {address.host}")
         member.messages.apply(request)
         reply = member.messages.build_reply(request)
         member.messages.record_received(reply)
@@ -226,6 +228,8 @@
         self.random = random.Random(SEED)
         self.store = FleetStore()
         self.organisations: dict[str, Organisation] = {}
+        # Returns whether no message passes between two members.
+        self.is_cut: Callable[[str, str], bool] = lambda one, other: False
         self.members: dict[str, Member] = {}
         names = [f"m{number}" for number in range(size)]
         self._seeds = tuple(Address(name, 1) for name in names[:3])
--- a/testing/fleet/test_large_fleet.py
+++ b/testing/fleet/test_large_fleet.py
@@ -12,6 +12,7 @@
 
 from bench.large_fleet import SETTINGS
 from bench.large_fleet import LargeFleet
+from chiveslip.dispatch.part_suspects import PartCrash
 from chiveslip.fleet.gossip_schedule import schedule_for
 from chiveslip.gateway.endpoint_statements import EndpointStatement
 from chiveslip.gateway.endpoint_statements import Incarnation
@@ -21,6 +22,8 @@
 FleetOf = Callable[[int], LargeFleet]
 LARGE = 81
 MEDIUM = 30
+# 64 parts of 64 B: two hashes, an endpoint with its start, and two ages each.
+MAX_SUSPECT_BYTES = 4096
 SCHEDULE = schedule_for(LARGE, SETTINGS)
 MEDIUM_SCHEDULE = schedule_for(MEDIUM, SETTINGS)
 
@@ -317,3 +320,64 @@
     assert all(m.parts.statements.is_leaving(leaving) for m in members)
     later = Incarnation("engine-1", 8, Address("10.0.0.9", 8000))
     assert not any(m.parts.statements.is_leaving(later) for m in members)
+
+
+@pytest.mark.parametrize("crashes", [2, 3])
+def test_part_that_crashed_engines_in_one_half_is_known_to_all_after_the_cut(
+    fleet_of: FleetOf, crashes: int
+) -> None:
+    fleet = fleet_of(MEDIUM)
+    fleet.run(5.0)
+    members = fleet.running_members()
+    half = {member.name for member in members[: MEDIUM // 2]}
+    fleet.is_cut = lambda one, other: (one in half) != (other in half)
+    for number in range(crashes):
+        members[number].parts.part_suspects.record_crash(
+            ["bad"], "o", f"engine-{number}/1", fleet.clock.now()
+        )
+        fleet.run(1.0)
+    fleet.run(2.0)
+    assert count_blocking(fleet, "bad") == (len(half) if crashes == 3 else 0)
+    fleet.is_cut = lambda one, other: False
+    fleet.run(10.0)
+    if crashes == 2:
+        members[-1].parts.part_suspects.record_crash(
+            ["bad"], "o", "engine-2/1", fleet.clock.now()
+        )
+        fleet.run(schedule_for(MEDIUM, SETTINGS).propagation_s)
+    assert count_blocking(fleet, "bad") == MEDIUM
+
+
+def test_message_without_suspected_parts_of_an_old_build_is_applied(
+    fleet_of: FleetOf,
+) -> None:
+    fleet = fleet_of(6)
+    fleet.run(5.0)
+    old, new = fleet.running_members()[:2]
+    for number in range(3):
+        new.parts.part_suspects.record_crash(
+            ["bad"], "o", f"engine-{number}/1", fleet.clock.now() - number
+        )
+    request = old.messages.build_request()
+    request.ClearField("part_suspects")
+    request.ClearField("leaving_endpoints")
+    new.messages.apply(request)
+    assert new.parts.part_suspects.blocked_parts == {"bad"}
+
+
+def test_flood_of_suspected_parts_is_told_in_messages_of_bounded_size(
+    fleet_of: FleetOf,
+) -> None:
+    fleet = fleet_of(6)
+    fleet.run(5.0)
+    (member, *_) = fleet.running_members()
+    suspects = member.parts.part_suspects
+    for number in range(3):
+        at = fleet.clock.now() - number
+        crash = PartCrash(at, frozenset({"o"}))
+        suspects.record_peer_crash("bad", f"engine-{number}/1", crash, at)
+    for number in range(5000):
+        suspects.record_crash([f"p{number}"], "o", "busy/1", fleet.clock.now())
+    request = member.messages.build_request()
+    assert request.part_suspects[0].part == "bad"
+    assert sum(part.ByteSize() for part in request.part_suspects) < MAX_SUSPECT_BYTES
