Take the loss of a peer's new connection for an error of that peer

A whole check failed once: test_killed_instance_affects_only_its_own_calls, a caller of an instance that was not killed got 500 with code 1700 (internal error) and "outcome unknown", though its call had been sent to no engine.

Cause: an instance that is killed resets connections that its kernel had just accepted. grpclib then removes the transport while the call that opened the connection goes on, and raises AttributeError, which PeerChannels did not take for an error of the peer. A request for a permit then failed its call, and a permit that was returned stayed counted until the call's deadline.

test_connection_lost_before_its_first_call_is_an_error_of_the_peer failed before.

--- a/src/chiveslip/fleet/channels.py
+++ b/src/chiveslip/fleet/channels.py
@@ -31,6 +31,8 @@
     AssertionError,
     NotImplementedError,
     DecodeError,
+    # grpclib removes the transport of a lost connection while calls still use it.
+    AttributeError,
 )
 
 
--- a/testing/fleet/test_channels.py
+++ b/testing/fleet/test_channels.py
@@ -14,6 +14,7 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
+from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 from grpclib.server import Stream
 
@@ -128,3 +129,36 @@
     channels.close()
     server.close()
     await server.wait_closed()
+
+
+async def _lose_before_first_call(
+    create: Callable[[Channel], Awaitable[H2Protocol]], channel: Channel
+) -> H2Protocol:
+    protocol = await create(channel)
+    protocol.connection_lost(ConnectionResetError())
+    return protocol
+
+
+@pytest.mark.xdist_group("sockets")
+async def test_connection_lost_before_its_first_call_is_an_error_of_the_peer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    create = Channel._create_connection
+    monkeypatch.setattr(
+        Channel, "_create_connection", lambda c: _lose_before_first_call(create, c)
+    )
+    server = Server([BrokenPeer([message(b"")])])
+    await server.start("127.0.0.1", 0)
+    port = server._server.sockets[0].getsockname()[1]
+    channels = PeerChannels(OPTIONS)
+    with pytest.raises(PeerError):
+        await channels.call(
+            Address("127.0.0.1", port),
+            0.5,
+            lambda channel, t: GatewayPeerStub(channel).Exchange(
+                wire.Gossip(), timeout=t
+            ),
+        )
+    channels.close()
+    server.close()
+    await server.wait_closed()
