Have peers deliver requests while an instance reaches no endpoint

Callers of an instance that had lost its paths to endpoints, while they, the store and the other instances still reached it, got refusals, or waited for connections that hung, until the cut ended: of their first attempts none was served.

A peer is asked first, and gets the request only when it has accepted, so that a peer that is stopping, full, cut off too, or of an older build costs no request. The key stays here, the allowance is charged here, a request that was handed over is never passed on, and an answer that is lost between instances is told as unknown, or repeated where the route allows it.

If no instance has paths, requests are refused at once with Retry-After.

--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -73,6 +73,8 @@
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.forwarding import Gateway
 from chiveslip.gateway.forwarding import GatewayDependencies
+from chiveslip.gateway.handover import Handover
+from chiveslip.gateway.handover import PeerForwarder
 from chiveslip.gateway.ingress import IngressReply
 from chiveslip.gateway.ingress import IngressRequest
 from chiveslip.gateway.load_requests import LoadRequests
@@ -337,6 +339,12 @@
         """Return no headers; simulated engines need none."""
         return {}
 
+    def build_forwarded_headers(
+        self, headers: HTTPHeaders, last_event_id: str
+    ) -> HTTPHeaders:
+        """Return the headers unchanged."""
+        return headers
+
     def parse_answer(self, status: int, headers: HTTPHeaders) -> AnswerMetadata:
         """Return the metadata of a genuine answer."""
         return AnswerMetadata(is_genuine=True, did_not_run=False, lacks_adapter=False)
@@ -681,6 +689,16 @@
                 active_table=lambda: fleet.table,
                 live_instance_count=lambda: len(fleet.instance_names),
                 accepts_requests=lambda: True,
+                find_organisation=lambda _name: None,
+                handover=Handover(
+                    instance=name,
+                    forwarder=cast(PeerForwarder, SimulatedPeers(fleet)),
+                    protocol=SimulatedProtocol(),
+                    live_peers=list,
+                    clock=clock,
+                    generator=fleet.random,
+                ),
+                is_cut=lambda _service: False,
             )
         )
 
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -45,14 +45,19 @@
 from chiveslip.gateway.engine_reports import EngineReports
 from chiveslip.gateway.engine_selection import EngineTargetSelector
 from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.forwarded import ForwardedRequests
 from chiveslip.gateway.forwarding import Gateway
 from chiveslip.gateway.forwarding import GatewayDependencies
+from chiveslip.gateway.handover import Handover
 from chiveslip.gateway.ingress import Ingress
 from chiveslip.gateway.ingress import IngressReply
 from chiveslip.gateway.ingress import IngressRequest
 from chiveslip.gateway.load_requests import LoadRequests
 from chiveslip.gateway.load_times import LoadTimes
 from chiveslip.gateway.metrics import GatewayMetrics
+from chiveslip.gateway.path_probing import PathProber
+from chiveslip.gateway.path_probing import WatchedConnector
+from chiveslip.gateway.paths import EndpointPaths
 from chiveslip.gateway.placement import Placement
 from chiveslip.gateway.protocol import GatewayProtocol
 from chiveslip.gateway.report_log import ReportLog
@@ -138,7 +143,7 @@
             max_watch_s=settings.store.watch,
         )
         self._current_schedule = schedule_for(1, self._schedule_settings)
-        connector = ConnectionPool(clock, settings.services.connect)
+        pool = ConnectionPool(clock, settings.services.connect)
         protocol = interfaces.make_protocol()
         self._membership = Membership(
             instance=settings.instance.id,
@@ -152,6 +157,11 @@
         self._member_log = MemberLog(settings.instance.id)
         self._statements = EndpointStatements(clock)
         directory = EndpointDirectory(self._statements)
+        paths = EndpointPaths(
+            clock, lambda service: {e.id for e in directory.find_ready(service)}
+        )
+        connector = WatchedConnector(pool, directory, paths)
+        self._path_prober = PathProber(connector, directory, paths, self._random)
         self._health = EndpointHealth()
         self._directory = directory
         view = EngineView(
@@ -248,14 +258,6 @@
             seeds=settings.fleet.seeds,
             generator=self._random,
         )
-        service = GatewayPeerService(
-            messages,
-            parts,
-            store_pulls,
-            self._mirror.build_changes_reply,
-            self._catalogue.find_organisation,
-        )
-        self._peer_server = Server([service])
         load_requests = LoadRequests(
             instance=settings.instance.id,
             coordinator=self._coordinator,
@@ -264,7 +266,7 @@
             clock=clock,
         )
         sender = Sender(
-            connector, protocol, clock, directory.accepts_work, self._statements
+            connector, protocol, clock, directory.accepts_work, self._statements, paths
         )
         telemetry = RequestTelemetry(self._metrics, clock)
         self._crash_guard = CrashGuard(
@@ -324,12 +326,34 @@
                 ),
                 generator=self._random,
                 active_table=lambda: self._catalogue.table,
+                find_organisation=self._catalogue.find_organisation,
                 live_instance_count=lambda: len(
                     self._membership.live_members(clock.now())
                 ),
                 accepts_requests=lambda: clock.now() < self._refuses_requests_from,
+                handover=Handover(
+                    instance=settings.instance.id,
+                    forwarder=self._peers,
+                    protocol=protocol,
+                    live_peers=self._live_peers,
+                    clock=clock,
+                    generator=self._random,
+                ),
+                is_cut=paths.is_cut,
             )
         )
+        self._forwarded = ForwardedRequests(
+            gateway, lambda: not self._is_stopping, paths.is_cut
+        )
+        service = GatewayPeerService(
+            messages,
+            parts,
+            store_pulls,
+            self._mirror.build_changes_reply,
+            self._catalogue.find_organisation,
+            self._forwarded,
+        )
+        self._peer_server = Server([service])
         self._ingress = Ingress(
             gateway.handle,
             max_body_bytes=settings.limits.body,
@@ -359,6 +383,7 @@
         self._ingress.listen(listen.callers.host, listen.callers.port)
         self._tasks.start(self._reader.run())
         self._tasks.start(self._run_rounds())
+        self._tasks.start(self._path_prober.run())
         instance = self._settings.instance
         self._log.info(
             "Started.", instance=instance.id, data_centre=instance.data_centre
@@ -382,10 +407,10 @@
         # A request that comes later on a persistent connection might not end in time.
         self._refuses_requests_from = noticed_at
         while self._clock.now() < ends_at:
-            if self._clock.now() >= noticed_at and self._ingress.running_requests == 0:
+            if self._clock.now() >= noticed_at and self._running_requests == 0:
                 break
             await asyncio.sleep(_STOP_POLL_S)
-        self._log.info("Stopped.", cut=self._ingress.running_requests)
+        self._log.info("Stopped.", cut=self._running_requests)
         await self._ingress.close()
         await self._readiness_server.close()
         await self._metrics_server.close()
@@ -393,6 +418,15 @@
         self._peer_server.close()
         self._peers.close()
 
+    @property
+    def _running_requests(self) -> int:
+        return self._ingress.running_requests + self._forwarded.running
+
+    def _live_peers(self) -> list[str]:
+        own = self._settings.instance.id
+        live = self._membership.live_members(self._clock.now())
+        return [member for member in live if member != own]
+
     async def _run_rounds(self) -> None:
         """Run gossip and maintenance in each interval, a shorter one at the start."""
         started_at = self._clock.now()
@@ -460,6 +494,8 @@
         metrics.store_era.set(self._mirror.revision.era)
         metrics.blocked_parts.set(self._crash_guard.count_blocked())
         metrics.running_requests.set(self._ingress.running_requests)
+        metrics.forwarded_requests.set(self._forwarded.running)
+        metrics.cut_services.set(self._path_prober.cut_services)
         self._update_report_ages()
         table = self._catalogue.table
         if table is not None:
--- a/src/chiveslip/fleet/channels.py
+++ b/src/chiveslip/fleet/channels.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import TypeVar
@@ -94,12 +95,23 @@
             If no reply came in time, the peer refused the call, or its reply is no
             whole message.
         """
+        async with self.open(address) as channel, asyncio.timeout(timeout_s):
+            return await send(channel, timeout_s)
+
+    @contextlib.asynccontextmanager
+    async def open(self, address: Address) -> AsyncIterator[Channel]:
+        """Provide the channel to a peer, and replace it if it fails meanwhile.
+
+        Raises
+        ------
+        PeerError
+            If the channel, or a call on it, fails.
+        """
         channel = self._channels.get(address)
         if channel is None:
-            channel = self._channels[address] = self._open(address)
+            channel = self._channels[address] = self._make_channel(address)
         try:
-            async with asyncio.timeout(timeout_s):
-                return await send(channel, timeout_s)
+            yield channel
         except _CALL_ERRORS as error:
             self._drop(address, channel)
             raise PeerError(f"call to {address} failed: {error!r}") from error
@@ -125,7 +137,7 @@
             loop = asyncio.get_running_loop()
             loop.call_later(self._options.max_call_s, channel.close)
 
-    def _open(self, address: Address) -> Channel:
+    def _make_channel(self, address: Address) -> Channel:
         options = self._options
         if not options.pings_idle:
             configuration = Configuration(
--- a/src/chiveslip/fleet/gateway_peers.py
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -1,7 +1,9 @@
-"""gRPC client for the gossip, loads and store changes of other gateways."""
+"""gRPC client for gossip, loads, store changes and requests to other gateways."""
 
 from __future__ import annotations
 
+import contextlib
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import TypeVar
@@ -10,9 +12,13 @@
 from chiveslip.fleet.channels import ChannelOptions
 from chiveslip.fleet.channels import PeerChannels
 from chiveslip.fleet.channels import PeerError
+from chiveslip.fleet.forwarded_exchange import GrpcForwardedExchange
 from chiveslip.gateway.allowances import Grant
 from chiveslip.gateway.engine_coordinator import LoadOutcome
 from chiveslip.gateway.engine_coordinator import LoadResult
+from chiveslip.gateway.handover import ForwardedExchange
+from chiveslip.gateway.handover import ForwardingError
+from chiveslip.gateway.handover import PeerForwarder
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated.peer_grpc import GatewayPeerStub
 from chiveslip.settings.fields import Address
@@ -44,7 +50,7 @@
 
 
 @final
-class GatewayPeers:
+class GatewayPeers(PeerForwarder):
     """Client for other gateways; channels are opened on first use.
 
     Every method raises `PeerError` if no reply comes in time.
@@ -127,6 +133,23 @@
             )
         return grant
 
+    @contextlib.asynccontextmanager
+    async def open_forwarding(
+        self, peer: str, service: str, max_s: float
+    ) -> AsyncIterator[ForwardedExchange]:
+        """Ask a peer to take a request; leaving the context cancels the request."""
+        try:
+            address = self._known_address(peer)
+            async with (
+                self._channels.open(address) as channel,
+                GatewayPeerStub(channel).Forward.open(timeout=max_s) as stream,
+            ):
+                exchange = GrpcForwardedExchange(stream)
+                await exchange.ask(service)
+                yield exchange
+        except PeerError as error:
+            raise ForwardingError(str(error)) from error
+
     def _known_address(self, peer: str) -> Address:
         address = self._address_of(peer)
         if address is None:
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -12,6 +12,7 @@
 
 from chiveslip import logs
 from chiveslip.fleet.channels import PeerError
+from chiveslip.fleet.forwarding import answer_forwarded
 from chiveslip.fleet.gateway_peers import WIRE_OUTCOMES
 from chiveslip.fleet.gateway_peers import GatewayPeers
 from chiveslip.fleet.gossip_messages import GossipMessages
@@ -22,6 +23,7 @@
 from chiveslip.fleet.use_notices import UseNotices
 from chiveslip.fleet.use_notices import Uses
 from chiveslip.gateway.engine_view import Adapter
+from chiveslip.gateway.forwarded import ForwardedRequests
 from chiveslip.gateway.routing import Organisation
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated.peer_grpc import GatewayPeerBase
@@ -154,12 +156,14 @@
         store_pulls: StorePulls,
         changes_after: Callable[[StoreRevision], wire.ChangesReply],
         find_organisation: Callable[[str], Organisation | None],
+        forwarded: ForwardedRequests,
     ) -> None:
         self._messages = messages
         self._parts = parts
         self._store_pulls = store_pulls
         self._changes_after = changes_after
         self._find_organisation = find_organisation
+        self._forwarded = forwarded
         self._tasks = TaskSet("gossip")
 
     async def Exchange(  # noqa: N802
@@ -230,3 +234,9 @@
             retry_after_seconds=grant.retry_after_s,
         )
         await stream.send_message(reply)
+
+    async def Forward(  # noqa: N802
+        self, stream: Stream[wire.ForwardMessage, wire.ForwardPart]
+    ) -> None:
+        """Answer a request for which a peer has no path to an endpoint."""
+        await answer_forwarded(stream, self._forwarded)
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -7,9 +7,9 @@
 import attrs
 
 from chiveslip.gateway.engine_view import KnownLoad
-from chiveslip.gateway.ingress import IngressReply
 from chiveslip.gateway.ingress import IngressRequest
 from chiveslip.gateway.protocol import RequestMetadata
+from chiveslip.gateway.reply import Reply
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import Route
 from chiveslip.gateway.routing import RoutingTable
@@ -137,12 +137,16 @@
         Time in seconds that the request waited for its adapter.
     first_event_at
         Local time in seconds of the answer's first part, or None before.
+    received_by
+        Instance that received it from its caller, or empty if this one did.
+    forwarded_to
+        Instance to which it was handed over last, or empty.
     crash_check
         Check whether the last endpoint crashed, or None if none was started.
     """
 
     request: IngressRequest
-    reply: IngressReply
+    reply: Reply
     metadata: RequestMetadata
     table: RoutingTable
     route: Route
@@ -167,6 +171,8 @@
     estimate_s: float | None = None
     load_wait_s: float = 0.0
     first_event_at: float | None = None
+    received_by: str = ""
+    forwarded_to: str = ""
     crash_check: asyncio.Task[None] | None = None
 
     @property
--- a/src/chiveslip/gateway/endpoints.py
+++ b/src/chiveslip/gateway/endpoints.py
@@ -61,6 +61,12 @@
         self._statements = statements
         self._by_id: dict[str, ListedEndpoint] = {}
         self._ready: dict[str, list[ListedEndpoint]] = {}
+        self._by_address: dict[Address, ListedEndpoint] = {}
+
+    @property
+    def services(self) -> set[str]:
+        """Names of all services that have a listed endpoint."""
+        return {endpoint.service for endpoint in self._by_id.values()}
 
     @property
     def by_id(self) -> dict[str, ListedEndpoint]:
@@ -69,13 +75,20 @@
 
     def put(self, endpoint: ListedEndpoint) -> None:
         """Add an endpoint or replace its description."""
+        self.remove(endpoint.id)
         self._by_id[endpoint.id] = endpoint
-        self._ready.clear()
+        self._by_address[endpoint.address] = endpoint
 
     def remove(self, endpoint: str) -> None:
         """Remove an endpoint, if it is listed."""
-        self._by_id.pop(endpoint, None)
         self._ready.clear()
+        removed = self._by_id.pop(endpoint, None)
+        if removed is not None and self._by_address.get(removed.address) is removed:
+            del self._by_address[removed.address]
+
+    def find_at(self, address: Address) -> ListedEndpoint | None:
+        """Return the endpoint that was listed last at an address, or None."""
+        return self._by_address.get(address)
 
     def accepts_work(self, chosen: ListedEndpoint) -> bool:
         """Return whether an endpoint that was chosen earlier still takes new work.
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -27,12 +27,14 @@
 from chiveslip.gateway.crash_guard import make_traits
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
-from chiveslip.gateway.ingress import IngressReply
+from chiveslip.gateway.handover import ForwardedRequest
+from chiveslip.gateway.handover import Handover
 from chiveslip.gateway.ingress import IngressRequest
 from chiveslip.gateway.protocol import ForwardingContext
 from chiveslip.gateway.protocol import GatewayProtocol
 from chiveslip.gateway.protocol import RequestMetadata
 from chiveslip.gateway.refusals import RefusalWriter
+from chiveslip.gateway.reply import Reply
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import RetryPolicy
 from chiveslip.gateway.routing import RoutingTable
@@ -112,10 +114,16 @@
     ----------
     active_table
         Returns the active routing table, or None before the first configuration.
+    find_organisation
+        Returns an organisation of the active table by its name, or None.
     live_instance_count
         Returns the number of live instances, this one included.
     accepts_requests
         Returns whether this instance accepts new requests.
+    handover
+        Has peers deliver requests for which this instance has no path.
+    is_cut
+        Returns whether this instance has lost its paths to a service.
     """
 
     clock: Clock
@@ -130,8 +138,11 @@
     service_selector: TargetSelector
     generator: random.Random
     active_table: Callable[[], RoutingTable | None]
+    find_organisation: Callable[[str], Organisation | None]
     live_instance_count: Callable[[], int]
     accepts_requests: Callable[[], bool]
+    handover: Handover
+    is_cut: Callable[[str], bool]
 
 
 @final
@@ -144,7 +155,7 @@
         self._telemetry = dependencies.telemetry
         self._guard = dependencies.crash_guard
 
-    async def handle(self, request: IngressRequest, reply: IngressReply) -> None:
+    async def handle(self, request: IngressRequest, reply: Reply) -> None:
         """Answer one request."""
         now = self._dependencies.clock.now()
         admitted = await self._admit(request, reply, now)
@@ -157,7 +168,27 @@
             )
             await self._refusal_writer.write(reply, request_id, admitted)
             return
-        call = admitted
+        self._dependencies.retry_budget.record_request(admitted.service, now)
+        await self._serve_and_record(admitted)
+
+    async def handle_forwarded(self, request: ForwardedRequest, reply: Reply) -> bool:
+        """Answer a request that another instance has admitted.
+
+        Its allowance is charged there, and it counts there for the retry budget.
+
+        Returns
+        -------
+        bool
+            Whether it was refused and certainly not run.
+        """
+        admitted = self._admit_forwarded(request, reply)
+        if isinstance(admitted, Refusal):
+            await self._refusal_writer.write(reply, "", admitted)
+            return True
+        refusal = await self._serve_and_record(admitted)
+        return refusal is not None and not admitted.was_sent
+
+    async def _serve_and_record(self, call: Call) -> Refusal | None:
         refusal: Refusal | None = None
         is_cancelled = True
         try:
@@ -165,6 +196,7 @@
             is_cancelled = False
         finally:
             self._telemetry.record_end(call, refusal, is_cancelled=is_cancelled)
+        return refusal
 
     def _find_route_name(self, request: IngressRequest) -> str:
         table = self._dependencies.active_table()
@@ -173,23 +205,23 @@
 
     async def _serve(self, call: Call) -> Refusal | None:
         """Answer an admitted request; return the refusal if it was answered by one."""
-        now = call.arrived_at
         selector = (
             self._dependencies.engine_selector
             if call.is_for_engine
             else self._dependencies.service_selector
         )
-        self._dependencies.retry_budget.record_request(call.service, now)
         refusal = await self._run_attempts(call, selector)
+        is_charged_here = call.organisation is not None and not call.received_by
+        if is_charged_here and not call.was_sent:
+            assert call.organisation is not None
+            self._dependencies.allowances.refund(call.organisation, call.units)
         if refusal is None:
             return None
-        if not call.was_sent and call.organisation is not None:
-            self._dependencies.allowances.refund(call.organisation, call.units)
         await self._refusal_writer.write(call.reply, call.metadata.request_id, refusal)
         return refusal
 
     async def _admit(
-        self, request: IngressRequest, reply: IngressReply, now: float
+        self, request: IngressRequest, reply: Reply, now: float
     ) -> Call | Refusal:
         if not self._dependencies.accepts_requests():
             return _refusal(
@@ -252,6 +284,50 @@
             traits=traits,
         )
 
+    def _admit_forwarded(
+        self, forwarded: ForwardedRequest, reply: Reply
+    ) -> Call | Refusal:
+        now = self._dependencies.clock.now()
+        request = IngressRequest(
+            method=forwarded.method,
+            target=forwarded.target,
+            headers=forwarded.headers,
+            body=forwarded.body,
+        )
+        table = self._dependencies.active_table()
+        route = None if table is None else table.find_route(request.host, request.path)
+        if table is None or route is None:
+            return _refusal(
+                result_codes.NOT_READY, "The instance asked has no such route yet."
+            )
+        organisation = self._dependencies.find_organisation(forwarded.organisation)
+        if forwarded.organisation and organisation is None:
+            return _refusal(
+                result_codes.NOT_READY,
+                f"The instance asked does not know {forwarded.organisation} yet.",
+            )
+        metadata = self._dependencies.protocol.parse_request(request.headers)
+        traits = self._guard.admit(_find_traits(request, metadata, organisation))
+        if isinstance(traits, Refusal):
+            return traits
+        return Call(
+            request=request,
+            reply=reply,
+            metadata=metadata,
+            table=table,
+            route=route,
+            organisation=organisation,
+            service=forwarded.service,
+            is_for_engine=table.is_for_engine(forwarded.service),
+            arrived_at=now,
+            deadline=now + min(forwarded.remaining_s, route.timeout_s),
+            units=_request_units(
+                metadata.prompt_tokens, metadata.output_tokens, organisation
+            ),
+            traits=traits,
+            received_by=forwarded.instance,
+        )
+
     async def _run_attempts(
         self, call: Call, selector: TargetSelector
     ) -> Refusal | None:
@@ -264,11 +340,25 @@
         """
         stream = StreamState(splitter=EventSplitter(call.metadata.last_event_id))
         last_failure: Attempt | None = None
+        target: Target | Refusal
         while True:
-            target = await selector.select_target(call)
-            if isinstance(target, Refusal):
-                break
-            attempt = await self._attempt(call, selector, target, stream)
+            if self._is_to_hand_over(call):
+                attempt = await self._hand_over(call, stream)
+                if attempt.result is AttemptResult.NOT_SENT:
+                    target = _refusal(
+                        result_codes.NO_ENDPOINT,
+                        f"This instance reaches no endpoint; {attempt.detail}.",
+                        _NOT_ACCEPTED_RETRY_AFTER_S,
+                    )
+                    break
+                target = _LOST_WITH_PEER
+            else:
+                target = await selector.select_target(call)
+                if isinstance(target, Refusal) and not self._is_to_hand_over(call):
+                    break
+                if isinstance(target, Refusal):
+                    continue
+                attempt = await self._attempt(call, selector, target, stream)
             call.attempt_results.append(attempt.result.value)
             if attempt.result is AttemptResult.ANSWERED:
                 return None
@@ -284,10 +374,30 @@
                 call, last_failure.head, last_failure.body
             )
             return None
-        if not call.attempted_endpoints and isinstance(target, Refusal):
+        if not call.attempt_results and isinstance(target, Refusal):
             return target
         return _final_refusal(call, attempt, target)
 
+    def _is_to_hand_over(self, call: Call) -> bool:
+        """Return whether a peer has to deliver the request.
+
+        One that a peer has handed over is never passed on.
+        """
+        return not call.received_by and self._dependencies.is_cut(call.service)
+
+    async def _hand_over(self, call: Call, stream: StreamState) -> Attempt:
+        call.attempts += 1
+        attempt = await self._dependencies.handover.deliver(
+            call, stream, lambda: self._record_forwarded_event(call)
+        )
+        self._telemetry.record_handover(call, attempt)
+        if attempt.result is not AttemptResult.NOT_SENT:
+            call.runs += 1
+        return attempt
+
+    def _record_forwarded_event(self, call: Call) -> None:
+        call.first_event_at = self._dependencies.clock.now()
+
     async def _attempt(
         self,
         call: Call,
@@ -406,6 +516,11 @@
     return Refusal(code=code, detail=detail, retry_after_s=retry_after_s)
 
 
+_LOST_WITH_PEER = _refusal(
+    result_codes.OUTCOME_UNKNOWN, "The answer was lost on the way through a peer."
+)
+
+
 def _final_refusal(call: Call, attempt: Attempt, target: Target | Refusal) -> Refusal:
     if attempt.result is AttemptResult.DEADLINE_PASSED:
         return _refusal(
--- a/src/chiveslip/gateway/ingress.py
+++ b/src/chiveslip/gateway/ingress.py
@@ -23,13 +23,11 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from chiveslip.gateway.reply import CallerDisconnectedError
+from chiveslip.gateway.reply import Reply
 from chiveslip.tasks import TaskSet
 
 
-class CallerDisconnectedError(Exception):
-    """The caller's connection is closed, so nothing more can be written."""
-
-
 @attrs.frozen(kw_only=True)
 class IngressRequest:
     """A caller's complete request.
@@ -57,8 +55,8 @@
 
 
 @final
-class IngressReply:
-    """Writes one answer to a caller."""
+class IngressReply(Reply):
+    """Writes one answer to a caller's connection."""
 
     def __init__(self, connection: HTTP1Connection, *, closes_connection: bool) -> None:
         self._connection = connection
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -59,6 +59,22 @@
             ("framing", "ending", "position"),
             registry=registry,
         )
+        self.handovers = Counter(
+            "chiveslip_handovers",
+            "Requests handed over to peers for want of a path, by service and result.",
+            ("service", "result"),
+            registry=registry,
+        )
+        self.cut_services = Gauge(
+            "chiveslip_cut_services",
+            "Services to whose endpoints this instance has lost its paths.",
+            registry=registry,
+        )
+        self.forwarded_requests = Gauge(
+            "chiveslip_forwarded_requests",
+            "Requests of other instances that are being answered.",
+            registry=registry,
+        )
         self.allowance_decisions = Counter(
             "chiveslip_allowance_decisions",
             "Decisions on allowances by what they were made from, and result.",
--- a/src/chiveslip/gateway/protocol.py
+++ b/src/chiveslip/gateway/protocol.py
@@ -114,6 +114,18 @@
     ) -> dict[str, str]:
         """Return the headers for an endpoint, from those of the caller's request."""
 
+    @abc.abstractmethod
+    def build_forwarded_headers(
+        self, headers: HTTPHeaders, last_event_id: str
+    ) -> HTTPHeaders:
+        """Return a caller's headers for another instance, without the caller's key.
+
+        Parameters
+        ----------
+        last_event_id
+            Id of the last event that the caller has received, or empty.
+        """
+
     @abc.abstractmethod
     def parse_answer(self, status: int, headers: HTTPHeaders) -> AnswerMetadata:
         """Return the metadata in an endpoint's status and headers."""
--- a/src/chiveslip/gateway/refusals.py
+++ b/src/chiveslip/gateway/refusals.py
@@ -5,8 +5,8 @@
 import json
 from typing import final
 
-from chiveslip.gateway.ingress import IngressReply
 from chiveslip.gateway.protocol import GatewayProtocol
+from chiveslip.gateway.reply import Reply
 from chiveslip.results import Refusal
 
 
@@ -17,9 +17,7 @@
     def __init__(self, protocol: GatewayProtocol) -> None:
         self._protocol = protocol
 
-    async def write(
-        self, reply: IngressReply, request_id: str, refusal: Refusal
-    ) -> None:
+    async def write(self, reply: Reply, request_id: str, refusal: Refusal) -> None:
         """Write a refusal, or abort the answer if it has been started."""
         if reply.has_started:
             reply.abort()
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -35,6 +35,7 @@
 from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
+from chiveslip.gateway.paths import EndpointPaths
 from chiveslip.gateway.protocol import ForwardingContext
 from chiveslip.gateway.protocol import GatewayProtocol
 
@@ -138,6 +139,8 @@
         Returns whether an endpoint that was chosen earlier still takes new work.
     statements
         Where answers are recorded that tell something of their endpoint.
+    paths
+        Where requests are recorded that wait for the head of their answer.
     """
 
     def __init__(
@@ -147,12 +150,14 @@
         clock: Clock,
         accepts_work: Callable[[ListedEndpoint], bool],
         statements: EndpointStatements,
+        paths: EndpointPaths,
     ) -> None:
         self._connector = connector
         self._protocol = protocol
         self._clock = clock
         self._accepts_work = accepts_work
         self._statements = statements
+        self._paths = paths
 
     async def is_reachable(self, endpoint: ListedEndpoint) -> bool:
         """Return whether a new connection to an endpoint can be opened."""
@@ -244,13 +249,18 @@
         call.was_sent = True
         call.sent_addresses.add(context.endpoint.address)
         call.attempt_times[-1].sent_at = self._clock.now()
+        waiting = self._paths.record_sent(call.service)
+        is_answered = False
         try:
             await exchange.send(outgoing, self._build_limits(call))
             head = await exchange.head()
+            is_answered = True
         except ResponseTimeoutError as error:
             return self._build_timeout_attempt(call, error)
         except ExchangeInterruptedError as error:
             return Attempt(result=AttemptResult.UNKNOWN, detail=str(error))
+        finally:
+            self._paths.record_answer(call.service, waiting, is_answered=is_answered)
         metadata = self._protocol.parse_answer(head.status, head.headers)
         self._statements.record(context.endpoint.incarnation, metadata.statement)
         if metadata.did_not_run:
@@ -314,7 +324,7 @@
         on_parts
             Called when its first parts arrive, one for each.
         """
-        splits_events = _is_event_stream(head)
+        splits_events = is_event_stream(head.headers)
         is_resumed = stream.has_head
         remaining_callbacks = list(reversed(on_parts))
         try:
@@ -339,7 +349,7 @@
             if splits_events
             else find_body_fault(exchange.end)
         )
-        if fault is None and is_resumed and not _names_event_stream(head):
+        if fault is None and is_resumed and not _names_event_stream(head.headers):
             # An answer of no named type that has no event shows no end of a stream.
             fault = _find_missing_event(stream.splitter.position)
         if fault is not None:
@@ -387,19 +397,19 @@
         return max(call.deadline + _DEADLINE_GRACE_S - self._clock.now(), 0.0)
 
 
-def _is_event_stream(head: ResponseHead) -> bool:
+def is_event_stream(headers: HTTPHeaders) -> bool:
     """Return whether the body consists of events; so it does if no type is named."""
-    return "Content-Type" not in head.headers or _names_event_stream(head)
+    return "Content-Type" not in headers or _names_event_stream(headers)
 
 
-def _names_event_stream(head: ResponseHead) -> bool:
-    content_type = head.headers.get("Content-Type", "")
+def _names_event_stream(headers: HTTPHeaders) -> bool:
+    content_type = headers.get("Content-Type", "")
     return content_type.partition(";")[0].strip().lower() == _EVENT_STREAM
 
 
 def _may_resume(head: ResponseHead) -> bool:
     """Return whether an answer may go on with a stream that was interrupted."""
-    return head.status == http.HTTPStatus.OK and _is_event_stream(head)
+    return head.status == http.HTTPStatus.OK and is_event_stream(head.headers)
 
 
 def _find_missing_event(position: EventPosition) -> str | None:
--- a/src/chiveslip/gateway/telemetry.py
+++ b/src/chiveslip/gateway/telemetry.py
@@ -72,6 +72,19 @@
             after_s=_round_seconds(self._clock.now() - call.arrived_at),
         )
 
+    def record_handover(self, call: Call, attempt: Attempt) -> None:
+        """Record a request that was handed over to a peer, or that none took."""
+        self._metrics.handovers.labels(call.service, attempt.result.value).inc()
+        if attempt.is_failure:
+            self._log.warning(
+                "Handover failed.",
+                request=call.metadata.request_id,
+                service=call.service,
+                peer=call.forwarded_to,
+                result=attempt.result.value,
+                detail=attempt.detail,
+            )
+
     def record_answer_end(self, call: Call, attempt: Attempt) -> None:
         """Record how an endpoint's answer ended."""
         if attempt.end is None:
@@ -157,6 +170,8 @@
             units=call.units,
             max_wait_s=_round_seconds(call.deadline - call.arrived_at),
             target_s=call.route.target_latency_s,
+            received_by=call.received_by,
+            forwarded_to=call.forwarded_to,
             endpoints=call.attempted_endpoints,
             results=call.attempt_results,
             answer_ends=call.answer_ends,
--- a/src/chiveslip/platform/protocol.py
+++ b/src/chiveslip/platform/protocol.py
@@ -121,6 +121,18 @@
             forwarded[_LAST_EVENT_ID] = context.last_event_id
         return forwarded
 
+    def build_forwarded_headers(
+        self, headers: HTTPHeaders, last_event_id: str
+    ) -> HTTPHeaders:
+        """Return a caller's headers for another instance, without the caller's key."""
+        forwarded = HTTPHeaders()
+        for name, value in headers.get_all():
+            if name != _AUTHORIZATION and name not in _HOP_BY_HOP_HEADERS:
+                forwarded.add(name, value)
+        if last_event_id:
+            forwarded[_LAST_EVENT_ID] = last_event_id
+        return forwarded
+
     def parse_answer(self, status: int, headers: HTTPHeaders) -> AnswerMetadata:
         """Return the metadata in the status and headers of a replica's response."""
         not_run = status == _STATUS_MISDIRECTED or _NOT_EXECUTED in headers
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import random
 from collections.abc import AsyncIterator
@@ -42,8 +43,18 @@
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.forwarding import Gateway
 from chiveslip.gateway.forwarding import GatewayDependencies
+from chiveslip.gateway.handover import AnswerPart
+from chiveslip.gateway.handover import ForwardedExchange
+from chiveslip.gateway.handover import ForwardedRequest
+from chiveslip.gateway.handover import ForwardingError
+from chiveslip.gateway.handover import Handover
+from chiveslip.gateway.handover import PeerForwarder
+from chiveslip.gateway.handover import RequestDeclinedError
 from chiveslip.gateway.ingress import IngressRequest
 from chiveslip.gateway.metrics import GatewayMetrics
+from chiveslip.gateway.path_probing import WatchedConnector
+from chiveslip.gateway.paths import EndpointPaths
+from chiveslip.gateway.reply import Reply
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import RetryPolicy
 from chiveslip.gateway.routing import Route
@@ -163,26 +174,79 @@
         return exchange
 
 
-class RecordingReply:
+@attrs.define
+class ScriptedPeer:
+    """Another instance: the parts of its answer, and how it fails.
+
+    Attributes
+    ----------
+    breaks_off
+        Whether the connection to it fails after the parts.
+    """
+
+    parts: tuple[AnswerPart, ...] = ()
+    declines: bool = False
+    breaks_off: bool = False
+    received: list[ForwardedRequest] = attrs.field(factory=list)
+
+
+class ScriptedForwardedExchange(ForwardedExchange):
+    def __init__(self, peer: ScriptedPeer) -> None:
+        self._peer = peer
+
+    async def send(self, request: ForwardedRequest) -> None:
+        self._peer.received.append(request)
+
+    async def parts(self) -> AsyncIterator[AnswerPart]:
+        for part in self._peer.parts:
+            yield part
+        if self._peer.breaks_off:
+            raise ForwardingError("the connection was reset")
+
+
+@attrs.define
+class ScriptedForwarder(PeerForwarder):
+    """Opens exchanges with scripted peers."""
+
+    peers: dict[str, ScriptedPeer]
+
+    @contextlib.asynccontextmanager
+    async def open_forwarding(
+        self, peer: str, service: str, max_s: float
+    ) -> AsyncIterator[ForwardedExchange]:
+        if self.peers[peer].declines:
+            raise RequestDeclinedError("declined")
+        yield ScriptedForwardedExchange(self.peers[peer])
+
+
+class RecordingReply(Reply):
     """Records the response that a caller receives."""
 
     def __init__(self) -> None:
-        self.status = 0
+        self._status = 0
+        self._has_started = False
         self.headers = HTTPHeaders()
         self.body = b""
-        self.has_started = False
         self.is_complete = False
         self.is_truncated = False
 
+    @property
+    def status(self) -> int:
+        return self._status
+
+    @property
+    def has_started(self) -> bool:
+        return self._has_started
+
     async def respond(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         self.start(status, headers)
         self.body = body
         self.end()
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
-        assert not self.has_started
-        self.has_started = True
-        self.status, self.headers = status, headers
+        assert not self._has_started
+        self._has_started = True
+        self._status, self.headers = status, headers
 
     async def write(self, chunk: bytes) -> None:
         self.body += chunk
@@ -207,6 +271,13 @@
     parts: PartSuspects
     statements: EndpointStatements
     directory: EndpointDirectory
+    paths: EndpointPaths
+    forwarder: ScriptedForwarder
+
+    def lose_paths(self) -> None:
+        """Record that no endpoint could be reached."""
+        for endpoint in self.directory.by_id.values():
+            self.paths.record_not_opened(endpoint.service, endpoint.id)
 
     def send_request(self, path: str, **headers: str) -> RecordingReply:
         """Send one request and return the response that its caller receives."""
@@ -277,8 +348,10 @@
         clock: Clock | None = None,
         connector: Connector | None = None,
         address: Address | None = None,
+        peers: dict[str, ScriptedPeer] | None = None,
     ) -> GatewayHarness:
         clock = clock or ManualClock()
+        forwarder = ScriptedForwarder(peers or {})
         connector = connector or ScriptedConnector(list(script))
         statements = EndpointStatements(clock)
         directory = EndpointDirectory(statements)
@@ -304,7 +377,13 @@
         )
         dialect = PlatformProtocol()
         parts = PartSuspects()
-        sender = Sender(connector, dialect, clock, directory.accepts_work, statements)
+        paths = EndpointPaths(
+            clock, lambda service: {e.id for e in directory.find_ready(service)}
+        )
+        watched = WatchedConnector(connector, directory, paths)
+        sender = Sender(
+            watched, dialect, clock, directory.accepts_work, statements, paths
+        )
         telemetry = RequestTelemetry(GatewayMetrics(), clock)
         gateway = Gateway(
             GatewayDependencies(
@@ -342,10 +421,28 @@
                 active_table=lambda: table,
                 live_instance_count=lambda: 1,
                 accepts_requests=lambda: takes_requests,
+                find_organisation=lambda name: {"trust": TRUST}.get(name),
+                handover=Handover(
+                    instance="here",
+                    forwarder=forwarder,
+                    protocol=dialect,
+                    live_peers=lambda: list(forwarder.peers),
+                    clock=clock,
+                    generator=generator,
+                ),
+                is_cut=paths.is_cut,
             )
         )
         return GatewayHarness(
-            gateway, connector, clock, suspects, parts, statements, directory
+            gateway,
+            connector,
+            clock,
+            suspects,
+            parts,
+            statements,
+            directory,
+            paths,
+            forwarder,
         )
 
     return build
--- /dev/null
+++ b/testing/gateway/test_handover.py
@@ -0,0 +1,163 @@
+"""Requests that peers deliver while this instance reaches no endpoint."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from chiveslip.gateway.handover import AnswerPart
+from testing.gateway.conftest import KEY
+from testing.gateway.conftest import GatewayHarness
+from testing.gateway.conftest import ScriptedPeer
+
+MakeGateway = Callable[..., GatewayHarness]
+
+
+def part(
+    chunk: bytes = b"",
+    *,
+    status: int = 0,
+    content_type: str = "",
+    is_end: bool = False,
+    was_not_run: bool = False,
+    is_declined: bool = False,
+) -> AnswerPart:
+    headers = HTTPHeaders({"Content-Type": content_type} if content_type else {})
+    return AnswerPart(
+        status=status,
+        headers=headers,
+        chunk=chunk,
+        is_end=is_end,
+        was_not_run=was_not_run,
+        is_declined=is_declined,
+    )
+
+
+def event(number: int) -> bytes:
+    return f"id: {number}\ndata: x\n\n".encode()
+
+
+ANSWERS = ScriptedPeer(parts=(part(b"answer", status=200, is_end=True),))
+REFUSES = ScriptedPeer(
+    parts=(part(b"full", status=503, is_end=True, was_not_run=True),)
+)
+LOSES_ANSWER = ScriptedPeer(breaks_off=True)
+ENDS_EARLY = ScriptedPeer(parts=(part(b"ans", status=200),))
+DECLINES = ScriptedPeer(declines=True)
+DECLINES_LATE = ScriptedPeer(parts=(part(is_declined=True),))
+
+
+def send(
+    make_gateway: MakeGateway, path: str, *peers: ScriptedPeer
+) -> tuple[int, bytes, int]:
+    """Send a request without paths; return status, body and requests at peers."""
+    fresh = {
+        f"peer-{number}": ScriptedPeer(
+            parts=peer.parts, declines=peer.declines, breaks_off=peer.breaks_off
+        )
+        for number, peer in enumerate(peers)
+    }
+    harness = make_gateway(peers=fresh)
+    harness.lose_paths()
+    reply = harness.send_request(path)
+    assert harness.connector.sent == []
+    return reply.status, reply.body, sum(len(peer.received) for peer in fresh.values())
+
+
+@pytest.mark.parametrize(
+    ("path", "peers", "status", "received"),
+    [
+        pytest.param("/once/x", (ANSWERS,), 200, 1, id="answered"),
+        pytest.param("/once/x", (DECLINES, ANSWERS), 200, 1, id="one declines"),
+        pytest.param("/once/x", (REFUSES,), 503, 1, id="refused by the peer"),
+        pytest.param("/once/x", (LOSES_ANSWER,), 502, 1, id="once, answer lost"),
+        pytest.param("/once/x", (ENDS_EARLY,), 502, 1, id="once, answer cut"),
+        pytest.param("/freely/x", (LOSES_ANSWER,), 502, 2, id="freely, answer lost"),
+        pytest.param("/once/x", (DECLINES,) * 5, 503, 0, id="all decline"),
+        pytest.param("/once/x", (), 503, 0, id="no peer"),
+    ],
+)
+def test_caller_is_told_what_became_of_a_handed_over_request(
+    make_gateway: MakeGateway,
+    path: str,
+    peers: tuple[ScriptedPeer, ...],
+    status: int,
+    received: int,
+) -> None:
+    assert send(make_gateway, path, *peers)[::2] == (status, received)
+
+
+def test_request_that_a_peer_declines_late_goes_to_the_next(
+    make_gateway: MakeGateway,
+) -> None:
+    status, body, received = send(make_gateway, "/once/x", DECLINES_LATE, ANSWERS)
+    assert (status, body) == (200, b"answer")
+    assert received <= 2
+
+
+def test_peer_gets_the_request_without_the_key(make_gateway: MakeGateway) -> None:
+    peer = ScriptedPeer(parts=(part(b"answer", status=200, is_end=True),))
+    harness = make_gateway(peers={"peer": peer})
+    harness.lose_paths()
+    harness.send_request("/once/x", X_Token_Count="10,20", X_Prompt_Prefix="a:1,b:2")
+    (received,) = peer.received
+    assert KEY not in str(received)
+    assert (received.organisation, received.service) == ("trust", "kiosk")
+    assert (received.method, received.target, received.body) == (
+        "POST",
+        "/once/x",
+        b"body",
+    )
+    assert received.headers["X-Request-Id"] == "r1"
+    assert received.headers["X-Prompt-Prefix"] == "a:1,b:2"
+    assert received.remaining_s == pytest.approx(0.6)
+
+
+@pytest.mark.parametrize(
+    ("path", "parts", "is_complete"),
+    [
+        pytest.param(
+            "/stream/x",
+            (
+                part(event(1), status=200, content_type="text/event-stream"),
+                part(event(2), is_end=True),
+            ),
+            True,
+            id="whole",
+        ),
+        pytest.param(
+            "/stream/x",
+            (part(event(1), status=200, content_type="text/event-stream"),),
+            False,
+            id="cut",
+        ),
+    ],
+)
+def test_stream_through_a_peer_is_complete_only_with_its_end(
+    make_gateway: MakeGateway,
+    path: str,
+    parts: tuple[AnswerPart, ...],
+    is_complete: bool,
+) -> None:
+    peer = ScriptedPeer(parts=parts, breaks_off=not is_complete)
+    harness = make_gateway(peers={"peer": peer})
+    harness.lose_paths()
+    reply = harness.send_request(path)
+    assert reply.body == b"".join(p.chunk for p in parts)
+    assert (reply.is_complete, reply.is_truncated) == (is_complete, not is_complete)
+
+
+def test_peer_that_declined_is_not_asked_again_at_once(
+    make_gateway: MakeGateway,
+) -> None:
+    peer = ScriptedPeer(declines=True)
+    harness = make_gateway(peers={"peer": peer})
+    harness.lose_paths()
+    assert harness.send_request("/once/x").status == 503
+    peer.declines = False
+    peer.parts = (part(b"answer", status=200, is_end=True),)
+    assert harness.send_request("/once/x").status == 503
+    harness.clock.advance(0.6)
+    assert harness.send_request("/once/x").status == 200
--- /dev/null
+++ b/testing/platform/test_lost_paths.py
@@ -0,0 +1,157 @@
+"""Instances that reach no endpoint while callers, the store and peers reach them."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import math
+from collections.abc import AsyncIterator
+
+import pytest
+
+from chiveslip.clock import Clock
+from chiveslip.daemon import gateway as daemon
+from chiveslip.dispatch.connection import ConnectError
+from chiveslip.dispatch.connection import ConnectionPool
+from chiveslip.dispatch.connection import Connector
+from chiveslip.dispatch.connection import Exchange
+from chiveslip.settings.fields import Address
+from testing.platform.gateways import GatewayCluster
+from testing.platform.gateways import Member
+from testing.platform.gateways import fetch
+from testing.platform.gateways import running_cluster
+from testing.platform.gateways import send_request
+from testing.platform.gateways import wait_until
+
+pytestmark = pytest.mark.xdist_group("sockets")
+
+CONNECT_TIMEOUT_S = 1.0
+PAUSE_S = 0.05
+LOAD_S = 3.0
+GOAL = 0.95
+EARLY_GOAL = 0.8
+
+
+class Cut(enum.Enum):
+    """How connections of an instance that is cut off behave."""
+
+    NONE = "none"
+    REFUSED = "refused"
+    HANGING = "hanging"
+
+
+class CuttableConnector(Connector):
+    """Connections of one gateway, of which those to endpoints can be cut."""
+
+    store_port = 0
+    made: list[CuttableConnector] = []
+
+    def __init__(self, clock: Clock, connect_timeout_s: float) -> None:
+        self._pool = ConnectionPool(clock, connect_timeout_s)
+        self.cut = Cut.NONE
+        self.made.append(self)
+
+    async def open(self, address: Address, *, fresh: bool) -> Exchange:
+        if address.port != self.store_port and self.cut is not Cut.NONE:
+            if self.cut is Cut.HANGING:
+                await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise ConnectError(f"{address} is cut off")
+        return await self._pool.open(address, fresh=fresh)
+
+
+@pytest.fixture
+async def cluster(
+    monkeypatch: pytest.MonkeyPatch,
+) -> AsyncIterator[GatewayCluster]:
+    monkeypatch.setattr(daemon, "ConnectionPool", CuttableConnector)
+    monkeypatch.setattr(CuttableConnector, "made", [])
+    async with running_cluster("abc") as running:
+        monkeypatch.setattr(CuttableConnector, "store_port", running.store.port)
+        yield running
+
+
+async def start_members(cluster: GatewayCluster, count: int) -> list[Member]:
+    members = [await cluster.start_gateway("g0", [])]
+    for number in range(1, count):
+        members.append(
+            await cluster.start_gateway(f"g{number}", [m.peers for m in members])
+        )
+
+    async def are_known() -> bool:
+        pages = [await fetch(m.metrics, "/metrics") for m in members]
+        known = f"chiveslip_members {count}.0".encode()
+        return all(known in page.body for page in pages)
+
+    await wait_until(are_known)
+    return members
+
+
+async def read_cut_services(member: Member) -> float:
+    page = await fetch(member.metrics, "/metrics")
+    (line,) = [
+        line
+        for line in page.body.decode().splitlines()
+        if line.startswith("chiveslip_cut_services ")
+    ]
+    return float(line.split()[1])
+
+
+async def served_share(member: Member, path: str, adapter: str, load_s: float) -> float:
+    """Send requests at a steady rate, and return the share served at once."""
+    tasks = []
+    for number in range(math.ceil(load_s / PAUSE_S)):
+        tasks.append(
+            asyncio.create_task(
+                send_request(member, path, adapter=adapter, request_id=f"r{number}")
+            )
+        )
+        await asyncio.sleep(PAUSE_S)
+    answers = await asyncio.gather(*tasks)
+    return sum(answer.code == 200 for answer in answers) / len(answers)
+
+
+@pytest.mark.parametrize("cut", [Cut.REFUSED, Cut.HANGING])
+@pytest.mark.parametrize(
+    ("path", "adapter"),
+    [
+        pytest.param("/once/x", "", id="plain"),
+        pytest.param("/draft/x", "a7", id="engine"),
+    ],
+)
+async def test_requests_at_an_instance_without_paths_are_served_through_peers(
+    cluster: GatewayCluster, cut: Cut, path: str, adapter: str
+) -> None:
+    members = await start_members(cluster, 3)
+
+    async def is_served() -> bool:
+        return (await send_request(members[0], path, adapter=adapter)).code == 200
+
+    await wait_until(is_served)
+    CuttableConnector.made[0].cut = cut
+    early = served_share(members[0], path, adapter, LOAD_S)
+    assert await early >= EARLY_GOAL
+    assert await served_share(members[0], path, adapter, LOAD_S) >= GOAL
+    assert await read_cut_services(members[0]) > 0
+    assert await read_cut_services(members[1]) == 0
+    CuttableConnector.made[0].cut = Cut.NONE
+
+    async def has_paths() -> bool:
+        return await read_cut_services(members[0]) == 0
+
+    async with asyncio.timeout(1.0):
+        await wait_until(has_paths)
+    assert await served_share(members[0], path, adapter, 1.0) == 1.0
+
+
+async def test_requests_are_refused_at_once_if_no_instance_has_paths(
+    cluster: GatewayCluster,
+) -> None:
+    members = await start_members(cluster, 2)
+    for connector in CuttableConnector.made:
+        connector.cut = Cut.REFUSED
+    await served_share(members[0], "/once/x", "", 1.5)
+    answers = [await send_request(members[0], "/once/x") for _ in range(20)]
+    assert {answer.code for answer in answers} == {503}
+    assert all(float(answer.headers["Retry-After"]) > 0 for answer in answers)
+    assert max(answer.request_time for answer in answers) < 0.5
+    assert cluster.kiosk.received_requests == []
