Divide the slots of brittle endpoints among all instances

Endpoints may say that they are brittle: one that has to refuse more than N requests a second for want of room falls over. Nothing read this, and requests were sent to whatever endpoint seemed least loaded, and to the next one after a refusal.

From the first such answer on, known to all of 6, 30 and 81 instances of the model within a second (a round of gossip is run at once on the news), each instance has at most its share of an endpoint's slots (gateway/rooms.py; rendezvous hashing over the members that did not announce their stop, so that a cut changes no share for a minute). A request without room is handed over to an instance with a share, at most six are asked, or refused at once. An endpoint that refused is left alone for a second.

--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -49,6 +49,7 @@
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.load_times import LoadTimes
 from chiveslip.gateway.metrics import GatewayMetrics
+from chiveslip.gateway.rooms import EndpointRooms
 from chiveslip.gateway.routing import Organisation
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.settings.fields import Address
@@ -145,11 +146,16 @@
     requests: AllowanceRequests
     store_path: StorePath = StorePath.SERVED
     next_round_at: float = 0.0
+    has_news: bool = False
     next_read_at: float = 0.0
     is_running: bool = True
     full_reads: int = 0
     traffic: Traffic = attrs.field(factory=Traffic)
 
+    def record_news(self) -> None:
+        """Run the next round of gossip at once."""
+        self.has_news = True
+
     def read_store(self, store: FleetStore, now: float) -> None:
         """Read the changes of the store if a read is due and served."""
         mirror = self.parts.mirror
@@ -243,7 +249,9 @@
             for member in self.running_members():
                 member.read_store(self.store, self.clock.now())
             for member in self.members.values():
-                if member.is_running and member.next_round_at <= self.clock.now():
+                is_due = member.has_news or member.next_round_at <= self.clock.now()
+                if member.is_running and is_due:
+                    member.has_news = False
                     asyncio.run(member.gossip.run_round())
                     interval_s = member.parts.schedule().interval_s
                     jitter = 0.8 + 0.4 * self.random.random()
@@ -310,6 +318,9 @@
             suspects=CrashSuspects(3),
             part_suspects=PartSuspects(),
             statements=EndpointStatements(clock),
+            rooms=EndpointRooms(
+                name, lambda: membership.fleet_members(clock.now()), clock
+            ),
             mirror=StoreMirror(),
             schedule=schedule,
             metrics=GatewayMetrics(),
@@ -344,7 +355,9 @@
             metrics=parts.metrics,
             clock=clock,
         )
-        return Member(name, parts, messages, gossip, store_pulls, requests)
+        member = Member(name, parts, messages, gossip, store_pulls, requests)
+        parts.rooms.on_news = member.record_news
+        return member
 
 
 def record_typical_use(fleet: LargeFleet) -> None:
--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -694,11 +694,11 @@
                     instance=name,
                     forwarder=cast(PeerForwarder, SimulatedPeers(fleet)),
                     protocol=SimulatedProtocol(),
-                    live_peers=list,
+                    live_peers=lambda _service: [],
                     clock=clock,
                     generator=fleet.random,
                 ),
-                is_cut=lambda _service: False,
+                can_deliver=lambda _service: True,
             )
         )
 
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -61,6 +61,7 @@
 from chiveslip.gateway.placement import Placement
 from chiveslip.gateway.protocol import GatewayProtocol
 from chiveslip.gateway.report_log import ReportLog
+from chiveslip.gateway.rooms import EndpointRooms
 from chiveslip.gateway.sending import Sender
 from chiveslip.gateway.service_selection import ServiceTargetSelector
 from chiveslip.gateway.telemetry import RequestTelemetry
@@ -156,10 +157,16 @@
         )
         self._member_log = MemberLog(settings.instance.id)
         self._statements = EndpointStatements(clock)
-        directory = EndpointDirectory(self._statements)
+        self._rooms = EndpointRooms(
+            settings.instance.id,
+            lambda: self._membership.fleet_members(clock.now()),
+            clock,
+        )
+        directory = EndpointDirectory(self._statements, self._rooms.has_room)
         paths = EndpointPaths(
             clock, lambda service: {e.id for e in directory.find_ready(service)}
         )
+        self._paths = paths
         connector = WatchedConnector(pool, directory, paths)
         self._path_prober = PathProber(connector, directory, paths, self._random)
         self._health = EndpointHealth()
@@ -231,6 +238,7 @@
             suspects=suspects,
             part_suspects=part_suspects,
             statements=self._statements,
+            rooms=self._rooms,
             mirror=self._mirror,
             schedule=self._schedule,
             metrics=self._metrics,
@@ -266,7 +274,13 @@
             clock=clock,
         )
         sender = Sender(
-            connector, protocol, clock, directory.accepts_work, self._statements, paths
+            connector,
+            protocol,
+            clock,
+            directory.accepts_work,
+            self._statements,
+            paths,
+            self._rooms,
         )
         telemetry = RequestTelemetry(self._metrics, clock)
         self._crash_guard = CrashGuard(
@@ -339,12 +353,13 @@
                     clock=clock,
                     generator=self._random,
                 ),
-                is_cut=paths.is_cut,
+                can_deliver=self._can_deliver,
             )
         )
         self._forwarded = ForwardedRequests(
-            gateway, lambda: not self._is_stopping, paths.is_cut
+            gateway, lambda: not self._is_stopping, self._can_deliver
         )
+        self._rooms.on_news = self._start_round
         service = GatewayPeerService(
             messages,
             parts,
@@ -399,7 +414,7 @@
         started_at = self._clock.now()
         self._is_stopping = True
         self._membership.stopping = True
-        self._tasks.start(self._gossip.run_round())
+        self._start_round()
         self._ingress.closes_connections = True
         self._log.info("Stopping.", running=self._ingress.running_requests)
         ends_at = started_at + self._settings.gateway.stop_grace - _STOP_MARGIN_S
@@ -422,10 +437,26 @@
     def _running_requests(self) -> int:
         return self._ingress.running_requests + self._forwarded.running
 
-    def _live_peers(self) -> list[str]:
-        own = self._settings.instance.id
-        live = self._membership.live_members(self._clock.now())
-        return [member for member in live if member != own]
+    def _can_deliver(self, service: str) -> bool:
+        if self._paths.is_cut(service):
+            return False
+        if not self._rooms.is_brittle(service):
+            return True
+        return any(
+            self._rooms.has_room(endpoint)
+            for endpoint in self._directory.find_ready(service)
+        )
+
+    def _live_peers(self, service: str) -> list[str]:
+        """Return the other instances that may deliver requests of a service."""
+        peers = set(self._membership.live_members(self._clock.now()))
+        peers.discard(self._settings.instance.id)
+        if self._rooms.is_brittle(service):
+            peers &= self._rooms.find_holders(self._directory.find_ready(service))
+        return sorted(peers)
+
+    def _start_round(self) -> None:
+        self._tasks.start(self._gossip.run_round())
 
     async def _run_rounds(self) -> None:
         """Run gossip and maintenance in each interval, a shorter one at the start."""
@@ -434,7 +465,7 @@
             self._current_schedule = schedule_for(
                 self._membership.size, self._schedule_settings
             )
-            self._tasks.start(self._gossip.run_round())
+            self._start_round()
             self._tasks.start(self._run_maintenance())
             is_starting = self._clock.now() - started_at < _STARTUP_S
             interval_s = self._schedule().interval_s
@@ -481,6 +512,7 @@
         self._coordinator.update_engines(engines)
         self._health.retain_only(self._directory.by_id)
         self._statements.retain_only(self._directory.by_id)
+        self._rooms.retain_only(self._directory.by_id)
         await self._coordinator.read_reports()
         await self._coordinator.load_models()
 
@@ -496,6 +528,7 @@
         metrics.running_requests.set(self._ingress.running_requests)
         metrics.forwarded_requests.set(self._forwarded.running)
         metrics.cut_services.set(self._path_prober.cut_services)
+        metrics.brittle_services.set(len(self._rooms.brittle_services()))
         self._update_report_ages()
         table = self._catalogue.table
         if table is not None:
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -41,6 +41,7 @@
 from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.metrics import GatewayMetrics
+from chiveslip.gateway.rooms import EndpointRooms
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.settings.fields import Address
 from chiveslip.settings.fields import parse_address
@@ -70,6 +71,7 @@
     suspects: CrashSuspects
     part_suspects: PartSuspects
     statements: EndpointStatements
+    rooms: EndpointRooms
     mirror: StoreMirror
     schedule: Callable[[], GossipSchedule]
     metrics: GatewayMetrics
@@ -151,6 +153,13 @@
         self._apply_suspects(message, now)
         self._apply_part_suspects(message, now)
         self._apply_leaving_endpoints(message)
+        for brittle in message.brittle_services:
+            self._parts.rooms.record_brittle(
+                brittle.service,
+                brittle.refusals_per_second,
+                brittle.age_seconds,
+                source=message.sender.instance,
+            )
         self._apply_reports(message, now)
 
     def _build_own_gossip(
@@ -182,6 +191,12 @@
                 started=leaving.started,
                 address=str(leaving.address),
             )
+        for brittle in parts.rooms.brittle_services():
+            message.brittle_services.add(
+                service=brittle.service,
+                refusals_per_second=brittle.refusals_per_s,
+                age_seconds=now - brittle.said_at,
+            )
         return message
 
     def _add_part_suspects(
--- a/src/chiveslip/fleet/membership.py
+++ b/src/chiveslip/fleet/membership.py
@@ -192,6 +192,22 @@
             names.append(self._instance)
         return sorted(names)
 
+    def fleet_members(self, now: float) -> list[str]:
+        """Return all members that did not announce their stop, sorted by name.
+
+        Members that were lost within `_MEMBER_RETENTION_S` count: they may be alive
+        behind a partition.
+        """
+        names = [
+            name
+            for name, member in self._members.items()
+            if now - member.last_seen_at <= _MEMBER_RETENTION_S
+            and not member.update.stopping
+        ]
+        if not self.stopping:
+            names.append(self._instance)
+        return sorted(names)
+
     def heard_share(self, max_age_s: float, now: float) -> float:
         """Return the part of the fleet that was heard recently, this instance included.
 
--- a/src/chiveslip/gateway/endpoint_statements.py
+++ b/src/chiveslip/gateway/endpoint_statements.py
@@ -30,10 +30,14 @@
     rest_s
         Time in seconds for which it wants no requests of this instance; 0 if it asks
         for none.
+    max_refusals_per_s
+        Refusals a second for want of room with which it fails, if more; None if it does
+        not say so.
     """
 
     is_leaving: bool = False
     rest_s: float = 0.0
+    max_refusals_per_s: float | None = None
 
 
 NO_STATEMENT = EndpointStatement()
--- a/src/chiveslip/gateway/endpoints.py
+++ b/src/chiveslip/gateway/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from typing import final
 
 import attrs
@@ -55,10 +56,21 @@
 
 @final
 class EndpointDirectory:
-    """Endpoints by id and by service, with what they said of themselves."""
+    """Endpoints by id and by service, with what they said of themselves.
 
-    def __init__(self, statements: EndpointStatements) -> None:
+    Parameters
+    ----------
+    has_room
+        Returns whether this instance may have one more request at an endpoint.
+    """
+
+    def __init__(
+        self,
+        statements: EndpointStatements,
+        has_room: Callable[[ListedEndpoint], bool] = lambda _endpoint: True,
+    ) -> None:
         self._statements = statements
+        self._has_room = has_room
         self._by_id: dict[str, ListedEndpoint] = {}
         self._ready: dict[str, list[ListedEndpoint]] = {}
         self._by_address: dict[Address, ListedEndpoint] = {}
@@ -106,6 +118,8 @@
         )
 
     def _declines_work(self, endpoint: ListedEndpoint) -> bool:
+        if not self._has_room(endpoint):
+            return True
         if self._statements.is_empty:
             return False
         incarnation = endpoint.incarnation
--- a/src/chiveslip/gateway/forwarded.py
+++ b/src/chiveslip/gateway/forwarded.py
@@ -24,7 +24,7 @@
     NOT_RUN = "not run"
     """It was refused and certainly not run."""
     DECLINED = "declined"
-    """It was not run, because this instance reaches no endpoint either."""
+    """It was not run, because this instance cannot deliver it either."""
 
 
 @final
@@ -35,19 +35,19 @@
     ----------
     accepts_requests
         Returns whether this instance accepts new requests.
-    is_cut
-        Returns whether this instance itself has lost its paths to a service.
+    can_deliver
+        Returns whether this instance has a path to a service, and room there.
     """
 
     def __init__(
         self,
         gateway: Gateway,
         accepts_requests: Callable[[], bool],
-        is_cut: Callable[[str], bool],
+        can_deliver: Callable[[str], bool],
     ) -> None:
         self._gateway = gateway
         self._accepts_requests = accepts_requests
-        self._is_cut = is_cut
+        self._can_deliver = can_deliver
         self._running = 0
 
     @property
@@ -61,7 +61,7 @@
         if (
             not self._accepts_requests()
             or self._running >= MAX_FORWARDED_REQUESTS
-            or self._is_cut(service)
+            or not self._can_deliver(service)
         ):
             yield False
             return
@@ -75,6 +75,6 @@
         """Write the answer to a request, and return what became of it."""
         if not await self._gateway.handle_forwarded(request, reply):
             return ForwardedOutcome.ANSWERED
-        if self._is_cut(request.service):
+        if not self._can_deliver(request.service):
             return ForwardedOutcome.DECLINED
         return ForwardedOutcome.NOT_RUN
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -122,8 +122,8 @@
         Returns whether this instance accepts new requests.
     handover
         Has peers deliver requests for which this instance has no path.
-    is_cut
-        Returns whether this instance has lost its paths to a service.
+    can_deliver
+        Returns whether this instance has a path to a service, and room there.
     """
 
     clock: Clock
@@ -142,7 +142,7 @@
     live_instance_count: Callable[[], int]
     accepts_requests: Callable[[], bool]
     handover: Handover
-    is_cut: Callable[[str], bool]
+    can_deliver: Callable[[str], bool]
 
 
 @final
@@ -347,7 +347,8 @@
                 if attempt.result is AttemptResult.NOT_SENT:
                     target = _refusal(
                         result_codes.NO_ENDPOINT,
-                        f"This instance reaches no endpoint; {attempt.detail}.",
+                        "This instance has no path to an endpoint or no room there; "
+                        f"{attempt.detail}.",
                         _NOT_ACCEPTED_RETRY_AFTER_S,
                     )
                     break
@@ -383,7 +384,7 @@
 
         One that a peer has handed over is never passed on.
         """
-        return not call.received_by and self._dependencies.is_cut(call.service)
+        return not call.received_by and not self._dependencies.can_deliver(call.service)
 
     async def _hand_over(self, call: Call, stream: StreamState) -> Attempt:
         call.attempts += 1
--- a/src/chiveslip/gateway/handover.py
+++ b/src/chiveslip/gateway/handover.py
@@ -1,4 +1,4 @@
-"""Requests that an instance without paths to endpoints has peers deliver.
+"""Requests that an instance without paths or room at endpoints has peers deliver.
 
 The instance that received a request authenticates it and charges the allowance; the
 peer chooses the endpoint, repeats within its retry budget and passes the answer back. A
@@ -28,9 +28,10 @@
 from chiveslip.gateway.sending import is_event_stream
 
 # Peers that are asked for one request, one after the other.
-_MAX_PEERS = 4
-# A peer that declined or did not answer is not asked again for this long.
-_DECLINED_S = 0.5
+_MAX_PEERS = 6
+# A peer that declined is not asked again for this long; places are free again soon.
+_DECLINED_S = 0.1
+_UNREACHED_S = 0.5
 # An answer that the peer gives up at the deadline may take this long to arrive.
 _DEADLINE_GRACE_S = 0.15
 
@@ -159,7 +160,8 @@
     Parameters
     ----------
     live_peers
-        Returns the names of the other live instances.
+        Returns the names of the other live instances that may deliver requests of a
+        service.
     """
 
     def __init__(
@@ -168,7 +170,7 @@
         instance: str,
         forwarder: PeerForwarder,
         protocol: GatewayProtocol,
-        live_peers: Callable[[], list[str]],
+        live_peers: Callable[[str], list[str]],
         clock: Clock,
         generator: random.Random,
     ) -> None:
@@ -178,7 +180,7 @@
         self._live_peers = live_peers
         self._clock = clock
         self._random = generator
-        self._declined_until: dict[tuple[str, str], float] = {}
+        self._skipped_until: dict[tuple[str, str], float] = {}
 
     async def deliver(
         self, call: Call, stream: StreamState, on_first_part: Callable[[], None]
@@ -190,7 +192,7 @@
         Attempt
             `NOT_SENT` if no peer took the request.
         """
-        detail = "no other instance is known to reach the service"
+        detail = "no other instance can be asked"
         for peer in self._choose_peers(call.service):
             was_sent = False
             try:
@@ -208,7 +210,10 @@
                 detail = f"{peer}: {error}"
                 if was_sent and not isinstance(error, RequestDeclinedError):
                     return self._build_lost_answer(call, stream, detail)
-                self._decline(peer, call.service)
+                is_declined = isinstance(error, RequestDeclinedError)
+                self._skip(
+                    peer, call.service, _DECLINED_S if is_declined else _UNREACHED_S
+                )
         return Attempt(result=AttemptResult.NOT_SENT, detail=detail)
 
     async def _forward_answer(
@@ -294,18 +299,18 @@
 
     def _choose_peers(self, service: str) -> list[str]:
         now = self._clock.now()
-        self._declined_until = {
-            key: until for key, until in self._declined_until.items() if until > now
+        self._skipped_until = {
+            key: until for key, until in self._skipped_until.items() if until > now
         }
         peers = [
             peer
-            for peer in self._live_peers()
-            if (peer, service) not in self._declined_until
+            for peer in self._live_peers(service)
+            if (peer, service) not in self._skipped_until
         ]
         return self._random.sample(peers, min(_MAX_PEERS, len(peers)))
 
-    def _decline(self, peer: str, service: str) -> None:
-        self._declined_until[peer, service] = self._clock.now() + _DECLINED_S
+    def _skip(self, peer: str, service: str, for_s: float) -> None:
+        self._skipped_until[peer, service] = self._clock.now() + for_s
 
     def _remaining_s(self, call: Call) -> float:
         return max(call.deadline - self._clock.now(), 0.0)
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -70,6 +70,11 @@
             "Services to whose endpoints this instance has lost its paths.",
             registry=registry,
         )
+        self.brittle_services = Gauge(
+            "chiveslip_brittle_services",
+            "Services whose endpoints fail if they refuse too much.",
+            registry=registry,
+        )
         self.forwarded_requests = Gauge(
             "chiveslip_forwarded_requests",
             "Requests of other instances that are being answered.",
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -32,12 +32,14 @@
 from chiveslip.dispatch.response_end import find_stream_fault
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.gateway.call import Call
+from chiveslip.gateway.endpoint_statements import EndpointStatement
 from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
 from chiveslip.gateway.paths import EndpointPaths
 from chiveslip.gateway.protocol import ForwardingContext
 from chiveslip.gateway.protocol import GatewayProtocol
+from chiveslip.gateway.rooms import EndpointRooms
 
 _MAX_BODY_BYTES = 8 << 20
 _MAX_STREAM_BYTES = 64 << 20
@@ -141,6 +143,8 @@
         Where answers are recorded that tell something of their endpoint.
     paths
         Where requests are recorded that wait for the head of their answer.
+    rooms
+        Where the requests at each endpoint are counted.
     """
 
     def __init__(
@@ -151,6 +155,7 @@
         accepts_work: Callable[[ListedEndpoint], bool],
         statements: EndpointStatements,
         paths: EndpointPaths,
+        rooms: EndpointRooms,
     ) -> None:
         self._connector = connector
         self._protocol = protocol
@@ -158,6 +163,7 @@
         self._accepts_work = accepts_work
         self._statements = statements
         self._paths = paths
+        self._rooms = rooms
 
     async def is_reachable(self, endpoint: ListedEndpoint) -> bool:
         """Return whether a new connection to an endpoint can be opened."""
@@ -208,15 +214,19 @@
                 return Attempt(result=AttemptResult.ENDPOINT_LEFT)
             if not may_send():
                 return Attempt(result=AttemptResult.WITHHELD)
-            async with asyncio.timeout(self._remaining_s(call) + _WRITE_GRACE_S):
-                attempt = await self._exchange(
-                    exchange,
-                    call,
-                    context,
-                    stream,
-                    withholds_failure,
-                    (on_first_event, on_progress),
-                )
+            self._rooms.begin(context.endpoint.id)
+            try:
+                async with asyncio.timeout(self._remaining_s(call) + _WRITE_GRACE_S):
+                    attempt = await self._exchange(
+                        exchange,
+                        call,
+                        context,
+                        stream,
+                        withholds_failure,
+                        (on_first_event, on_progress),
+                    )
+            finally:
+                self._rooms.end(context.endpoint.id)
             return attrs.evolve(attempt, end=exchange.end)
         except TimeoutError:
             # All waits for the endpoint end earlier.
@@ -262,9 +272,11 @@
         finally:
             self._paths.record_answer(call.service, waiting, is_answered=is_answered)
         metadata = self._protocol.parse_answer(head.status, head.headers)
-        self._statements.record(context.endpoint.incarnation, metadata.statement)
+        self._record_statement(context.endpoint, metadata.statement)
         if metadata.did_not_run:
             call.was_sent = False
+            if not metadata.lacks_adapter:
+                self._rooms.record_refusal(context.endpoint)
             await exchange.skip_rest(_MAX_REFUSAL_BODY_S)
             lacks_adapter = metadata.lacks_adapter
             result = (
@@ -286,6 +298,15 @@
             return await self._forward_stream(exchange, head, call, stream, on_parts)
         return await self._forward_whole(exchange, head, call, withholds_failure)
 
+    def _record_statement(
+        self, endpoint: ListedEndpoint, statement: EndpointStatement
+    ) -> None:
+        self._statements.record(endpoint.incarnation, statement)
+        if statement.max_refusals_per_s is not None:
+            self._rooms.record_brittle(
+                endpoint.service, statement.max_refusals_per_s, 0.0, source=endpoint.id
+            )
+
     async def _forward_whole(
         self,
         exchange: Exchange,
--- a/src/chiveslip/platform/protocol.py
+++ b/src/chiveslip/platform/protocol.py
@@ -29,9 +29,11 @@
 _PRIORITY = "X-Request-Priority"
 _LEAVING = "Server-Leaving"
 _RETRY_AFTER = "Retry-After"
+_BRITTLE = "Server-Brittle"
 _RESULT_CODE = "X-Result-Code"
 _AUTHORIZATION_SCHEME = "bearer"
 _MAX_PRIORITY = 9
+_MIN_REFUSALS_PER_S = 1.0
 # Parts of one prompt that are read; a longer list is the caller's own mistake.
 _MAX_SHARED_PARTS = 256
 _STATUS_MISDIRECTED = 421
@@ -167,19 +169,28 @@
     """
     rest_s = 0.0
     if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-        rest_s = _parse_seconds(headers.get(_RETRY_AFTER, ""))
+        rest_s = _parse_positive(headers.get(_RETRY_AFTER, ""))
     return EndpointStatement(
-        is_leaving=headers.get(_LEAVING, "").strip() == "1", rest_s=rest_s
+        is_leaving=headers.get(_LEAVING, "").strip() == "1",
+        rest_s=rest_s,
+        max_refusals_per_s=_parse_refusals(headers.get(_BRITTLE)),
     )
 
 
-def _parse_seconds(text: str) -> float:
-    """Return a positive number of seconds, or 0 if the text is none."""
+def _parse_refusals(text: str | None) -> float | None:
+    """Return a limit of refusals a second; the lowest one if it is unreadable."""
+    if text is None:
+        return None
+    return max(_parse_positive(text), _MIN_REFUSALS_PER_S)
+
+
+def _parse_positive(text: str) -> float:
+    """Return a positive number, or 0 if the text is none."""
     try:
-        seconds = float(text)
+        number = float(text)
     except ValueError:
         return 0.0
-    return seconds if 0 < seconds < math.inf else 0.0
+    return number if 0 < number < math.inf else 0.0
 
 
 def _parse_milliseconds(text: str) -> float | None:
--- /dev/null
+++ b/testing/bench/test_brittle_endpoints.py
@@ -0,0 +1,37 @@
+"""Loads on endpoints that fall when they have to refuse too much."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench.brittle_endpoints import Callers
+from bench.brittle_endpoints import Load
+from bench.brittle_endpoints import play
+
+DURATION_S = 4.0
+GOAL_OF_POSSIBLE = 0.9
+
+
+@pytest.mark.parametrize("instances", [6, 91, 195])
+@pytest.mark.parametrize("callers", list(Callers))
+@pytest.mark.parametrize("use", [0.9, 1.5])
+def test_no_endpoint_falls_and_its_room_is_used(
+    instances: int, callers: Callers, use: float
+) -> None:
+    load = Load(instances=instances, callers=callers, use=use, duration_s=DURATION_S)
+    result = play(load)
+    assert (result.refusals, result.falls) == (0, 0)
+    assert result.use_of_possible >= GOAL_OF_POSSIBLE
+
+
+@pytest.mark.parametrize("instances", [6, 91, 195])
+def test_no_endpoint_falls_while_a_third_of_the_instances_is_cut_off(
+    instances: int,
+) -> None:
+    result = play(Load(instances=instances, cut_third=True, duration_s=DURATION_S))
+    assert (result.refusals, result.falls) == (0, 0)
+
+
+def test_endpoints_fall_if_shares_are_ignored() -> None:
+    result = play(Load(instances=6, ignores_shares=True, duration_s=DURATION_S))
+    assert result.falls > 2
--- a/testing/fleet/test_large_fleet.py
+++ b/testing/fleet/test_large_fleet.py
@@ -381,3 +381,15 @@
     request = member.messages.build_request()
     assert request.part_suspects[0].part == "bad"
     assert sum(part.ByteSize() for part in request.part_suspects) < MAX_SUSPECT_BYTES
+
+
+@pytest.mark.parametrize("size", [6, MEDIUM, LARGE])
+def test_all_members_learn_within_a_second_that_a_service_is_brittle(
+    fleet_of: FleetOf, size: int
+) -> None:
+    fleet = fleet_of(size)
+    fleet.run(6.0)
+    members = fleet.running_members()
+    members[0].parts.rooms.record_brittle("kiosk", 1.0, 0.0, source="endpoint")
+    fleet.run(1.0)
+    assert all(member.parts.rooms.is_brittle("kiosk") for member in members)
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -55,6 +55,7 @@
 from chiveslip.gateway.path_probing import WatchedConnector
 from chiveslip.gateway.paths import EndpointPaths
 from chiveslip.gateway.reply import Reply
+from chiveslip.gateway.rooms import EndpointRooms
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import RetryPolicy
 from chiveslip.gateway.routing import Route
@@ -272,6 +273,7 @@
     statements: EndpointStatements
     directory: EndpointDirectory
     paths: EndpointPaths
+    rooms: EndpointRooms
     forwarder: ScriptedForwarder
 
     def lose_paths(self) -> None:
@@ -349,12 +351,14 @@
         connector: Connector | None = None,
         address: Address | None = None,
         peers: dict[str, ScriptedPeer] | None = None,
+        members: tuple[str, ...] = ("here",),
     ) -> GatewayHarness:
         clock = clock or ManualClock()
         forwarder = ScriptedForwarder(peers or {})
         connector = connector or ScriptedConnector(list(script))
         statements = EndpointStatements(clock)
-        directory = EndpointDirectory(statements)
+        rooms = EndpointRooms("here", lambda: members, clock)
+        directory = EndpointDirectory(statements, rooms.has_room)
         for index in range(4):
             directory.put(
                 ListedEndpoint(
@@ -382,7 +386,7 @@
         )
         watched = WatchedConnector(connector, directory, paths)
         sender = Sender(
-            watched, dialect, clock, directory.accepts_work, statements, paths
+            watched, dialect, clock, directory.accepts_work, statements, paths, rooms
         )
         telemetry = RequestTelemetry(GatewayMetrics(), clock)
         gateway = Gateway(
@@ -426,11 +430,14 @@
                     instance="here",
                     forwarder=forwarder,
                     protocol=dialect,
-                    live_peers=lambda: list(forwarder.peers),
+                    live_peers=lambda _service: list(forwarder.peers),
                     clock=clock,
                     generator=generator,
                 ),
-                is_cut=paths.is_cut,
+                can_deliver=lambda service: (
+                    not paths.is_cut(service)
+                    and any(map(rooms.has_room, directory.find_ready(service)))
+                ),
             )
         )
         return GatewayHarness(
@@ -442,6 +449,7 @@
             statements,
             directory,
             paths,
+            rooms,
             forwarder,
         )
 
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -206,6 +206,8 @@
         # Part of a prompt on which the process crashes as it begins to answer.
         self.crashing_part = ""
         self.pause_between_events_s = 0.0
+        # Further headers of all answers to requests.
+        self.answer_headers: dict[str, str] = {}
         self.starts = 1
         self._streams: set[IOStream] = set()
         self._application = Application(
@@ -329,6 +331,8 @@
             )
         )
         self.set_header("X-Server-Signature", replica.identity)
+        for name, value in replica.answer_headers.items():
+            self.set_header(name, value)
         if replica.release_event is not None:
             await replica.release_event.wait()
         first_event = int(request.headers.get("Last-Event-Id", "0")) + 1
