Let a peer run a handed-over request at most once

A request that was handed over could run at more endpoints than its route allows: the peer began to count anew, ran it up to the route's maximum, and the instance that had received it repeated it through another peer if the answer was lost. The peer now runs it at most once and passes a failure on; the instance that received it counts and repeats.

test_peer_runs_a_request_at_most_once_and_never_passes_it_on failed before in two of five cases (two attempts instead of one). Found by reading.

--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -180,6 +180,14 @@
         """Local time in seconds at which a caller without an event disconnects."""
         return min(self.arrived_at + self.route.max_first_event_wait_s, self.deadline)
 
+    @property
+    def max_runs(self) -> int:
+        """Maximum number of attempts of this instance that may have run the request.
+
+        The instance that handed a request over repeats it itself.
+        """
+        return 1 if self.received_by else self.route.max_runs
+
     @property
     def priority(self) -> int:
         """Priority of the organisation if it has one, else of the route."""
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -418,7 +418,7 @@
         call.attempts += 1
         withholds_failure = (
             call.route.retry_policy is RetryPolicy.IDEMPOTENT
-            and call.runs + 1 < call.route.max_runs
+            and call.runs + 1 < call.max_runs
             and call.attempts < _MAX_ATTEMPTS
         )
         attempt: Attempt | None = None
@@ -498,7 +498,7 @@
         if attempt.result not in (AttemptResult.NOT_RUN, AttemptResult.LACKS_ADAPTER):
             if (
                 call.route.retry_policy is RetryPolicy.AT_MOST_ONCE
-                or call.runs >= call.route.max_runs
+                or call.runs >= call.max_runs
             ):
                 return False
             if stream.has_head and not stream.splitter.can_resume:
--- a/testing/gateway/test_handover.py
+++ b/testing/gateway/test_handover.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 import pytest
 from tornado.httputil import HTTPHeaders
 
 from chiveslip.gateway.handover import AnswerPart
+from chiveslip.gateway.handover import ForwardedRequest
+from testing.gateway.conftest import DOWN
+from testing.gateway.conftest import FAILS
 from testing.gateway.conftest import KEY
+from testing.gateway.conftest import RESETS
+from testing.gateway.conftest import SHEDS
+from testing.gateway.conftest import Behaviour
 from testing.gateway.conftest import GatewayHarness
+from testing.gateway.conftest import RecordingReply
 from testing.gateway.conftest import ScriptedPeer
 
 MakeGateway = Callable[..., GatewayHarness]
@@ -115,6 +123,49 @@
     assert received.remaining_s == pytest.approx(0.6)
 
 
+@pytest.mark.parametrize(
+    ("path", "endpoints", "status", "attempts", "is_certainly_not_run"),
+    [
+        pytest.param("/freely/x", (), 200, 1, False, id="served"),
+        pytest.param("/freely/x", (RESETS,), 502, 1, False, id="reset"),
+        pytest.param("/freely/x", (FAILS,), 500, 1, False, id="failed"),
+        pytest.param("/once/x", (SHEDS, DOWN), 200, 2, False, id="refused elsewhere"),
+        pytest.param("/once/x", (SHEDS,) * 4, 503, 4, True, id="refused everywhere"),
+    ],
+)
+def test_peer_runs_a_request_at_most_once_and_never_passes_it_on(
+    make_gateway: MakeGateway,
+    path: str,
+    endpoints: tuple[Behaviour, ...],
+    status: int,
+    attempts: int,
+    is_certainly_not_run: bool,
+) -> None:
+    peer = ScriptedPeer(parts=(part(b"answer", status=200, is_end=True),))
+    harness = make_gateway(*endpoints, peers={"peer": peer})
+    request = ForwardedRequest(
+        method="POST",
+        target=path,
+        headers=HTTPHeaders({"Host": "kiosk.example", "X-Request-Id": "r1"}),
+        body=b"body",
+        organisation="trust",
+        service="kiosk",
+        remaining_s=1.0,
+        instance="other",
+    )
+    reply = RecordingReply()
+
+    async def answer() -> bool:
+        was_not_run = await harness.gateway.handle_forwarded(request, reply)
+        await harness.gateway.join()
+        return was_not_run
+
+    assert asyncio.run(answer()) is is_certainly_not_run
+    assert (reply.status, len(harness.connector.sent)) == (status, attempts)
+    assert {sent.headers["X-Tenant"] for sent in harness.connector.sent} == {"trust"}
+    assert peer.received == []
+
+
 @pytest.mark.parametrize(
     ("path", "parts", "is_complete"),
     [
