Do not cut off an endpoint that reads a long body late

A request with a long body ended in 502 after 2.3 s if its endpoint, sound and connected, did not go on reading for longer than two seconds.

Cause: TCP_USER_TIMEOUT of 2 s on connections to endpoints is meant for paths that are dead. The kernel also ends a connection by it whose peer acknowledges everything and only has no room in its receive buffer. Measured on loopback with 8 MiB: pauses of 0.5 and 1.5 s were borne, 3 and 6 s ended in a reset after 2.3 s.

test_endpoint_that_reads_a_body_late_is_not_cut_off[long] failed before; [short] passed. The option also decides when keep-alive probes give up: a connection without an answer ends after 2 s, not after the 3 s that the probes alone would take.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -57,7 +57,11 @@
 _PROBE_IDLE_S = 1
 _PROBE_INTERVAL_S = 1
 _MAX_PROBES = 2
+# The kernel also ends connections whose peer takes no bytes for this long, however alive
+# it is. A short request always fits into the receive buffer; a long body may have to wait.
 _MAX_UNACKNOWLEDGED_MS = 2000
+_MAX_UNREAD_BODY_MS = 30_000
+_MAX_SHORT_BODY_BYTES = 32 * 1024
 # Late responses to earlier requests that are skipped before the exchange fails.
 _MAX_CROSSED_RESPONSES = 2
 
@@ -331,6 +335,8 @@
         if outgoing.body or outgoing.method not in ("GET", "HEAD", "DELETE"):
             headers["Content-Length"] = str(len(outgoing.body))
         start = RequestStartLine(outgoing.method, outgoing.path, "")
+        if not self._stream.closed():
+            _set_user_timeout(self._stream.socket, len(outgoing.body))
         try:
             connection.write_headers(start, headers, outgoing.body or None)
             connection.finish()
@@ -555,12 +561,17 @@
     new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_IDLE_S)
     new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
     new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _MAX_PROBES)
-    new_socket.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _MAX_UNACKNOWLEDGED_MS
-    )
+    _set_user_timeout(new_socket, 0)
     return new_socket
 
 
+def _set_user_timeout(used_socket: socket.socket, body_bytes: int) -> None:
+    """Set how long sent bytes may stay unacknowledged, for a body of a length."""
+    is_long = body_bytes > _MAX_SHORT_BODY_BYTES
+    timeout_ms = _MAX_UNREAD_BODY_MS if is_long else _MAX_UNACKNOWLEDGED_MS
+    used_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def _has_unread_bytes(stream: IOStream) -> bool:
     """Return whether bytes were received that belong to no request.
 
--- a/testing/dispatch/test_connection.py
+++ b/testing/dispatch/test_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 
 import pytest
@@ -22,6 +23,8 @@
 
 pytestmark = pytest.mark.xdist_group("sockets")
 
+# Longer than sent bytes of a short request may stay unacknowledged.
+READING_PAUSE_S = 3.0
 TIMEOUT_S = 10.0
 LIMITS = ResponseLimits(max_s=TIMEOUT_S, max_body_bytes=1 << 20)
 
@@ -173,3 +176,34 @@
     await fetch(pool, endpoint)
     assert endpoint.connections == connections
     pool.close()
+
+
+@pytest.mark.parametrize(
+    "body_bytes",
+    [pytest.param(1024, id="short"), pytest.param(8 << 20, id="long")],
+)
+async def test_endpoint_that_reads_a_body_late_is_not_cut_off(body_bytes: int) -> None:
+    async def answer_late(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(READING_PAUSE_S)
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(body_bytes)
+        writer.write(response())
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(answer_late, "127.0.0.1", 0, limit=4096)
+    address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+    pool = ConnectionPool(ManualClock(), TIMEOUT_S)
+    exchange = await pool.open(address, fresh=True)
+    outgoing = OutgoingRequest(
+        method="POST", path="/", body=b"x" * body_bytes, request_id="r1"
+    )
+    limits = ResponseLimits(max_s=2 * READING_PAUSE_S, max_body_bytes=1024)
+    await exchange.send(outgoing, limits)
+    assert (await exchange.head()).status == 200
+    exchange.close()
+    pool.close()
+    server.close()
+    await server.wait_closed()
