Keep the results of handovers apart from those of endpoints in the log line

`chiveslip explain` pairs the endpoints of a request with its results; a handover added a result without an endpoint, so that the cause named the wrong endpoint. Handovers have a list of their own in `Ended.`. Found by reading; the new test failed before (it has no field "handovers", and two results for one endpoint).

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -57,8 +57,9 @@
 _PROBE_IDLE_S = 1
 _PROBE_INTERVAL_S = 1
 _MAX_PROBES = 2
-# The kernel also ends connections whose peer takes no bytes for this long, however alive
-# it is. A short request always fits into the receive buffer; a long body may have to wait.
+# The kernel also ends connections whose peer takes no bytes for this long, though it is
+# alive. A short request always fits into the receive buffer; a long body may have to
+# wait.
 _MAX_UNACKNOWLEDGED_MS = 2000
 _MAX_UNREAD_BODY_MS = 30_000
 _MAX_SHORT_BODY_BYTES = 32 * 1024
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -123,6 +123,8 @@
         empty.
     attempt_results
         Results of all attempts, in order.
+    handover_results
+        Results of all attempts through peers that took it, in order.
     answer_ends
         How the answers of endpoints ended, in order, as text for the log.
     attempt_times
@@ -164,6 +166,7 @@
     sent_addresses: set[Address] = attrs.field(factory=set)
     retryable_endpoint: str = ""
     attempt_results: list[str] = attrs.field(factory=list)
+    handover_results: list[str] = attrs.field(factory=list)
     answer_ends: list[str] = attrs.field(factory=list)
     attempt_times: list[AttemptTimes] = attrs.field(factory=list)
     engine_estimates: list[EngineEstimate] = attrs.field(factory=list)
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -353,6 +353,7 @@
                     )
                     break
                 target = _LOST_WITH_PEER
+                call.handover_results.append(attempt.result.value)
             else:
                 target = await selector.select_target(call)
                 if isinstance(target, Refusal) and not self._is_to_hand_over(call):
@@ -360,7 +361,7 @@
                 if isinstance(target, Refusal):
                     continue
                 attempt = await self._attempt(call, selector, target, stream)
-            call.attempt_results.append(attempt.result.value)
+                call.attempt_results.append(attempt.result.value)
             if attempt.result is AttemptResult.ANSWERED:
                 return None
             if attempt.result is AttemptResult.FAILED:
@@ -375,7 +376,8 @@
                 call, last_failure.head, last_failure.body
             )
             return None
-        if not call.attempt_results and isinstance(target, Refusal):
+        has_attempted = bool(call.attempt_results or call.handover_results)
+        if not has_attempted and isinstance(target, Refusal):
             return target
         return _final_refusal(call, attempt, target)
 
--- a/src/chiveslip/gateway/telemetry.py
+++ b/src/chiveslip/gateway/telemetry.py
@@ -172,6 +172,7 @@
             target_s=call.route.target_latency_s,
             received_by=call.received_by,
             forwarded_to=call.forwarded_to,
+            handovers=call.handover_results,
             endpoints=call.attempted_endpoints,
             results=call.attempt_results,
             answer_ends=call.answer_ends,
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -189,6 +189,7 @@
     declines: bool = False
     breaks_off: bool = False
     received: list[ForwardedRequest] = attrs.field(factory=list)
+    on_received: Callable[[], None] = lambda: None
 
 
 class ScriptedForwardedExchange(ForwardedExchange):
@@ -197,6 +198,7 @@
 
     async def send(self, request: ForwardedRequest) -> None:
         self._peer.received.append(request)
+        self._peer.on_received()
 
     async def parts(self) -> AsyncIterator[AnswerPart]:
         for part in self._peer.parts:
--- a/testing/gateway/test_handover.py
+++ b/testing/gateway/test_handover.py
@@ -4,10 +4,13 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 
 import pytest
+from structlog.testing import capture_logs
 from tornado.httputil import HTTPHeaders
 
+from chiveslip import logs
 from chiveslip.gateway.handover import AnswerPart
 from chiveslip.gateway.handover import ForwardedRequest
 from testing.gateway.conftest import DOWN
@@ -200,6 +203,29 @@
     assert (reply.is_complete, reply.is_truncated) == (is_complete, not is_complete)
 
 
+@pytest.fixture
+def log_all_levels() -> Iterator[None]:
+    logs.configure("console", "info")
+    yield
+    logs.configure("console", "error")
+
+
+@pytest.mark.usefixtures("log_all_levels")
+def test_log_line_has_a_result_for_each_endpoint_beside_the_handovers(
+    make_gateway: MakeGateway,
+) -> None:
+    peer = ScriptedPeer(breaks_off=True)
+    with capture_logs() as lines:
+        harness = make_gateway(peers={"peer": peer})
+        peer.on_received = lambda: harness.paths.record_opened("kiosk")
+        harness.lose_paths()
+        assert harness.send_request("/freely/x").status == 200
+    (ended,) = [line for line in lines if line["event"] == "Ended."]
+    assert ended["handovers"] == ["unknown"]
+    assert ended["forwarded_to"] == "peer"
+    assert len(ended["endpoints"]) == len(ended["results"]) == len(ended["sent_s"]) == 1
+
+
 def test_peer_that_declined_is_not_asked_again_at_once(
     make_gateway: MakeGateway,
 ) -> None:
