Do not cut a page of the store that comes slowly but steadily

Cause, shown for the reader: the head and body of each response had `store.timeout` (0.7 s) in all, and a page of up to 1 MB takes 0.8 s on a link of 10 Mbit/s alone. The read was cut and began anew, each time with the same end. The time now grows with what has been received (50,000 bytes a second at least); without data a read is still given up after `store.timeout`.

test_long_page_on_a_slow_link_is_read_to_its_end failed before in both cases (read_all, watch); the tests of responses without end keep their bound of 1.1 s.

--- a/src/chiveslip/platform/store.py
+++ b/src/chiveslip/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import binascii
 from typing import Any
@@ -10,9 +11,11 @@
 
 from chiveslip.dispatch.connection import ConnectError
 from chiveslip.dispatch.connection import Connector
+from chiveslip.dispatch.connection import Exchange
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.connection import ResponseHead
 from chiveslip.dispatch.outgoing import OutgoingRequest
+from chiveslip.dispatch.response_end import find_document_fault
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.platform import fields
 from chiveslip.platform.fields import UnreadableError
@@ -28,6 +31,8 @@
 _ALL_KEYS_PREFIX = ""
 _MAX_BODY_BYTES = 16 << 20
 _MAX_PAGES = 2000
+# A page of 1 MB takes most of a second on a link of 10 Mbit/s that carries other data.
+_MIN_BYTES_PER_S = 50_000
 _STATUS_GONE = 410
 _ERA_HEADER = "Store-Era"
 
@@ -39,7 +44,8 @@
     Parameters
     ----------
     timeout_s
-        Maximum wait in seconds for a response, in addition to the wait of a watch.
+        Maximum wait in seconds for the head of a response, in addition to the wait of a
+        watch, and for its body if it comes more slowly than `_MIN_BYTES_PER_S`.
     """
 
     def __init__(
@@ -112,11 +118,12 @@
             await exchange.send(
                 outgoing,
                 ResponseLimits(
-                    max_s=wait_s + self._timeout_s, max_body_bytes=_MAX_BODY_BYTES
+                    max_s=wait_s + self._max_body_s(_MAX_BODY_BYTES),
+                    max_body_bytes=_MAX_BODY_BYTES,
                 ),
             )
-            head = await exchange.head()
-            body = await exchange.body()
+            head = await exchange.head(wait_s + self._timeout_s)
+            body = await self._read_body(exchange, head)
         except ExchangeInterruptedError as error:
             raise StoreError(f"{path}: {error}") from error
         finally:
@@ -132,6 +139,32 @@
         except UnreadableError as error:
             raise StoreError(f"{path}: {error}") from error
 
+    async def _read_body(self, exchange: Exchange, head: ResponseHead) -> bytes:
+        """Return the body of a response that comes fast enough.
+
+        A total time would cut whole pages on a slow link, each time anew.
+        """
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        body = bytearray()
+        async for chunk in exchange.chunks(self._timeout_s):
+            body += chunk
+            took_s = loop.time() - started_at
+            if took_s > self._max_body_s(len(body)):
+                raise ExchangeInterruptedError(
+                    f"{len(body)} bytes took {took_s:.2f} s; expected at least "
+                    f"{_MIN_BYTES_PER_S} bytes a second"
+                )
+        assert exchange.end is not None
+        content_type = head.headers.get("Content-Type", "")
+        fault = find_document_fault(exchange.end, content_type, bytes(body))
+        if fault is not None:
+            raise ExchangeInterruptedError(fault)
+        return bytes(body)
+
+    def _max_body_s(self, received: int) -> float:
+        return self._timeout_s + received / _MIN_BYTES_PER_S
+
 
 def _read_era(head: ResponseHead) -> int:
     """Return the store's era; an answer without the header is of era 0."""
--- a/src/chiveslip/store/reader.py
+++ b/src/chiveslip/store/reader.py
@@ -140,10 +140,12 @@
         )
 
     def _record_failure(self, error: StoreError) -> None:
+        has_failed_before = self._has_failed
         self._has_failed = True
-        if self._unreachable_since is not None:
+        if self._unreachable_since is None:
+            self._unreachable_since = self._clock.now()
+        if has_failed_before:
             return
-        self._unreachable_since = self._clock.now()
         self._log.warning(
             "Store lost.", cause=str(error), revision=str(self._mirror.revision)
         )
--- a/testing/platform/test_endless_responses.py
+++ b/testing/platform/test_endless_responses.py
@@ -163,3 +163,33 @@
     endpoint = await start_endpoint([page(["servers/a", "servers/b"])])
     await check_given_up(read_all, StoreError, endpoint)
     assert endpoint.requests <= 2
+
+
+class SlowPage:
+    """Sends a page of the store on a link of a few megabits a second."""
+
+    BYTES = 600_000
+    BYTES_PER_S = 400_000
+    PART = 8192
+
+    async def answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        document = {"items": [], "events": [], "store_revision": 7, "has_more": False}
+        body = json.dumps(document).encode().ljust(self.BYTES)
+        writer.write(OK + f"Content-Length: {len(body)}\r\n\r\n".encode())
+        for start in range(0, len(body), self.PART):
+            writer.write(body[start : start + self.PART])
+            await writer.drain()
+            await asyncio.sleep(self.PART / self.BYTES_PER_S)
+
+
+@pytest.mark.parametrize("read", [read_all, watch])
+async def test_long_page_on_a_slow_link_is_read_to_its_end(read: Read) -> None:
+    assert SlowPage.BYTES / SlowPage.BYTES_PER_S > TIMEOUT_S
+    server = await asyncio.start_server(SlowPage().answer, "127.0.0.1", 0)
+    pool = ConnectionPool(SystemClock(), 1.0)
+    await read(pool, Address("127.0.0.1", server.sockets[0].getsockname()[1]))
+    pool.close()
+    server.close()
