Do not pass on a peer's refusal of a request that may have run before

An idempotent request that had been sent to an endpoint without an answer, and was then handed over, could be answered with the peer's 503 "not run", though its first attempt may have run. It now ends as failed at its endpoint (502, code 1602) unless another attempt serves it. Found by reading; the new test failed before (503).

--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -394,7 +394,7 @@
             call, stream, lambda: self._record_forwarded_event(call)
         )
         self._telemetry.record_handover(call, attempt)
-        if attempt.result is not AttemptResult.NOT_SENT:
+        if attempt.result not in (AttemptResult.NOT_SENT, AttemptResult.NOT_RUN):
             call.runs += 1
         return attempt
 
--- a/src/chiveslip/gateway/handover.py
+++ b/src/chiveslip/gateway/handover.py
@@ -251,6 +251,11 @@
                 body += part.chunk
             if not part.is_end:
                 continue
+            if part.was_not_run and call.runs > 0:
+                # An earlier attempt may have run, so the refusal would be untrue.
+                return Attempt(
+                    result=AttemptResult.NOT_RUN, detail=f"status {head.status}"
+                )
             if is_stream:
                 call.reply.end()
             else:
--- a/testing/gateway/test_handover.py
+++ b/testing/gateway/test_handover.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 
+import attrs
 import pytest
 from structlog.testing import capture_logs
 from tornado.httputil import HTTPHeaders
@@ -100,6 +101,22 @@
     assert send(make_gateway, path, *peers)[::2] == (status, received)
 
 
+def test_refusal_of_a_peer_after_an_attempt_that_may_have_run_is_not_passed_on(
+    make_gateway: MakeGateway,
+) -> None:
+    refusal = part(b"full", status=503, is_end=True, was_not_run=True)
+    peers = {name: ScriptedPeer(parts=(refusal,)) for name in ("a", "b")}
+    harness = make_gateway(RESETS, peers=peers)
+    gateway = harness.gateway
+    gateway._dependencies = attrs.evolve(
+        gateway._dependencies, can_deliver=lambda _service: not harness.connector.sent
+    )
+    reply = harness.send_request("/freely/x")
+    assert len(harness.connector.sent) == 1
+    assert sum(len(peer.received) for peer in peers.values()) > 0
+    assert (reply.status, reply.headers["X-Result-Code"]) == (502, "1602")
+
+
 def test_request_that_a_peer_declines_late_goes_to_the_next(
     make_gateway: MakeGateway,
 ) -> None:
