Send no order to an engine that has said it leaves

An engine that says in an answer that it leaves could still get an order to load an adapter: the coordinator dropped it in its next round of maintenance (0.25 to 0.5 s later), and an order that waited for its connection was sent.

The statement is now looked at once the connection is open, directly before the order is sent, as the time of rest already was. The new case "leaving" of test_engine_that_declines_work_while_a_connection_opens_gets_no_order failed before.

--- a/src/chiveslip/platform/replicas.py
+++ b/src/chiveslip/platform/replicas.py
@@ -184,8 +184,12 @@
             headers={"Content-Type": _JSON_CONTENT_TYPE, _EXPECTED_INSTANCE: engine.id},
             body=json.dumps(body).encode(),
         )
+
+        def may_order() -> bool:
+            return may_send() and not self._statements.is_leaving(engine.incarnation)
+
         try:
-            status, _ = await self._send(engine, outgoing, may_send)
+            status, _ = await self._send(engine, outgoing, may_order)
         except _WithheldError:
             return OrderAnswer.WITHHELD
         return _ORDER_ANSWERS_BY_STATUS.get(status, OrderAnswer.REFUSED)
--- a/testing/platform/test_replicas.py
+++ b/testing/platform/test_replicas.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import math
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -98,8 +99,10 @@
         self._status = status
         self._body = body
         self.sent_requests: list[OutgoingRequest] = []
+        self.on_open: Callable[[], None] = lambda: None
 
     async def open(self, address: Address, *, fresh: bool) -> Exchange:
+        self.on_open()
         return self
 
     @property
@@ -238,13 +241,30 @@
     assert json.loads(request.body) == common_fields | fields
 
 
-def test_resting_engine_gets_neither_orders_nor_reads_of_its_report() -> None:
+def test_resting_engine_gets_no_reads_of_its_report() -> None:
     connector = FixedResponseConnector(200, b"{}")
     resting = statements()
     resting.record(ENGINE.incarnation, EndpointStatement(rest_s=5.0))
     control = ReplicaControl(connector, ManualClock(), resting)
     with pytest.raises(EngineControlError, match="asked for rest"):
         asyncio.run(control.read_report(ENGINE))
+    assert not connector.sent_requests
+
+
+@pytest.mark.parametrize(
+    "statement",
+    [
+        pytest.param(EndpointStatement(rest_s=5.0), id="rest"),
+        pytest.param(EndpointStatement(is_leaving=True), id="leaving"),
+    ],
+)
+def test_engine_that_declines_work_while_a_connection_opens_gets_no_order(
+    statement: EndpointStatement,
+) -> None:
+    connector = FixedResponseConnector(202, b"")
+    declining = statements()
+    connector.on_open = lambda: declining.record(ENGINE.incarnation, statement)
+    control = ReplicaControl(connector, ManualClock(), declining)
     answer = asyncio.run(control.send_order(ENGINE, build_order(), lambda: True))
     assert answer is OrderAnswer.WITHHELD
     assert not connector.sent_requests
