Do not take the loss of an instance's own paths for crashes of endpoints

Callers whose requests were waiting at endpoints as their instance lost its paths were refused with 1408 for a minute, at every instance: polls of one path are the same request, and requests that share a part of their prompt share its suspicion.

Cause: an endpoint that breaks off an answer and cannot be reached afterwards counted as crashed. An instance without paths reaches none, so each of its broken requests was at a "crash", three of them at three endpoints block the request or the part for the fleet. The requests were not repeated through peers either, since their parts were suspected.

An unreachable endpoint now counts as crashed only if an endpoint of its service or of another one can be reached, or if there is no other.

--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -678,7 +678,13 @@
                 crash_guard=CrashGuard(
                     requests=CrashSuspects(3),
                     parts=PartSuspects(),
-                    detector=CrashDetector(sender, control),
+                    detector=CrashDetector(
+                        sender,
+                        control,
+                        lambda endpoint: self.directory.sample_others(
+                            endpoint, fleet.random
+                        ),
+                    ),
                     may_try=lambda _part: False,
                     telemetry=telemetry,
                     clock=clock,
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -286,7 +286,11 @@
         self._crash_guard = CrashGuard(
             requests=suspects,
             parts=part_suspects,
-            detector=CrashDetector(sender, control),
+            detector=CrashDetector(
+                sender,
+                control,
+                lambda endpoint: directory.sample_others(endpoint, self._random),
+            ),
             may_try=lambda part: rights.has_joined() and rights.is_coordinator_of(part),
             telemetry=telemetry,
             clock=clock,
--- a/src/chiveslip/gateway/crash_detection.py
+++ b/src/chiveslip/gateway/crash_detection.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
 from typing import final
 
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -21,12 +23,25 @@
 class CrashDetector:
     """Asks an endpoint whether it is still the process that was asked before.
 
-    Requests that an endpoint breaks off at the same time share one check.
+    Requests that an endpoint breaks off at the same time share one check. An endpoint
+    that cannot be reached has crashed only if others can: an instance that has lost its
+    paths must not blame the requests that it was waiting for.
+
+    Parameters
+    ----------
+    find_others
+        Returns some other endpoints, by which to tell a crash from lost paths.
     """
 
-    def __init__(self, sender: Sender, control: EngineControl) -> None:
+    def __init__(
+        self,
+        sender: Sender,
+        control: EngineControl,
+        find_others: Callable[[ListedEndpoint], Sequence[ListedEndpoint]],
+    ) -> None:
         self._sender = sender
         self._control = control
+        self._find_others = find_others
         self._tasks = TaskSet("crashes")
         self._pending: dict[ListedEndpoint, asyncio.Task[bool]] = {}
 
@@ -46,9 +61,17 @@
     async def _check(self, endpoint: ListedEndpoint, is_engine: bool) -> bool:
         await asyncio.sleep(_CHECK_DELAY_S)
         if not await self._sender.is_reachable(endpoint):
-            return True
+            return await self._reaches_others(endpoint)
         return is_engine and await self._is_another_start(endpoint)
 
+    async def _reaches_others(self, endpoint: ListedEndpoint) -> bool:
+        """Return whether another endpoint can be reached, or there is none."""
+        others = self._find_others(endpoint)
+        if not others:
+            return True
+        checks = [self._sender.is_reachable(other) for other in others]
+        return any(await asyncio.gather(*checks))
+
     async def _is_another_start(self, engine: ListedEndpoint) -> bool:
         """Return whether another process answers at the engine's address."""
         try:
--- a/src/chiveslip/gateway/endpoints.py
+++ b/src/chiveslip/gateway/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import random
 from collections.abc import Callable
 from typing import final
 
@@ -136,6 +137,22 @@
             if not self._declines_work(endpoint)
         ]
 
+    def sample_others(
+        self, endpoint: ListedEndpoint, generator: random.Random
+    ) -> list[ListedEndpoint]:
+        """Return a random ready endpoint of the same service and one of another."""
+        same = [e for e in self.find_ready(endpoint.service) if e.id != endpoint.id]
+        others = sorted(
+            (
+                other
+                for other in self._by_id.values()
+                if other.service != endpoint.service
+                and other.state is EndpointState.READY
+            ),
+            key=lambda other: other.id,
+        )
+        return [generator.choice(group) for group in (same, others) if group]
+
     def rest_s(self, service: str) -> float:
         """Return the time in seconds until a resting endpoint wants requests; or 0."""
         rests = (
