Keep a failed channel open while other calls run on it

A request that a peer delivers (a stream of a quarter of a minute, a once-only call) shares its channel with gossip and with questions that have 0.25 s. One such question without an answer dropped the channel, which was closed four seconds later with all that ran on it: the stream was cut, and the once-only call ended as unknown.

Cause: the channel was closed after the "longest duration of a call", which was true of gossip and loads, not of requests handed over. The calls are counted now, and the last one closes the channel. The setting is gone.

--- a/src/chiveslip/fleet/channels.py
+++ b/src/chiveslip/fleet/channels.py
@@ -1,8 +1,13 @@
-"""gRPC channels to other instances; a channel is replaced after its first failure."""
+"""gRPC channels to other instances; a channel is replaced after its first failure.
+
+A failed channel takes no new calls. It is closed once the calls that still run on it
+have ended, since one late reply does not show that the others are lost.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
@@ -55,15 +60,11 @@
         Whether channels without a running call are pinged too. An instance with
         channels to many others leaves this off, because the pings would cost more
         than the messages.
-    max_call_s
-        Longest duration of a call. A failed channel is closed after this time, when
-        no other call can still run on it.
     """
 
     keepalive_s: float
     keepalive_timeout_s: float
     pings_idle: bool
-    max_call_s: float
 
 
 @final
@@ -73,6 +74,7 @@
     def __init__(self, options: ChannelOptions) -> None:
         self._options = options
         self._channels: dict[Address, Channel] = {}
+        self._running: collections.Counter[Channel] = collections.Counter()
 
     async def call(
         self,
@@ -110,11 +112,15 @@
         channel = self._channels.get(address)
         if channel is None:
             channel = self._channels[address] = self._make_channel(address)
+        self._running[channel] += 1
         try:
             yield channel
         except _CALL_ERRORS as error:
-            self._drop(address, channel)
+            if self._channels.get(address) is channel:
+                del self._channels[address]
             raise PeerError(f"call to {address} failed: {error!r}") from error
+        finally:
+            self._end_call(address, channel)
 
     def close(self) -> None:
         """Close all channels."""
@@ -123,19 +129,22 @@
         self._channels.clear()
 
     def close_channel(self, address: Address) -> None:
-        """Close the channel to an address that is no longer a peer's."""
+        """Close the channel to an address that is no longer a peer's.
+
+        Calls that run on it fail.
+        """
         channel = self._channels.pop(address, None)
         if channel is not None:
             channel.close()
 
-    def _drop(self, address: Address, channel: Channel) -> None:
-        if self._channels.get(address) is not channel:
+    def _end_call(self, address: Address, channel: Channel) -> None:
+        """Stop counting a call, and close its channel if no other uses it."""
+        self._running[channel] -= 1
+        if self._running[channel] > 0:
             return
-        del self._channels[address]
-        # An event loop that ends closes the channel's socket itself.
-        with contextlib.suppress(RuntimeError):
-            loop = asyncio.get_running_loop()
-            loop.call_later(self._options.max_call_s, channel.close)
+        del self._running[channel]
+        if self._channels.get(address) is not channel:
+            channel.close()
 
     def _make_channel(self, address: Address) -> Channel:
         options = self._options
--- a/src/chiveslip/fleet/gateway_peers.py
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -33,7 +33,6 @@
     keepalive_s=2.0,
     keepalive_timeout_s=1.0,
     pings_idle=False,
-    max_call_s=4.0,
 )
 
 Reply = TypeVar("Reply")
--- a/src/chiveslip/fleet/peers.py
+++ b/src/chiveslip/fleet/peers.py
@@ -15,11 +15,7 @@
 from chiveslip.generated.peer_grpc import PeerStub
 from chiveslip.settings.fields import Address
 
-# `max_call_s`: a request for a permit may wait this long on a channel after another
-# call on the channel failed.
-_OPTIONS = ChannelOptions(
-    keepalive_s=5.0, keepalive_timeout_s=2.0, pings_idle=True, max_call_s=60.0
-)
+_OPTIONS = ChannelOptions(keepalive_s=5.0, keepalive_timeout_s=2.0, pings_idle=True)
 
 Reply = TypeVar("Reply")
 
--- a/testing/fleet/test_channels.py
+++ b/testing/fleet/test_channels.py
@@ -6,7 +6,9 @@
 import struct
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import cast
 
+import attrs
 import pytest
 from grpclib.client import Channel
 from grpclib.const import Cardinality
@@ -26,9 +28,9 @@
 from chiveslip.settings.fields import Address
 
 PEER = Address("127.0.0.1", 1)
-OPTIONS = ChannelOptions(
-    keepalive_s=5.0, keepalive_timeout_s=2.0, pings_idle=False, max_call_s=0.0
-)
+OPTIONS = ChannelOptions(keepalive_s=5.0, keepalive_timeout_s=2.0, pings_idle=False)
+
+LONGER_THAN_ANY_DELAY_S = 0.1
 
 Send = Callable[[Channel, float], Awaitable[str]]
 
@@ -72,6 +74,34 @@
     channels.close()
 
 
+@attrs.define(eq=False)
+class FakeChannel:
+    """Records that it was closed."""
+
+    is_closed: bool = False
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+async def test_call_that_runs_on_a_failed_channel_is_not_cut_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(PeerChannels, "_make_channel", lambda *_: FakeChannel())
+    channels = PeerChannels(OPTIONS)
+    async with channels.open(PEER) as long_call:
+        with pytest.raises(PeerError):
+            await channels.call(PEER, 0.01, never_reply)
+        async with channels.open(PEER) as next_call:
+            assert next_call is not long_call
+        await asyncio.sleep(LONGER_THAN_ANY_DELAY_S)
+        assert not cast(FakeChannel, long_call).is_closed
+    assert cast(FakeChannel, long_call).is_closed
+    assert not cast(FakeChannel, next_call).is_closed
+    channels.close()
+    assert cast(FakeChannel, next_call).is_closed
+
+
 class BrokenPeer:
     """Answers each exchange with the same bytes, and ends the reply properly."""
 
