Take handed-over requests from the hosts of members only

A request that an instance hands over to a peer comes without the caller's key and is charged to no allowance. Whoever could open a connection to the peers' port could send such a request in the name of any organisation.

An instance now takes them only from a host on which a member runs that it knows; all others are declined before the request is sent, with a log line. test_nobody_but_members_can_hand_ requests_over failed before. An instance that has just started is declined until it is known.

--- a/src/chiveslip/fleet/forwarding.py
+++ b/src/chiveslip/fleet/forwarding.py
@@ -84,9 +84,10 @@
     if offer is None:
         return
     with requests.reserve(offer.service) as is_accepted:
-        await stream.send_message(wire.ForwardPart(is_declined=not is_accepted))
         if not is_accepted:
+            await decline_forwarded(stream)
             return
+        await stream.send_message(wire.ForwardPart())
         message = await stream.recv_message()
         if message is None or not message.HasField("request"):
             return
@@ -95,6 +96,13 @@
         await reply.finish(outcome)
 
 
+async def decline_forwarded(
+    stream: Stream[wire.ForwardMessage, wire.ForwardPart],
+) -> None:
+    """Decline a request unread."""
+    await stream.send_message(wire.ForwardPart(is_declined=True))
+
+
 def _decode_request(request: wire.ForwardRequest) -> ForwardedRequest:
     return ForwardedRequest(
         method=request.method,
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -13,6 +13,7 @@
 from chiveslip import logs
 from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.forwarding import answer_forwarded
+from chiveslip.fleet.forwarding import decline_forwarded
 from chiveslip.fleet.gateway_peers import WIRE_OUTCOMES
 from chiveslip.fleet.gateway_peers import GatewayPeers
 from chiveslip.fleet.gossip_messages import GossipMessages
@@ -165,6 +166,7 @@
         self._find_organisation = find_organisation
         self._forwarded = forwarded
         self._tasks = TaskSet("gossip")
+        self._log = logs.get_logger("gossip")
 
     async def Exchange(  # noqa: N802
         self, stream: Stream[wire.Gossip, wire.Gossip]
@@ -238,5 +240,15 @@
     async def Forward(  # noqa: N802
         self, stream: Stream[wire.ForwardMessage, wire.ForwardPart]
     ) -> None:
-        """Answer a request for which a peer has no path to an endpoint."""
+        """Answer a request for which a peer has no path to an endpoint.
+
+        It comes without a key, so nobody but members may send one.
+        """
+        address = stream.peer.addr()
+        if address is None or not self._parts.membership.has_member_on(address[0]):
+            self._log.warning(
+                "Request declined, as no member runs there.", address=address
+            )
+            await decline_forwarded(stream)
+            return
         await answer_forwarded(stream, self._forwarded)
--- a/src/chiveslip/fleet/membership.py
+++ b/src/chiveslip/fleet/membership.py
@@ -270,6 +270,12 @@
         member = self._members.get(instance)
         return None if member is None else member.update.address
 
+    def has_member_on(self, host: str) -> bool:
+        """Return whether another member, also one lost recently, runs on a host."""
+        return any(
+            member.update.address.host == host for member in self._members.values()
+        )
+
     def incarnation_of(self, instance: str) -> int:
         """Return the incarnation of a member, or 0 if it is unknown."""
         member = self._members.get(instance)
--- a/testing/platform/test_lost_paths.py
+++ b/testing/platform/test_lost_paths.py
@@ -8,6 +8,8 @@
 from collections.abc import AsyncIterator
 
 import pytest
+from grpclib.client import Channel
+from grpclib.protocol import H2Protocol
 
 from chiveslip.clock import Clock
 from chiveslip.daemon import gateway as daemon
@@ -15,6 +17,8 @@
 from chiveslip.dispatch.connection import ConnectionPool
 from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.connection import Exchange
+from chiveslip.generated import peer_pb2 as wire
+from chiveslip.generated.peer_grpc import GatewayPeerStub
 from chiveslip.settings.fields import Address
 from testing.platform.gateways import GatewayCluster
 from testing.platform.gateways import Member
@@ -30,6 +34,8 @@
 LOAD_S = 3.0
 GOAL = 0.95
 EARLY_GOAL = 0.8
+# A loopback address on which no member runs.
+NO_MEMBERS_HOST = "127.0.0.2"
 
 
 class Cut(enum.Enum):
@@ -155,3 +161,36 @@
     assert all(float(answer.headers["Retry-After"]) > 0 for answer in answers)
     assert max(answer.request_time for answer in answers) < 0.5
     assert cluster.kiosk.received_requests == []
+
+
+async def _connect_from_elsewhere(channel: Channel) -> H2Protocol:
+    loop = asyncio.get_running_loop()
+    _, protocol = await loop.create_connection(
+        channel._protocol_factory,
+        channel._host,
+        channel._port,
+        local_addr=(NO_MEMBERS_HOST, 0),
+    )
+    return protocol
+
+
+async def ask_to_forward(member: Member) -> bool:
+    """Return whether an instance agrees to take a request without a key."""
+    channel = Channel("127.0.0.1", member.peers)
+    try:
+        async with GatewayPeerStub(channel).Forward.open(timeout=1.0) as stream:
+            await stream.send_message(wire.ForwardMessage(service="kiosk"), end=True)
+            part = await stream.recv_message()
+            assert part is not None
+            return not part.is_declined
+    finally:
+        channel.close()
+
+
+async def test_nobody_but_members_can_hand_requests_over(
+    cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    members = await start_members(cluster, 2)
+    assert await ask_to_forward(members[0])
+    monkeypatch.setattr(Channel, "_create_connection", _connect_from_elsewhere)
+    assert not await ask_to_forward(members[0])
