Decide who delivers a request by the endpoints that are left and hold its adapter

Callers were refused with 1402 "no path" for a quarter of a second as three of many endpoints of a service failed together, at every instance: each took that for lost paths, all peers declined, and nobody tried the endpoints that were still up. And while engines are brittle, an instance of a large fleet, which has room at one or two of them, had adapters loaded there that other engines held, one for almost every request.

Cause: the decision was made by the service alone, as yes or no. gateway/delivery.py now says who is first and whether this instance may still deliver if no peer does: it may while one endpoint may be reached; and room at brittle engines counts where the adapter is. What a peer asks itself before it takes a request is unchanged.

--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -55,6 +55,7 @@
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
 from chiveslip.gateway.crash_detection import CrashDetector
 from chiveslip.gateway.crash_guard import CrashGuard
+from chiveslip.gateway.delivery import LOCAL_DELIVERY
 from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -700,11 +701,11 @@
                     instance=name,
                     forwarder=cast(PeerForwarder, SimulatedPeers(fleet)),
                     protocol=SimulatedProtocol(),
-                    live_peers=lambda _service: [],
+                    find_peers=lambda _service, _adapter: [],
                     clock=clock,
                     generator=fleet.random,
                 ),
-                can_deliver=lambda _service: True,
+                choose_delivery=lambda _service, _adapter: LOCAL_DELIVERY,
             )
         )
 
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -37,6 +37,7 @@
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
 from chiveslip.gateway.crash_detection import CrashDetector
 from chiveslip.gateway.crash_guard import CrashGuard
+from chiveslip.gateway.delivery import Deliveries
 from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.engine_control import EngineControl
@@ -166,7 +167,6 @@
         paths = EndpointPaths(
             clock, lambda service: {e.id for e in directory.find_ready(service)}
         )
-        self._paths = paths
         connector = WatchedConnector(pool, directory, paths)
         self._path_prober = PathProber(connector, directory, paths, self._random)
         self._health = EndpointHealth()
@@ -282,6 +282,14 @@
             paths,
             self._rooms,
         )
+        deliveries = Deliveries(
+            instance=settings.instance.id,
+            directory=directory,
+            paths=paths,
+            rooms=self._rooms,
+            live_instances=lambda: self._membership.live_members(clock.now()),
+            has_adapter=self._has_adapter,
+        )
         telemetry = RequestTelemetry(self._metrics, clock)
         self._crash_guard = CrashGuard(
             requests=suspects,
@@ -353,15 +361,15 @@
                     instance=settings.instance.id,
                     forwarder=self._peers,
                     protocol=protocol,
-                    live_peers=self._live_peers,
+                    find_peers=deliveries.find_peers,
                     clock=clock,
                     generator=self._random,
                 ),
-                can_deliver=self._can_deliver,
+                choose_delivery=deliveries.choose,
             )
         )
         self._forwarded = ForwardedRequests(
-            gateway, lambda: not self._is_stopping, self._can_deliver
+            gateway, lambda: not self._is_stopping, deliveries.can_deliver
         )
         self._rooms.on_news = self._start_round
         service = GatewayPeerService(
@@ -441,23 +449,9 @@
     def _running_requests(self) -> int:
         return self._ingress.running_requests + self._forwarded.running
 
-    def _can_deliver(self, service: str) -> bool:
-        if self._paths.is_cut(service):
-            return False
-        if not self._rooms.is_brittle(service):
-            return True
-        return any(
-            self._rooms.has_room(endpoint)
-            for endpoint in self._directory.find_ready(service)
-        )
-
-    def _live_peers(self, service: str) -> list[str]:
-        """Return the other instances that may deliver requests of a service."""
-        peers = set(self._membership.live_members(self._clock.now()))
-        peers.discard(self._settings.instance.id)
-        if self._rooms.is_brittle(service):
-            peers &= self._rooms.find_holders(self._directory.find_ready(service))
-        return sorted(peers)
+    def _has_adapter(self, engine: str, adapter: str) -> bool:
+        version = self._catalogue.newest_version(adapter)
+        return self._view.ready_at(engine, (adapter, version)) is not None
 
     def _start_round(self) -> None:
         self._tasks.start(self._gossip.run_round())
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -143,6 +143,8 @@
         Instance that received it from its caller, or empty if this one did.
     forwarded_to
         Instance to which it was handed over last, or empty.
+    is_taken_by_no_peer
+        Whether the peers that were asked have declined it, so that none is asked again.
     crash_check
         Check whether the last endpoint crashed, or None if none was started.
     """
@@ -176,8 +178,16 @@
     first_event_at: float | None = None
     received_by: str = ""
     forwarded_to: str = ""
+    is_taken_by_no_peer: bool = False
     crash_check: asyncio.Task[None] | None = None
 
+    @property
+    def adapter(self) -> str:
+        """MODEL/NAME of the adapter that it needs, or empty."""
+        if not self.metadata.adapter:
+            return ""
+        return f"{self.metadata.model}/{self.metadata.adapter}"
+
     @property
     def first_event_deadline(self) -> float:
         """Local time in seconds at which a caller without an event disconnects."""
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -317,10 +317,9 @@
         return excluded
 
     def _requested_adapter(self, call: Call) -> Adapter | None:
-        if not call.metadata.adapter:
+        if not call.adapter:
             return None
-        name = f"{call.metadata.model}/{call.metadata.adapter}"
-        return (name, self._newest_version(name))
+        return (call.adapter, self._newest_version(call.adapter))
 
     async def _ensure_adapter(
         self, call: Call, engine: str, adapter: Adapter | None, max_wait_s: float
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -25,6 +25,7 @@
 from chiveslip.gateway.call import EngineEstimate
 from chiveslip.gateway.crash_guard import CrashGuard
 from chiveslip.gateway.crash_guard import make_traits
+from chiveslip.gateway.delivery import Delivery
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
 from chiveslip.gateway.handover import ForwardedRequest
@@ -122,8 +123,8 @@
         Returns whether this instance accepts new requests.
     handover
         Has peers deliver requests for which this instance has no path.
-    can_deliver
-        Returns whether this instance has a path to a service, and room there.
+    choose_delivery
+        Returns who may deliver a request of a service that needs an adapter, or none.
     """
 
     clock: Clock
@@ -142,7 +143,7 @@
     live_instance_count: Callable[[], int]
     accepts_requests: Callable[[], bool]
     handover: Handover
-    can_deliver: Callable[[str], bool]
+    choose_delivery: Callable[[str, str], Delivery]
 
 
 @final
@@ -345,6 +346,9 @@
             if self._is_to_hand_over(call):
                 attempt = await self._hand_over(call, stream)
                 if attempt.result is AttemptResult.NOT_SENT:
+                    call.is_taken_by_no_peer = True
+                    if self._choose_delivery(call).is_local_possible:
+                        continue
                     target = _refusal(
                         result_codes.NO_ENDPOINT,
                         "This instance has no path to an endpoint or no room there; "
@@ -382,18 +386,24 @@
         return _final_refusal(call, attempt, target)
 
     def _is_to_hand_over(self, call: Call) -> bool:
-        """Return whether a peer has to deliver the request.
+        """Return whether a peer is asked to deliver the request.
 
         One that a peer has handed over is never passed on.
         """
-        return not call.received_by and not self._dependencies.can_deliver(call.service)
+        if call.received_by or call.is_taken_by_no_peer:
+            return False
+        return not self._choose_delivery(call).is_local_first
+
+    def _choose_delivery(self, call: Call) -> Delivery:
+        return self._dependencies.choose_delivery(call.service, call.adapter)
 
     async def _hand_over(self, call: Call, stream: StreamState) -> Attempt:
-        call.attempts += 1
         attempt = await self._dependencies.handover.deliver(
             call, stream, lambda: self._record_forwarded_event(call)
         )
         self._telemetry.record_handover(call, attempt)
+        if attempt.result is not AttemptResult.NOT_SENT:
+            call.attempts += 1
         if attempt.result not in (AttemptResult.NOT_SENT, AttemptResult.NOT_RUN):
             call.runs += 1
         return attempt
--- a/src/chiveslip/gateway/handover.py
+++ b/src/chiveslip/gateway/handover.py
@@ -159,9 +159,9 @@
 
     Parameters
     ----------
-    live_peers
-        Returns the names of the other live instances that may deliver requests of a
-        service.
+    find_peers
+        Returns the names of the other live instances that may deliver a request of a
+        service that needs an adapter, or none.
     """
 
     def __init__(
@@ -170,14 +170,14 @@
         instance: str,
         forwarder: PeerForwarder,
         protocol: GatewayProtocol,
-        live_peers: Callable[[str], list[str]],
+        find_peers: Callable[[str, str], list[str]],
         clock: Clock,
         generator: random.Random,
     ) -> None:
         self._instance = instance
         self._forwarder = forwarder
         self._protocol = protocol
-        self._live_peers = live_peers
+        self._find_peers = find_peers
         self._clock = clock
         self._random = generator
         self._skipped_until: dict[tuple[str, str], float] = {}
@@ -193,7 +193,7 @@
             `NOT_SENT` if no peer took the request.
         """
         detail = "no other instance can be asked"
-        for peer in self._choose_peers(call.service):
+        for peer in self._choose_peers(call):
             was_sent = False
             try:
                 max_s = self._remaining_s(call) + _DEADLINE_GRACE_S
@@ -302,15 +302,15 @@
             instance=self._instance,
         )
 
-    def _choose_peers(self, service: str) -> list[str]:
+    def _choose_peers(self, call: Call) -> list[str]:
         now = self._clock.now()
         self._skipped_until = {
             key: until for key, until in self._skipped_until.items() if until > now
         }
         peers = [
             peer
-            for peer in self._live_peers(service)
-            if (peer, service) not in self._skipped_until
+            for peer in self._find_peers(call.service, call.adapter)
+            if (peer, call.service) not in self._skipped_until
         ]
         return self._random.sample(peers, min(_MAX_PEERS, len(peers)))
 
--- a/src/chiveslip/gateway/paths.py
+++ b/src/chiveslip/gateway/paths.py
@@ -94,6 +94,11 @@
             self._recently_unreached(name) for name in self._services if name != service
         )
 
+    def may_reach(self, service: str) -> bool:
+        """Return whether a ready endpoint of a service may still be reached."""
+        endpoints = self._ready_endpoints(service)
+        return not self._recently_unreached(service).issuperset(endpoints)
+
     def services_to_probe(self) -> list[str]:
         """Return the services to whose endpoints the paths are in doubt."""
         return [
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -37,6 +37,7 @@
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.crash_detection import CrashDetector
 from chiveslip.gateway.crash_guard import CrashGuard
+from chiveslip.gateway.delivery import Deliveries
 from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import EndpointState
@@ -434,14 +435,18 @@
                     instance="here",
                     forwarder=forwarder,
                     protocol=dialect,
-                    live_peers=lambda _service: list(forwarder.peers),
+                    find_peers=lambda _service, _adapter: list(forwarder.peers),
                     clock=clock,
                     generator=generator,
                 ),
-                can_deliver=lambda service: (
-                    not paths.is_cut(service)
-                    and any(map(rooms.has_room, directory.find_ready(service)))
-                ),
+                choose_delivery=Deliveries(
+                    instance="here",
+                    directory=directory,
+                    paths=paths,
+                    rooms=rooms,
+                    live_instances=lambda: members,
+                    has_adapter=lambda _engine, _adapter: False,
+                ).choose,
             )
         )
         return GatewayHarness(
--- a/testing/gateway/test_handover.py
+++ b/testing/gateway/test_handover.py
@@ -12,6 +12,7 @@
 from tornado.httputil import HTTPHeaders
 
 from chiveslip import logs
+from chiveslip.gateway.delivery import Delivery
 from chiveslip.gateway.handover import AnswerPart
 from chiveslip.gateway.handover import ForwardedRequest
 from testing.gateway.conftest import DOWN
@@ -109,7 +110,10 @@
     harness = make_gateway(RESETS, peers=peers)
     gateway = harness.gateway
     gateway._dependencies = attrs.evolve(
-        gateway._dependencies, can_deliver=lambda _service: not harness.connector.sent
+        gateway._dependencies,
+        choose_delivery=lambda _service, _adapter: Delivery(
+            is_local_first=not harness.connector.sent, is_local_possible=False
+        ),
     )
     reply = harness.send_request("/freely/x")
     assert len(harness.connector.sent) == 1
@@ -117,6 +121,23 @@
     assert (reply.status, reply.headers["X-Result-Code"]) == (502, "1602")
 
 
+@pytest.mark.parametrize(
+    ("unreached", "status", "sent"),
+    [
+        pytest.param(["i-0", "i-1", "i-2"], 200, 1, id="one may be reached"),
+        pytest.param(["i-0", "i-1", "i-2", "i-3"], 503, 0, id="none is reached"),
+    ],
+)
+def test_request_that_no_peer_takes_is_tried_where_an_endpoint_may_be_reached(
+    make_gateway: MakeGateway, unreached: list[str], status: int, sent: int
+) -> None:
+    harness = make_gateway(peers={"peer": ScriptedPeer(declines=True)})
+    for endpoint in unreached:
+        harness.paths.record_not_opened("kiosk", endpoint)
+    reply = harness.send_request("/once/x")
+    assert (reply.status, len(harness.connector.sent)) == (status, sent)
+
+
 def test_request_that_a_peer_declines_late_goes_to_the_next(
     make_gateway: MakeGateway,
 ) -> None:
