Give up waits that lost paths hold up, so that peers can serve the requests

As an instance lost its paths, what it had sent in the second before was answered late or not at all: a connection whose packets are dropped fails after 2 to 3 s, and one whose far end still acknowledges (a proxy in between) not before the deadline. Resumable streams stalled for as long, and their callers leave after two seconds.

Once the loss is noticed, waits of requests that may be repeated are given up, unless answers of the service still arrive: connections that are open may outlive the path for new ones. Streams that all pause for 0.8 s put the paths in doubt, too; without that, a loss was not noticed by an instance that had only streams.

--- a/src/chiveslip/gateway/path_probing.py
+++ b/src/chiveslip/gateway/path_probing.py
@@ -44,7 +44,7 @@
             self._paths.record_not_opened(endpoint.service, endpoint.id)
             raise
         finally:
-            self._paths.record_answer(endpoint.service, waiting, is_answered=False)
+            self._paths.record_end(endpoint.service, waiting)
         if not exchange.reused:
             self._paths.record_opened(endpoint.service)
         return exchange
@@ -82,6 +82,9 @@
                 for service in self._choose_services():
                     self._start_probes(service)
                 self._log_changes()
+                given_up = self._paths.give_up_waiting()
+                if given_up:
+                    self._log.warning("Waits given up.", requests=given_up)
         finally:
             await self._tasks.close()
 
--- a/src/chiveslip/gateway/paths.py
+++ b/src/chiveslip/gateway/paths.py
@@ -21,6 +21,25 @@
 _EVIDENCE_S = 3.0
 # A service is probed if its endpoints have answered nothing for this long.
 _MAX_SILENCE_S = 0.4
+# The same if answers have begun: a busy engine may pause for longer between events.
+_MAX_PAUSE_S = 0.8
+
+
+@attrs.define
+class _Wait:
+    """A request whose answer is awaited.
+
+    Attributes
+    ----------
+    since
+        Local time in seconds at which it was sent, or at which its answer last went on.
+    give_up
+        Ends the wait, so that the request can be repeated; None if it cannot be.
+    """
+
+    since: float
+    give_up: Callable[[], None] | None
+    has_head: bool = False
 
 
 @attrs.define
@@ -31,12 +50,14 @@
     ----------
     unreached
         When connections to endpoints could not be opened, since one last could.
-    waiting
-        When each request without an answer was sent, by its number.
+    waits
+        Requests whose answers are not complete, by their numbers.
+    answered_at
+        When an answer last began or went on.
     """
 
     unreached: dict[str, float] = attrs.field(factory=dict)
-    waiting: dict[int, float] = attrs.field(factory=dict)
+    waits: dict[int, _Wait] = attrs.field(factory=dict)
     answered_at: float = float("-inf")
 
 
@@ -66,18 +87,53 @@
         """Record that no connection to an endpoint could be opened."""
         self._paths(service).unreached[endpoint] = self._clock.now()
 
-    def record_sent(self, service: str) -> int:
-        """Record that a request was sent; return its number for `record_answer`."""
+    def record_sent(
+        self, service: str, give_up: Callable[[], None] | None = None
+    ) -> int:
+        """Record that a request was sent, and return its number for the next calls.
+
+        Parameters
+        ----------
+        give_up
+            Ends the wait for the answer, so that the request can be repeated; None if
+            it may not be.
+        """
         self._next_number += 1
-        self._paths(service).waiting[self._next_number] = self._clock.now()
+        wait = _Wait(self._clock.now(), give_up)
+        self._paths(service).waits[self._next_number] = wait
         return self._next_number
 
-    def record_answer(self, service: str, number: int, *, is_answered: bool) -> None:
-        """Record that a request was answered, or is no longer waited for."""
+    def record_answer(self, service: str, number: int) -> None:
+        """Record that the answer to a request has begun or gone on."""
         paths = self._paths(service)
-        paths.waiting.pop(number, None)
-        if is_answered:
-            paths.answered_at = self._clock.now()
+        wait = paths.waits[number]
+        wait.has_head = True
+        wait.since = paths.answered_at = self._clock.now()
+
+    def record_end(self, service: str, number: int) -> None:
+        """Record that the answer to a request is no longer awaited."""
+        del self._paths(service).waits[number]
+
+    def give_up_waiting(self) -> int:
+        """End the waits for answers that the lost paths hold up; return their number.
+
+        A request that may be repeated has a better chance through a peer. Nothing is
+        given up while answers of the service still arrive: connections that are open
+        may outlive the path for new ones.
+        """
+        silent_since = self._clock.now() - _MAX_SILENCE_S
+        held_up = [
+            wait
+            for service, paths in self._services.items()
+            if paths.answered_at <= silent_since and self.is_cut(service)
+            for wait in paths.waits.values()
+            if wait.give_up is not None and wait.since <= silent_since
+        ]
+        for wait in held_up:
+            assert wait.give_up is not None
+            wait.give_up()
+            wait.give_up = None
+        return len(held_up)
 
     def is_cut(self, service: str) -> bool:
         """Return whether this instance has lost its paths to a service."""
@@ -108,9 +164,13 @@
         ]
 
     def _is_silent(self, paths: _ServicePaths) -> bool:
-        unanswered = [at for at in paths.waiting.values() if at > paths.answered_at]
         now = self._clock.now()
-        return bool(unanswered) and min(unanswered) < now - _MAX_SILENCE_S
+        return any(
+            now - paths.answered_at > _MAX_PAUSE_S
+            if wait.has_head
+            else paths.answered_at < wait.since < now - _MAX_SILENCE_S
+            for wait in paths.waits.values()
+        )
 
     def _recently_unreached(self, service: str) -> set[str]:
         paths = self._services.get(service)
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -40,6 +40,7 @@
 from chiveslip.gateway.protocol import ForwardingContext
 from chiveslip.gateway.protocol import GatewayProtocol
 from chiveslip.gateway.rooms import EndpointRooms
+from chiveslip.gateway.routing import RetryPolicy
 
 _MAX_BODY_BYTES = 8 << 20
 _MAX_STREAM_BYTES = 64 << 20
@@ -259,24 +260,57 @@
         call.was_sent = True
         call.sent_addresses.add(context.endpoint.address)
         call.attempt_times[-1].sent_at = self._clock.now()
-        waiting = self._paths.record_sent(call.service)
-        is_answered = False
+        may_repeat = call.route.retry_policy is not RetryPolicy.AT_MOST_ONCE
+        wait = self._paths.record_sent(
+            call.service, exchange.close if may_repeat else None
+        )
         try:
             await exchange.send(outgoing, self._build_limits(call))
             head = await exchange.head()
-            is_answered = True
+            self._paths.record_answer(call.service, wait)
+            return await self._forward(
+                exchange,
+                head,
+                call,
+                context.endpoint,
+                stream,
+                withholds_failure,
+                on_parts,
+                lambda: self._paths.record_answer(call.service, wait),
+            )
         except ResponseTimeoutError as error:
             return self._build_timeout_attempt(call, error)
         except ExchangeInterruptedError as error:
             return Attempt(result=AttemptResult.UNKNOWN, detail=str(error))
         finally:
-            self._paths.record_answer(call.service, waiting, is_answered=is_answered)
+            self._paths.record_end(call.service, wait)
+
+    async def _forward(
+        self,
+        exchange: Exchange,
+        head: ResponseHead,
+        call: Call,
+        endpoint: ListedEndpoint,
+        stream: StreamState,
+        withholds_failure: bool,
+        on_parts: Sequence[Callable[[], None]],
+        on_chunk: Callable[[], None],
+    ) -> Attempt:
+        """Forward an answer whose head was received.
+
+        Parameters
+        ----------
+        on_parts
+            Called when the first parts of a stream arrive, one for each.
+        on_chunk
+            Called when any part of a stream arrives.
+        """
         metadata = self._protocol.parse_answer(head.status, head.headers)
-        self._record_statement(context.endpoint, metadata.statement)
+        self._record_statement(endpoint, metadata.statement)
         if metadata.did_not_run:
             call.was_sent = False
             if not metadata.lacks_adapter:
-                self._rooms.record_refusal(context.endpoint)
+                self._rooms.record_refusal(endpoint)
             await exchange.skip_rest(_MAX_REFUSAL_BODY_S)
             lacks_adapter = metadata.lacks_adapter
             result = (
@@ -295,7 +329,9 @@
                 detail=f"the stream was not resumed: status {head.status}",
             )
         if is_stream:
-            return await self._forward_stream(exchange, head, call, stream, on_parts)
+            return await self._forward_stream(
+                exchange, head, call, stream, on_parts, on_chunk
+            )
         return await self._forward_whole(exchange, head, call, withholds_failure)
 
     def _record_statement(
@@ -337,19 +373,14 @@
         call: Call,
         stream: StreamState,
         on_parts: Sequence[Callable[[], None]],
+        on_chunk: Callable[[], None],
     ) -> Attempt:
-        """Forward a stream.
-
-        Parameters
-        ----------
-        on_parts
-            Called when its first parts arrive, one for each.
-        """
         splits_events = is_event_stream(head.headers)
         is_resumed = stream.has_head
         remaining_callbacks = list(reversed(on_parts))
         try:
             async for chunk in exchange.chunks():
+                on_chunk()
                 if remaining_callbacks:
                     remaining_callbacks.pop()()
                 part = stream.splitter.feed(chunk) if splits_events else chunk
--- a/testing/gateway/test_paths.py
+++ b/testing/gateway/test_paths.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from chiveslip.clock import ManualClock
@@ -74,6 +75,88 @@
     other = paths.record_sent("kiosk")
     clock.advance(answered_after_s or 0.0)
     if answered_after_s is not None:
-        paths.record_answer("kiosk", other, is_answered=True)
+        paths.record_answer("kiosk", other)
     clock.advance(silent_s - (answered_after_s or 0.0))
     assert paths.services_to_probe() == probes
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "probes"),
+    [
+        pytest.param(0.7, [], id="pause between events"),
+        pytest.param(0.9, ["kiosk"], id="long pause"),
+    ],
+)
+def test_service_whose_streams_all_pause_is_probed(
+    pause_s: float, probes: list[str]
+) -> None:
+    clock = ManualClock()
+    paths = EndpointPaths(clock, SERVICES.__getitem__)
+    for stream in [paths.record_sent("kiosk"), paths.record_sent("kiosk")]:
+        paths.record_answer("kiosk", stream)
+    clock.advance(pause_s)
+    assert paths.services_to_probe() == probes
+
+
+@attrs.define
+class Wait:
+    """A request whose answer is awaited at the paths of a service."""
+
+    paths: EndpointPaths
+    service: str
+    may_repeat: bool
+    is_given_up: bool = False
+    number: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        give_up = self.give_up if self.may_repeat else None
+        self.number = self.paths.record_sent(self.service, give_up)
+
+    def give_up(self) -> None:
+        self.is_given_up = True
+
+
+@pytest.mark.parametrize(
+    ("unreached", "may_repeat", "silent_s", "has_head", "is_given_up"),
+    [
+        pytest.param(["k1", "k2", "k3"], True, 0.5, False, True, id="before the head"),
+        pytest.param(["k1", "k2", "k3"], True, 0.5, True, True, id="within the answer"),
+        pytest.param(["k1", "k2", "k3"], False, 0.5, False, False, id="at most once"),
+        pytest.param(["k1", "k2", "k3"], True, 0.3, False, False, id="sent just now"),
+        pytest.param(["k1", "k2"], True, 0.5, False, False, id="two have failed"),
+    ],
+)
+def test_waits_that_the_lost_paths_hold_up_are_given_up(
+    unreached: list[str],
+    may_repeat: bool,
+    silent_s: float,
+    has_head: bool,
+    is_given_up: bool,
+) -> None:
+    clock = ManualClock()
+    paths = EndpointPaths(clock, SERVICES.__getitem__)
+    wait = Wait(paths, "kiosk", may_repeat)
+    other = Wait(paths, "pair", may_repeat=True)
+    if has_head:
+        paths.record_answer("kiosk", wait.number)
+    clock.advance(silent_s)
+    for endpoint in unreached:
+        paths.record_not_opened("kiosk", endpoint)
+    assert paths.give_up_waiting() == is_given_up
+    assert wait.is_given_up is is_given_up
+    assert not other.is_given_up
+    assert paths.give_up_waiting() == 0
+
+
+def test_nothing_is_given_up_while_open_connections_still_carry_answers() -> None:
+    clock = ManualClock()
+    paths = EndpointPaths(clock, SERVICES.__getitem__)
+    slow = Wait(paths, "kiosk", may_repeat=True)
+    stream = Wait(paths, "kiosk", may_repeat=True)
+    clock.advance(2.0)
+    paths.record_answer("kiosk", stream.number)
+    for endpoint in SERVICES["kiosk"]:
+        paths.record_not_opened("kiosk", endpoint)
+    assert paths.is_cut("kiosk")
+    assert paths.give_up_waiting() == 0
+    assert not slow.is_given_up
--- a/testing/platform/test_lost_paths.py
+++ b/testing/platform/test_lost_paths.py
@@ -20,6 +20,8 @@
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated.peer_grpc import GatewayPeerStub
 from chiveslip.settings.fields import Address
+from soak.proxy import Mode
+from soak.proxy import Proxy
 from testing.platform.gateways import GatewayCluster
 from testing.platform.gateways import Member
 from testing.platform.gateways import fetch
@@ -34,6 +36,8 @@
 LOAD_S = 3.0
 GOAL = 0.95
 EARLY_GOAL = 0.8
+EVENT_PAUSE_S = 0.3
+MAX_HELD_UP_S = 2.5
 # A loopback address on which no member runs.
 NO_MEMBERS_HOST = "127.0.0.2"
 
@@ -47,7 +51,13 @@
 
 
 class CuttableConnector(Connector):
-    """Connections of one gateway, of which those to endpoints can be cut."""
+    """Connections of one gateway, of which those to endpoints can be cut.
+
+    Attributes
+    ----------
+    proxies
+        Proxies that open connections run through, by the port of the endpoint.
+    """
 
     store_port = 0
     made: list[CuttableConnector] = []
@@ -55,9 +65,18 @@
     def __init__(self, clock: Clock, connect_timeout_s: float) -> None:
         self._pool = ConnectionPool(clock, connect_timeout_s)
         self.cut = Cut.NONE
+        self.proxies: dict[int, Proxy] = {}
         self.made.append(self)
 
+    def silence(self) -> None:
+        """Let new connections hang, and drop the bytes of open ones."""
+        self.cut = Cut.HANGING
+        for proxy in self.proxies.values():
+            proxy.mode = Mode.SILENCE
+
     async def open(self, address: Address, *, fresh: bool) -> Exchange:
+        if address.port in self.proxies:
+            address = Address(address.host, self.proxies[address.port].port)
         if address.port != self.store_port and self.cut is not Cut.NONE:
             if self.cut is Cut.HANGING:
                 await asyncio.sleep(CONNECT_TIMEOUT_S)
@@ -163,6 +182,49 @@
     assert cluster.kiosk.received_requests == []
 
 
+@pytest.mark.parametrize("has_begun", [False, True])
+async def test_stream_that_the_lost_paths_hold_up_goes_on_through_a_peer(
+    cluster: GatewayCluster, has_begun: bool
+) -> None:
+    members = await start_members(cluster, 3)
+    connector = CuttableConnector.made[0]
+    for engine in cluster.engines:
+        engine.models["m"].add("a7@1")
+        await cluster.store.put(f"servers/{engine.identity}", engine.build_entry("llm"))
+        proxy = connector.proxies[engine.port] = Proxy(engine.port)
+        await proxy.start()
+
+    async def is_served() -> bool:
+        answer = await send_request(members[0], "/urgent/x", adapter="a7")
+        return answer.code == 200
+
+    try:
+        await wait_until(is_served)
+        for engine in cluster.engines:
+            engine.pause_between_events_s = EVENT_PAUSE_S
+        sent = asyncio.create_task(
+            send_request(members[0], "/urgent/x", adapter="a7", request_id="held-up")
+        )
+        await asyncio.sleep(1.5 * EVENT_PAUSE_S if has_begun else 0.5 * EVENT_PAUSE_S)
+        connector.silence()
+        for engine in cluster.engines:
+            engine.pause_between_events_s = 0.0
+        async with asyncio.timeout(MAX_HELD_UP_S):
+            answer = await sent
+    finally:
+        for proxy in connector.proxies.values():
+            proxy.close()
+    events = [line for line in answer.body.split(b"\n") if line.startswith(b"id: ")]
+    assert (answer.code, events) == (200, [b"id: 1", b"id: 2", b"id: 3"])
+    runs = [
+        request.headers.get("Last-Event-Id", "")
+        for engine in cluster.engines
+        for request in engine.received_requests
+        if request.headers["X-Request-Id"] == "held-up"
+    ]
+    assert sorted(runs) == ["", "1"] if has_begun else ["", ""]
+
+
 async def _connect_from_elsewhere(channel: Channel) -> H2Protocol:
     loop = asyncio.get_running_loop()
     _, protocol = await loop.create_connection(
