Read from all answers of an endpoint what it says of itself

Endpoints that are brittle say so in all their answers. Instances read it from answers to callers' requests alone, so that an engine that was idle when its service became brittle was not known to be so before the first requests of a surge, and the coordinators, which read a report of each engine every second, told nobody.

One recorder now takes the statements of all answers (gateway/statement_recorder.py), also those to reports and orders, which so far took leaving and rest alone. test_answers_to_reports_and_orders_tell_that_engines_are_brittle shows it; before, a report recorded no such statement.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -65,6 +65,7 @@
 from chiveslip.gateway.rooms import EndpointRooms
 from chiveslip.gateway.sending import Sender
 from chiveslip.gateway.service_selection import ServiceTargetSelector
+from chiveslip.gateway.statement_recorder import StatementRecorder
 from chiveslip.gateway.telemetry import RequestTelemetry
 from chiveslip.generated.settings import Settings
 from chiveslip.services.endpoint_selector import EndpointSelector
@@ -108,7 +109,7 @@
 
     @abc.abstractmethod
     def make_engine_control(
-        self, connector: Connector, clock: Clock, statements: EndpointStatements
+        self, connector: Connector, clock: Clock, statements: StatementRecorder
     ) -> EngineControl:
         """Return the client for the reports and orders of engines."""
 
@@ -210,7 +211,8 @@
             has_quorum=self._has_quorum,
             clock=clock,
         )
-        control = interfaces.make_engine_control(connector, clock, self._statements)
+        recorder = StatementRecorder(self._statements, self._rooms)
+        control = interfaces.make_engine_control(connector, clock, recorder)
         self._coordinator = EngineCoordinator(
             rights=rights,
             control=control,
@@ -279,7 +281,7 @@
             protocol,
             clock,
             directory.accepts_work,
-            self._statements,
+            recorder,
             paths,
             self._rooms,
         )
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -32,8 +32,6 @@
 from chiveslip.dispatch.response_end import find_stream_fault
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.gateway.call import Call
-from chiveslip.gateway.endpoint_statements import EndpointStatement
-from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.event_stream import EventSplitter
 from chiveslip.gateway.paths import EndpointPaths
@@ -41,6 +39,7 @@
 from chiveslip.gateway.protocol import GatewayProtocol
 from chiveslip.gateway.rooms import EndpointRooms
 from chiveslip.gateway.routing import RetryPolicy
+from chiveslip.gateway.statement_recorder import StatementRecorder
 
 _MAX_BODY_BYTES = 8 << 20
 _MAX_STREAM_BYTES = 64 << 20
@@ -154,7 +153,7 @@
         protocol: GatewayProtocol,
         clock: Clock,
         accepts_work: Callable[[ListedEndpoint], bool],
-        statements: EndpointStatements,
+        statements: StatementRecorder,
         paths: EndpointPaths,
         rooms: EndpointRooms,
     ) -> None:
@@ -306,7 +305,7 @@
             Called when any part of a stream arrives.
         """
         metadata = self._protocol.parse_answer(head.status, head.headers)
-        self._record_statement(endpoint, metadata.statement)
+        self._statements.record(endpoint, metadata.statement)
         if metadata.did_not_run:
             call.was_sent = False
             if not metadata.lacks_adapter:
@@ -334,15 +333,6 @@
             )
         return await self._forward_whole(exchange, head, call, withholds_failure)
 
-    def _record_statement(
-        self, endpoint: ListedEndpoint, statement: EndpointStatement
-    ) -> None:
-        self._statements.record(endpoint.incarnation, statement)
-        if statement.max_refusals_per_s is not None:
-            self._rooms.record_brittle(
-                endpoint.service, statement.max_refusals_per_s, 0.0, source=endpoint.id
-            )
-
     async def _forward_whole(
         self,
         exchange: Exchange,
--- a/src/chiveslip/platform/main.py
+++ b/src/chiveslip/platform/main.py
@@ -19,9 +19,9 @@
 from chiveslip.daemon.gateway import PlatformInterfaces
 from chiveslip.dispatch.connection import Connector
 from chiveslip.gateway.catalogue import Catalogue
-from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.engine_control import EngineControl
 from chiveslip.gateway.protocol import GatewayProtocol
+from chiveslip.gateway.statement_recorder import StatementRecorder
 from chiveslip.generated.settings import Settings
 from chiveslip.platform import entry_order
 from chiveslip.platform.catalogue_updater import CatalogueUpdater
@@ -53,7 +53,7 @@
         return PlatformStore(connector, store.address, store.timeout)
 
     def make_engine_control(
-        self, connector: Connector, clock: Clock, statements: EndpointStatements
+        self, connector: Connector, clock: Clock, statements: StatementRecorder
     ) -> EngineControl:
         """Return the client for reports and orders of engines."""
         return ReplicaControl(connector, clock, statements)
--- a/src/chiveslip/platform/replicas.py
+++ b/src/chiveslip/platform/replicas.py
@@ -14,7 +14,6 @@
 from chiveslip.dispatch.connection import ResponseTimeoutError
 from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_limits import ResponseLimits
-from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_control import EngineControl
@@ -23,6 +22,7 @@
 from chiveslip.gateway.engine_control import EngineReport
 from chiveslip.gateway.engine_control import OrderAnswer
 from chiveslip.gateway.engine_control import OtherEngineError
+from chiveslip.gateway.statement_recorder import StatementRecorder
 from chiveslip.platform import fields
 from chiveslip.platform.fields import UnreadableError
 from chiveslip.platform.protocol import parse_statement
@@ -112,7 +112,7 @@
     """Reads reports and sends orders over HTTP."""
 
     def __init__(
-        self, connector: Connector, clock: Clock, statements: EndpointStatements
+        self, connector: Connector, clock: Clock, statements: StatementRecorder
     ) -> None:
         self._connector = connector
         self._clock = clock
@@ -125,7 +125,7 @@
             path="/chiveslip/report",
             headers={_EXPECTED_INSTANCE: engine.id},
         )
-        if self._statements.rest_s(engine.incarnation):
+        if self._statements.is_resting(engine):
             raise EngineControlError("report: the engine asked for rest")
         try:
             status, body = await self._send(engine, outgoing, lambda: True)
@@ -186,7 +186,7 @@
         )
 
         def may_order() -> bool:
-            return may_send() and not self._statements.is_leaving(engine.incarnation)
+            return may_send() and not self._statements.is_leaving(engine)
 
         try:
             status, _ = await self._send(engine, outgoing, may_order)
@@ -208,12 +208,12 @@
         except ConnectError as error:
             raise EngineControlError(str(error)) from error
         try:
-            if not may_send() or self._statements.rest_s(engine.incarnation):
+            if not may_send() or self._statements.is_resting(engine):
                 raise _WithheldError
             await exchange.send(outgoing, _RESPONSE_LIMITS)
             head = await exchange.head()
             statement = parse_statement(head.status, head.headers)
-            self._statements.record(engine.incarnation, statement)
+            self._statements.record(engine, statement)
             body = await exchange.body()
         except ResponseTimeoutError as error:
             raise EngineControlError(str(error)) from error
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -65,6 +65,7 @@
 from chiveslip.gateway.routing import group_by_host
 from chiveslip.gateway.sending import Sender
 from chiveslip.gateway.service_selection import ServiceTargetSelector
+from chiveslip.gateway.statement_recorder import StatementRecorder
 from chiveslip.gateway.telemetry import RequestTelemetry
 from chiveslip.platform.protocol import PlatformProtocol
 from chiveslip.platform.replicas import ReplicaControl
@@ -361,6 +362,7 @@
         connector = connector or ScriptedConnector(list(script))
         statements = EndpointStatements(clock)
         rooms = EndpointRooms("here", lambda: members, clock)
+        recorder = StatementRecorder(statements, rooms)
         directory = EndpointDirectory(statements, rooms.has_room)
         for index in range(4):
             directory.put(
@@ -389,7 +391,7 @@
         )
         watched = WatchedConnector(connector, directory, paths)
         sender = Sender(
-            watched, dialect, clock, directory.accepts_work, statements, paths, rooms
+            watched, dialect, clock, directory.accepts_work, recorder, paths, rooms
         )
         telemetry = RequestTelemetry(GatewayMetrics(), clock)
         gateway = Gateway(
@@ -417,7 +419,7 @@
                     parts=parts,
                     detector=CrashDetector(
                         sender,
-                        ReplicaControl(connector, clock, statements),
+                        ReplicaControl(connector, clock, recorder),
                         lambda endpoint: directory.sample_others(endpoint, generator),
                     ),
                     may_try=lambda _part: True,
--- a/testing/platform/test_endless_responses.py
+++ b/testing/platform/test_endless_responses.py
@@ -17,6 +17,8 @@
 from chiveslip.gateway.engine_control import EngineControlError
 from chiveslip.gateway.engine_control import EngineOrder
 from chiveslip.gateway.engine_control import Operation
+from chiveslip.gateway.rooms import EndpointRooms
+from chiveslip.gateway.statement_recorder import StatementRecorder
 from chiveslip.platform.replicas import ReplicaControl
 from chiveslip.platform.replicas import read_endpoint
 from chiveslip.platform.store import PlatformStore
@@ -63,10 +65,16 @@
     return read_endpoint("servers/i-1", json.dumps(entry).encode())
 
 
+def control(pool: ConnectionPool) -> ReplicaControl:
+    clock = SystemClock()
+    rooms = EndpointRooms("here", lambda: ("here",), clock)
+    return ReplicaControl(
+        pool, clock, StatementRecorder(EndpointStatements(clock), rooms)
+    )
+
+
 async def read_report(pool: ConnectionPool, address: Address) -> None:
-    await ReplicaControl(
-        pool, SystemClock(), EndpointStatements(SystemClock())
-    ).read_report(listed_engine(address))
+    await control(pool).read_report(listed_engine(address))
 
 
 async def send_order(pool: ConnectionPool, address: Address) -> None:
@@ -78,8 +86,7 @@
         fence=1,
         after_orders=0,
     )
-    control = ReplicaControl(pool, SystemClock(), EndpointStatements(SystemClock()))
-    await control.send_order(listed_engine(address), order, lambda: True)
+    await control(pool).send_order(listed_engine(address), order, lambda: True)
 
 
 async def read_all(pool: ConnectionPool, address: Address) -> None:
--- a/testing/platform/test_replicas.py
+++ b/testing/platform/test_replicas.py
@@ -6,6 +6,8 @@
 import json
 import math
 from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Mapping
 from typing import Any
 
 import pytest
@@ -28,6 +30,8 @@
 from chiveslip.gateway.engine_control import EngineOrder
 from chiveslip.gateway.engine_control import Operation
 from chiveslip.gateway.engine_control import OrderAnswer
+from chiveslip.gateway.rooms import EndpointRooms
+from chiveslip.gateway.statement_recorder import StatementRecorder
 from chiveslip.platform.fields import UnreadableError
 from chiveslip.platform.replicas import ReplicaControl
 from chiveslip.platform.replicas import read_endpoint
@@ -57,8 +61,10 @@
     assert endpoint.adapters == {("m/a1", 2), ("m/a2", 1)}
 
 
-def statements() -> EndpointStatements:
-    return EndpointStatements(ManualClock())
+def statements(rooms: EndpointRooms | None = None) -> StatementRecorder:
+    clock = ManualClock()
+    rooms = rooms or EndpointRooms("here", lambda: ("here",), clock)
+    return StatementRecorder(EndpointStatements(clock), rooms)
 
 
 @pytest.mark.parametrize(
@@ -95,9 +101,12 @@
 class FixedResponseConnector(Exchange, Connector):
     """Connector whose exchanges all return the same response."""
 
-    def __init__(self, status: int, body: bytes) -> None:
+    def __init__(
+        self, status: int, body: bytes, headers: Mapping[str, str] | None = None
+    ) -> None:
         self._status = status
         self._body = body
+        self._headers = HTTPHeaders(headers or {})
         self.sent_requests: list[OutgoingRequest] = []
         self.on_open: Callable[[], None] = lambda: None
 
@@ -123,7 +132,7 @@
     async def head(self, max_wait_s: float = math.inf) -> ResponseHead:
         if not self._status:
             raise ExchangeInterruptedError("reset")
-        return ResponseHead(status=self._status, headers=HTTPHeaders())
+        return ResponseHead(status=self._status, headers=self._headers)
 
     async def chunks(self, max_idle_s: float = math.inf):
         yield self._body
@@ -244,7 +253,7 @@
 def test_resting_engine_gets_no_reads_of_its_report() -> None:
     connector = FixedResponseConnector(200, b"{}")
     resting = statements()
-    resting.record(ENGINE.incarnation, EndpointStatement(rest_s=5.0))
+    resting.record(ENGINE, EndpointStatement(rest_s=5.0))
     control = ReplicaControl(connector, ManualClock(), resting)
     with pytest.raises(EngineControlError, match="asked for rest"):
         asyncio.run(control.read_report(ENGINE))
@@ -263,8 +272,30 @@
 ) -> None:
     connector = FixedResponseConnector(202, b"")
     declining = statements()
-    connector.on_open = lambda: declining.record(ENGINE.incarnation, statement)
+    connector.on_open = lambda: declining.record(ENGINE, statement)
     control = ReplicaControl(connector, ManualClock(), declining)
     answer = asyncio.run(control.send_order(ENGINE, build_order(), lambda: True))
     assert answer is OrderAnswer.WITHHELD
     assert not connector.sent_requests
+
+
+async def read_report(control: ReplicaControl) -> None:
+    await control.read_report(ENGINE)
+
+
+async def send_order(control: ReplicaControl) -> None:
+    await control.send_order(ENGINE, build_order(), lambda: True)
+
+
+@pytest.mark.parametrize("ask", [read_report, send_order])
+def test_answers_to_reports_and_orders_tell_that_engines_are_brittle(
+    ask: Callable[[ReplicaControl], Coroutine[Any, Any, None]],
+) -> None:
+    connector = FixedResponseConnector(
+        200, b'{"sequence": 2, "models": []}', {"Server-Brittle": "2"}
+    )
+    rooms = EndpointRooms("here", lambda: ("here",), ManualClock())
+    control = ReplicaControl(connector, ManualClock(), statements(rooms))
+    asyncio.run(ask(control))
+    (brittle,) = rooms.brittle_services()
+    assert (brittle.service, brittle.refusals_per_s) == ("llm", 2.0)
