Tell with a handed-over answer which endpoints leave

An instance that passes an answer with "leaving" on to its caller sends that endpoint nothing half a second later. If a peer had delivered the request, only the peer knew of it at that moment; the instance learnt it with a later round of gossip, in a large fleet after several.

The head of an answer through a peer now names the endpoints of the service that leave, and they are recorded before the answer is passed on. Old builds ignore the field, and send none. test_endpoint_that_leaves_by_an_answer_through_a_peer_gets_no_request failed before.

--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -702,6 +702,7 @@
                     instance=name,
                     forwarder=cast(PeerForwarder, SimulatedPeers(fleet)),
                     protocol=SimulatedProtocol(),
+                    statements=EndpointStatements(clock),
                     find_peers=lambda _service, _adapter: [],
                     clock=clock,
                     generator=fleet.random,
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -364,6 +364,7 @@
                     instance=settings.instance.id,
                     forwarder=self._peers,
                     protocol=protocol,
+                    statements=self._statements,
                     find_peers=deliveries.find_peers,
                     clock=clock,
                     generator=self._random,
@@ -372,7 +373,10 @@
             )
         )
         self._forwarded = ForwardedRequests(
-            gateway, lambda: not self._is_stopping, deliveries.can_deliver
+            gateway,
+            lambda: not self._is_stopping,
+            deliveries.can_deliver,
+            directory.find_leaving,
         )
         self._rooms.on_news = self._start_round
         service = GatewayPeerService(
--- a/src/chiveslip/fleet/forwarded_exchange.py
+++ b/src/chiveslip/fleet/forwarded_exchange.py
@@ -10,6 +10,7 @@
 from grpclib.client import Stream
 from tornado.httputil import HTTPHeaders
 
+from chiveslip.fleet.incarnations import decode_incarnations
 from chiveslip.gateway.handover import AnswerPart
 from chiveslip.gateway.handover import ForwardedExchange
 from chiveslip.gateway.handover import ForwardedRequest
@@ -58,6 +59,9 @@
                 is_end=part.is_end,
                 was_not_run=part.was_not_run,
                 is_declined=part.is_declined,
+                leaving=decode_incarnations(
+                    part.leaving_endpoints, source="answer through a peer"
+                ),
             )
 
 
--- a/src/chiveslip/fleet/forwarding.py
+++ b/src/chiveslip/fleet/forwarding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from typing import final
 
 from grpclib.server import Stream
@@ -9,6 +11,8 @@
 
 from chiveslip.fleet.forwarded_exchange import decode_headers
 from chiveslip.fleet.forwarded_exchange import encode_headers
+from chiveslip.fleet.incarnations import encode_incarnation
+from chiveslip.gateway.endpoint_statements import Incarnation
 from chiveslip.gateway.forwarded import ForwardedOutcome
 from chiveslip.gateway.forwarded import ForwardedRequests
 from chiveslip.gateway.handover import ForwardedRequest
@@ -18,10 +22,21 @@
 
 @final
 class PeerReply(Reply):
-    """Passes an answer back to the instance that received the request."""
-
-    def __init__(self, stream: Stream[wire.ForwardMessage, wire.ForwardPart]) -> None:
+    """Passes an answer back to the instance that received the request.
+
+    Parameters
+    ----------
+    find_leaving
+        Returns the endpoints of the service that have said that they leave.
+    """
+
+    def __init__(
+        self,
+        stream: Stream[wire.ForwardMessage, wire.ForwardPart],
+        find_leaving: Callable[[], Iterable[Incarnation]],
+    ) -> None:
         self._stream = stream
+        self._find_leaving = find_leaving
         self._status = 0
         self._head: wire.ForwardPart | None = None
         self._has_ended = False
@@ -46,7 +61,11 @@
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Keep the head of the answer, which is sent with the next part."""
         self._status = status
-        self._head = wire.ForwardPart(status=status, headers=encode_headers(headers))
+        self._head = wire.ForwardPart(
+            status=status,
+            headers=encode_headers(headers),
+            leaving_endpoints=map(encode_incarnation, self._find_leaving()),
+        )
 
     async def write(self, chunk: bytes) -> None:
         """Send a part of the body and wait until the peer has room for it."""
@@ -91,7 +110,7 @@
         message = await stream.recv_message()
         if message is None or not message.HasField("request"):
             return
-        reply = PeerReply(stream)
+        reply = PeerReply(stream, lambda: requests.find_leaving(offer.service))
         outcome = await requests.answer(_decode_request(message.request), reply)
         await reply.finish(outcome)
 
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -24,6 +24,8 @@
 from chiveslip.fleet.gossip_schedule import GossipSchedule
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
 from chiveslip.fleet.gossip_updates import EngineUseUpdate
+from chiveslip.fleet.incarnations import decode_incarnations
+from chiveslip.fleet.incarnations import encode_incarnation
 from chiveslip.fleet.membership import Membership
 from chiveslip.fleet.membership import MemberUpdate
 from chiveslip.fleet.membership import has_just_started
@@ -36,7 +38,6 @@
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.endpoint_statements import EndpointStatement
 from chiveslip.gateway.endpoint_statements import EndpointStatements
-from chiveslip.gateway.endpoint_statements import Incarnation
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
 from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_view import EngineView
@@ -186,11 +187,7 @@
                 suspect.crashes.add(endpoint=endpoint, age_seconds=now - crashed_at)
         self._add_part_suspects(message, now, is_for_newcomer=is_for_newcomer)
         for leaving in parts.statements.leaving():
-            message.leaving_endpoints.add(
-                endpoint=leaving.endpoint,
-                started=leaving.started,
-                address=str(leaving.address),
-            )
+            message.leaving_endpoints.append(encode_incarnation(leaving))
         for brittle in parts.rooms.brittle_services():
             message.brittle_services.add(
                 service=brittle.service,
@@ -321,18 +318,10 @@
                 suspects.record_peer_crash(suspect.part, crash.endpoint, known, now)
 
     def _apply_leaving_endpoints(self, message: wire.Gossip) -> None:
-        for leaving in message.leaving_endpoints:
-            try:
-                address = _parse_address(leaving.address)
-            except ValueError as error:
-                self._log.warning(
-                    "Address of a leaving endpoint is invalid.",
-                    peer=message.sender.instance,
-                    endpoint=leaving.endpoint,
-                    cause=str(error),
-                )
-                continue
-            incarnation = Incarnation(leaving.endpoint, leaving.started, address)
+        leaving = decode_incarnations(
+            message.leaving_endpoints, source=message.sender.instance
+        )
+        for incarnation in leaving:
             self._parts.statements.record(
                 incarnation, EndpointStatement(is_leaving=True)
             )
--- a/src/chiveslip/gateway/endpoints.py
+++ b/src/chiveslip/gateway/endpoints.py
@@ -161,6 +161,14 @@
         )
         return min((rest_s for rest_s in rests if rest_s > 0), default=0.0)
 
+    def find_leaving(self, service: str) -> list[Incarnation]:
+        """Return the endpoints of `service` that have said that they leave."""
+        return [
+            endpoint.incarnation
+            for endpoint in self._find_listed_ready(service)
+            if self._statements.is_leaving(endpoint.incarnation)
+        ]
+
     def find_ready(self, service: str) -> list[ListedEndpoint]:
         """Return the endpoints of `service` that are not leaving, sorted by id."""
         if self._statements.is_empty:
--- a/src/chiveslip/gateway/forwarded.py
+++ b/src/chiveslip/gateway/forwarded.py
@@ -6,8 +6,10 @@
 import enum
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 from typing import final
 
+from chiveslip.gateway.endpoint_statements import Incarnation
 from chiveslip.gateway.forwarding import Gateway
 from chiveslip.gateway.handover import ForwardedRequest
 from chiveslip.gateway.reply import Reply
@@ -37,6 +39,8 @@
         Returns whether this instance accepts new requests.
     can_deliver
         Returns whether this instance has a path to a service, and room there.
+    find_leaving
+        Returns the endpoints of a service that have said that they leave.
     """
 
     def __init__(
@@ -44,10 +48,12 @@
         gateway: Gateway,
         accepts_requests: Callable[[], bool],
         can_deliver: Callable[[str], bool],
+        find_leaving: Callable[[str], Sequence[Incarnation]],
     ) -> None:
         self._gateway = gateway
         self._accepts_requests = accepts_requests
         self._can_deliver = can_deliver
+        self._find_leaving = find_leaving
         self._running = 0
 
     @property
@@ -55,6 +61,10 @@
         """Number of requests that are accepted and not yet answered."""
         return self._running
 
+    def find_leaving(self, service: str) -> Sequence[Incarnation]:
+        """Return the endpoints of a service that have said that they leave."""
+        return self._find_leaving(service)
+
     @contextlib.contextmanager
     def reserve(self, service: str) -> Iterator[bool]:
         """Provide whether a request of a service is accepted, and count it."""
--- a/src/chiveslip/gateway/handover.py
+++ b/src/chiveslip/gateway/handover.py
@@ -13,6 +13,7 @@
 import random
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Sequence
 from contextlib import AbstractAsyncContextManager
 from typing import final
 
@@ -21,6 +22,9 @@
 
 from chiveslip.clock import Clock
 from chiveslip.gateway.call import Call
+from chiveslip.gateway.endpoint_statements import EndpointStatement
+from chiveslip.gateway.endpoint_statements import EndpointStatements
+from chiveslip.gateway.endpoint_statements import Incarnation
 from chiveslip.gateway.protocol import GatewayProtocol
 from chiveslip.gateway.sending import Attempt
 from chiveslip.gateway.sending import AttemptResult
@@ -34,6 +38,7 @@
 _UNREACHED_S = 0.5
 # An answer that the peer gives up at the deadline may take this long to arrive.
 _DEADLINE_GRACE_S = 0.15
+_LEAVING = EndpointStatement(is_leaving=True)
 
 
 class ForwardingError(Exception):
@@ -86,6 +91,8 @@
         Whether it is a refusal of a request that certainly did not run.
     is_declined
         Whether the request did not run because the peer reaches no endpoint either.
+    leaving
+        Endpoints of the service that have said to the peer that they leave.
     """
 
     status: int
@@ -94,6 +101,7 @@
     is_end: bool
     was_not_run: bool
     is_declined: bool
+    leaving: Sequence[Incarnation] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -170,6 +178,7 @@
         instance: str,
         forwarder: PeerForwarder,
         protocol: GatewayProtocol,
+        statements: EndpointStatements,
         find_peers: Callable[[str, str], list[str]],
         clock: Clock,
         generator: random.Random,
@@ -177,6 +186,7 @@
         self._instance = instance
         self._forwarder = forwarder
         self._protocol = protocol
+        self._statements = statements
         self._find_peers = find_peers
         self._clock = clock
         self._random = generator
@@ -233,6 +243,9 @@
             if part.is_declined:
                 call.was_sent = False
                 raise RequestDeclinedError("the peer reaches no endpoint either")
+            for incarnation in part.leaving:
+                # The answer to the caller may say so, too.
+                self._statements.record(incarnation, _LEAVING)
             if part.status:
                 head = _Head(status=part.status, headers=part.headers)
             if part.was_not_run:
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -437,6 +437,7 @@
                     instance="here",
                     forwarder=forwarder,
                     protocol=dialect,
+                    statements=statements,
                     find_peers=lambda _service, _adapter: list(forwarder.peers),
                     clock=clock,
                     generator=generator,
--- a/testing/gateway/test_handover.py
+++ b/testing/gateway/test_handover.py
@@ -138,6 +138,24 @@
     assert (reply.status, len(harness.connector.sent)) == (status, sent)
 
 
+def test_endpoint_that_leaves_by_an_answer_through_a_peer_gets_no_request(
+    make_gateway: MakeGateway,
+) -> None:
+    harness = make_gateway(peers={"peer": ScriptedPeer()})
+    leaving = [e.incarnation for e in harness.directory.by_id.values()][:3]
+    answer = attrs.evolve(
+        part(b"answer", status=200, is_end=True), leaving=tuple(leaving)
+    )
+    harness.forwarder.peers["peer"].parts = (answer,)
+    harness.lose_paths()
+    assert harness.send_request("/once/x").status == 200
+    harness.paths.record_opened("kiosk")
+    for _ in range(8):
+        assert harness.send_request("/once/x").status == 200
+    endpoints = {s.headers["X-Expected-Instance"] for s in harness.connector.sent}
+    assert endpoints == {"i-3"}
+
+
 def test_request_that_a_peer_declines_late_goes_to_the_next(
     make_gateway: MakeGateway,
 ) -> None:
