Know the start of an endpoint by its start time, not by its address

A start time that is published identifies the start; the address does only where there is none. test_statement_holds_for_the_start_that_made_it[listed with another address] failed before.

--- a/src/chiveslip/gateway/endpoint_statements.py
+++ b/src/chiveslip/gateway/endpoint_statements.py
@@ -43,9 +43,9 @@
 NO_STATEMENT = EndpointStatement()
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class Incarnation:
-    """One start of an endpoint.
+    """One start of an endpoint, known by its start time or else by its address.
 
     Attributes
     ----------
@@ -57,6 +57,16 @@
     started: int
     address: Address
 
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Incarnation) and self._key == other._key
+
+    def __hash__(self) -> int:
+        return hash(self._key)
+
+    @property
+    def _key(self) -> tuple[str, int, Address | None]:
+        return self.endpoint, self.started, None if self.started else self.address
+
 
 @final
 class EndpointStatements:
--- a/testing/gateway/test_endpoint_statements.py
+++ b/testing/gateway/test_endpoint_statements.py
@@ -11,6 +11,8 @@
 from chiveslip.clock import ManualClock
 from chiveslip.gateway.endpoint_statements import MAX_REST_S
 from chiveslip.gateway.endpoint_statements import EndpointStatement
+from chiveslip.gateway.endpoint_statements import EndpointStatements
+from chiveslip.gateway.endpoint_statements import Incarnation
 from chiveslip.settings.fields import Address
 from testing.gateway.conftest import Behaviour
 from testing.gateway.conftest import GatewayHarness
@@ -83,6 +85,26 @@
     assert harness.send_request("/once/x").status == 200
 
 
+@pytest.mark.parametrize(
+    ("started", "next_started", "next_port", "is_same"),
+    [
+        pytest.param(5, 5, 8001, True, id="listed with another address"),
+        pytest.param(5, 6, 8000, False, id="next start"),
+        pytest.param(0, 0, 8000, True, id="no start time"),
+        pytest.param(0, 0, 8001, False, id="no start time, another address"),
+    ],
+)
+def test_statement_holds_for_the_start_that_made_it(
+    started: int, next_started: int, next_port: int, is_same: bool
+) -> None:
+    statements = EndpointStatements(ManualClock())
+    said = Incarnation("i-0", started, Address("10.0.0.1", 8000))
+    statements.record(said, EndpointStatement(is_leaving=True, rest_s=5.0))
+    listed = Incarnation("i-0", next_started, Address("10.0.0.1", next_port))
+    assert statements.is_leaving(listed) is is_same
+    assert (statements.rest_s(listed) > 0) is is_same
+
+
 @pytest.mark.parametrize(
     ("value", "rest_s"),
     [
