Play leaving, resting and brittle endpoints and lost paths in the soak

The soak played none of what endpoints say of themselves, and its gateways shared their paths to the replicas, so none could lose them alone. Each gateway now has a proxy of its own to each replica, by a view of the store with other addresses; a proxy can refuse new connections or let them hang in the queue of its port. A further series of faults lets replicas say that they leave and start again, ask for rest, be brittle at one or two refusals a second, and lets a gateway lose its paths in three ways, beside the three series there were.

Checked are: nothing reaches a leaving replica from a gateway half a second after that has passed its answer on; at most two requests in a time of rest; no more falls than two and a tenth of the replicas; a gateway without paths serves its callers two thirds as often as the others (the users' bounds and excuses). `--without` switches one of the four mechanisms off.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,15 +1,17 @@
 """Run the soak test: ``python -m soak --seeds 5 --seconds 20 [--first-seed N]``.
 
 Starts three gateway processes between stand-ins for the store and the model replicas,
-with a proxy in front of each replica, and injects overlapping faults. Exits with 1 if
-a seed shows a violation; the logs of all seeds are kept. Signals are sent only to
-processes that the soak started.
+with a proxy between each gateway and each replica, and injects overlapping faults.
+Exits with 1 if a seed shows a violation; the logs of all seeds are kept. Signals are
+sent only to processes that the soak started. ``--without NAME`` switches a mechanism
+off.
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import bisect
 import logging
 import random
 import signal
@@ -25,12 +27,18 @@
 
 from local.processes import free_ports
 from soak import checks
+from soak import endpoint_checks
 from soak.checks import SentRequest
+from soak.endpoint_checks import CutTime
+from soak.endpoint_checks import SentArrival
 from soak.gateways import GatewayProcess
 from soak.gateways import Ports
 from soak.proxy import Mode
 from soak.proxy import Proxy
+from soak.switched_off import SWITCHES
 from testing.platform.published import build_configuration
+from testing.platform.standins import Arrival
+from testing.platform.standins import BrittleTime
 from testing.platform.standins import ReplicaStandIn
 from testing.platform.standins import StoreStandIn
 
@@ -46,6 +54,12 @@
 # The gateway ends each answer by the deadline; frozen ones do so later.
 DEADLINE_S = 4.0
 REQUEST_TIMEOUT_S = 20.0
+# Slots of a plain endpoint, so few that the callers fill them while it is brittle.
+PLAIN_SLOTS = 2
+BRITTLE_ANSWER_S = 0.2
+# Time that endpoints grant before they count what they refuse.
+BRITTLE_NOTICE_S = 2.0
+REFUSING_S = 0.3
 
 
 def operator_configuration(version: int, keys: list[str]) -> dict[str, Any]:
@@ -58,20 +72,23 @@
 class Soak:
     """Gateways, stand-ins, clients and faults of one seed."""
 
-    def __init__(self, seed: int, folder: Path, gateways: int) -> None:
+    def __init__(self, seed: int, folder: Path, gateways: int, without: str) -> None:
         self._random = random.Random(seed)
+        self._folder = folder
+        self._without = without
+        self._ports = _allocate_ports(gateways)
         self._store = StoreStandIn()
         self._replicas = [ReplicaStandIn(name) for name in ("k1", "k2", "e1", "e2")]
-        self._proxies = [Proxy(replica.port) for replica in self._replicas]
-        ports = _allocate_ports(gateways)
-        seeds = ",".join(f"127.0.0.1:{port.peers}" for port in ports[:SEED_COUNT])
-        self._gateways = [
-            GatewayProcess(f"g{n}", port, seeds, self._store.port, folder)
-            for n, port in enumerate(ports)
-        ]
+        self._proxies: dict[str, dict[str, Proxy]] = {}
+        # Gateways by the local ports of the connections to replicas made for them.
+        self._senders: dict[int, str] = {}
+        self._gateways: list[GatewayProcess] = []
         self._keys = [f"{KEY_PREFIX}0"]
         self._withdrawn: dict[str, float] = {}
         self._requests: list[SentRequest] = []
+        self._brittle_times: list[list[BrittleTime]] = []
+        self._cuts: list[CutTime] = []
+        self._cut_gateway = ""
         self._version = 1
         self._entries: dict[str, dict[str, Any]] = {}
         self._client = AsyncHTTPClient(force_instance=True, max_clients=200)
@@ -84,21 +101,28 @@
             self._close()
 
     async def _run(self, seconds: float) -> list[str]:
-        for replica, proxy in zip(self._replicas, self._proxies, strict=True):
-            await proxy.start()
-            service = "kiosk" if replica.identity.startswith("k") else "llm"
-            entry = replica.build_entry(service, address=f"127.0.0.1:{proxy.port}")
-            self._entries[f"servers/{replica.identity}"] = entry
+        for replica in self._replicas:
+            self._update_entry(replica)
         await self._write_store()
+        seeds = ",".join(f"127.0.0.1:{port.peers}" for port in self._ports[:SEED_COUNT])
+        for number, ports in enumerate(self._ports):
+            name = f"g{number}"
+            store_port = self._store.add_view(await self._start_proxies(name))
+            self._gateways.append(
+                GatewayProcess(
+                    name, ports, seeds, store_port, self._folder, self._without
+                )
+            )
         for gateway in self._gateways:
             gateway.start()
         await self._wait_until_served()
         clients = [asyncio.create_task(self._run_client(n)) for n in range(CLIENTS)]
         faults = [asyncio.create_task(self._inject_faults()) for _ in range(2)]
         faults.append(asyncio.create_task(self._inject_response_faults()))
+        faults.append(asyncio.create_task(self._inject_endpoint_faults()))
         await asyncio.sleep(seconds)
         await _cancel(faults)
-        self._clear_faults()
+        await self._clear_faults()
         violations = (
             []
             if await self._wait_until_served()
@@ -115,9 +139,76 @@
         print(
             f"  {len(self._requests)} requests, {served} served, {len(received)} runs"
         )
-        return violations + checks.find_violations(
+        violations += checks.find_violations(
             self._requests, received, self._withdrawn, KEY_PREFIX, DEADLINE_S
         )
+        return violations + self._find_endpoint_violations()
+
+    def _find_endpoint_violations(self) -> list[str]:
+        asked_at = {each.request_id: each.sent_at for each in self._requests}
+        arrivals = [
+            SentArrival(
+                endpoint=replica.identity,
+                arrival=arrival,
+                sender=self._senders.get(arrival.source_port, ""),
+                excused_until=self._excused_until(replica.identity, arrival),
+                asked_at=asked_at.get(arrival.request_id),
+            )
+            for replica in self._replicas
+            for arrival in replica.arrivals
+        ]
+        return [
+            *endpoint_checks.find_requests_to_leaving(self._requests, arrivals),
+            *endpoint_checks.find_requests_in_rest(arrivals),
+            *endpoint_checks.find_falls(self._brittle_times, self._was_in_touch),
+            *endpoint_checks.find_unserved_cuts(
+                self._requests, self._cuts, self._was_disturbed
+            ),
+        ]
+
+    def _excused_until(self, replica: str, arrival: Arrival) -> float:
+        """Return when the sender of a request, or its path, was disturbed last."""
+        sender = self._senders.get(arrival.source_port, "")
+        if sender not in self._proxies:
+            return arrival.at
+        times = self._gateway(sender).disturbances
+        harms = self._proxies[sender][replica].harms
+        return max(_last_before(times, arrival.at), _last_before(harms, arrival.at))
+
+    def _was_in_touch(self, arrival: Arrival) -> bool:
+        sender = self._senders.get(arrival.source_port, "")
+        since = arrival.at - endpoint_checks.CONTACT_S
+        return bool(sender) and not self._was_disturbed(sender, since, arrival.at)
+
+    def _was_disturbed(self, gateway: str, begin: float, end: float) -> bool:
+        process = self._gateway(gateway)
+        return (
+            _last_before(process.disturbances, end) >= begin
+            or process.frozen_s(begin) > 0
+        )
+
+    def _gateway(self, name: str) -> GatewayProcess:
+        return self._gateways[int(name.removeprefix("g"))]
+
+    async def _start_proxies(self, gateway: str) -> dict[str, str]:
+        """Start the proxies of a gateway; return the addresses that they replace."""
+        addresses = {}
+        self._proxies[gateway] = {}
+        for replica in self._replicas:
+            proxy = Proxy(
+                replica.port, lambda port: self._senders.update({port: gateway})
+            )
+            await proxy.start()
+            self._proxies[gateway][replica.identity] = proxy
+            addresses[f"127.0.0.1:{replica.port}"] = f"127.0.0.1:{proxy.port}"
+        return addresses
+
+    def _update_entry(self, replica: ReplicaStandIn) -> None:
+        is_plain = replica.identity.startswith("k")
+        changes = {"slots": PLAIN_SLOTS} if is_plain else {}
+        self._entries[f"servers/{replica.identity}"] = replica.build_entry(
+            "kiosk" if is_plain else "llm", **changes
+        )
 
     async def _run_client(self, number: int) -> None:
         count = 0
@@ -137,6 +228,7 @@
         )
         self._requests.append(request)
         gateway = self._random.choice(self._gateways)
+        request.gateway = gateway.name
         headers = {
             "Host": "kiosk.example",
             "X-Request-Id": request_id,
@@ -161,6 +253,11 @@
         # Tornado's client reports a broken connection as status 599.
         request.status = 0 if response.code == 599 else response.code
         request.body = response.body if request.status else b""
+        if request.status and "Server-Leaving" in response.headers:
+            request.leaving = (
+                response.headers["X-Server-Signature"],
+                int(response.headers["X-Replica-Start"]),
+            )
         return request
 
     async def _inject_faults(self) -> None:
@@ -231,7 +328,9 @@
         )
 
     async def _disturb_connections(self) -> None:
-        proxy = self._random.choice(self._proxies)
+        gateways = [name for name in self._proxies if name != self._cut_gateway]
+        proxies = self._proxies[self._random.choice(gateways)]
+        proxy = self._random.choice(list(proxies.values()))
         if self._random.random() < 0.3:
             proxy.reset_all()
             return
@@ -243,6 +342,89 @@
             # Open connections have lost bytes and cannot be used any longer.
             proxy.reset_all()
 
+    async def _inject_endpoint_faults(self) -> None:
+        faults = [
+            self._leave_replica,
+            self._rest_replica,
+            self._make_brittle,
+            self._lose_paths,
+        ]
+        while True:
+            # Each seed begins with another one, so that short runs have all of them.
+            self._random.shuffle(faults)
+            for fault in faults:
+                await asyncio.sleep(self._random.random())
+                await fault()
+
+    async def _leave_replica(self) -> None:
+        """Let a replica say that it leaves, and start again in its place."""
+        replica = self._random.choice(self._replicas)
+        replica.answer_headers = {
+            "Server-Leaving": "1",
+            "X-Replica-Start": str(replica.starts),
+        }
+        try:
+            await asyncio.sleep(1.0 + self._random.random())
+        finally:
+            replica.restart_in_place()
+            self._update_entry(replica)
+        await self._write_store()
+
+    async def _rest_replica(self) -> None:
+        replica = self._random.choice(self._replicas)
+        replica.rest_s = 1.0 + self._random.random()
+        rest_s = replica.rest_s
+        try:
+            await asyncio.sleep(REFUSING_S)
+        finally:
+            replica.rest_s = 0.0
+        await asyncio.sleep(rest_s)
+
+    async def _make_brittle(self) -> None:
+        replicas = [each for each in self._replicas if each.identity.startswith("k")]
+        judged_from = time.monotonic() + BRITTLE_NOTICE_S
+        for replica in replicas:
+            replica.brittle = BrittleTime(
+                max_refusals_per_s=self._random.randrange(1, 3),
+                room=PLAIN_SLOTS,
+                judged_from=judged_from,
+                answer_s=BRITTLE_ANSWER_S,
+            )
+        self._brittle_times.append([each.brittle for each in replicas if each.brittle])
+        try:
+            await asyncio.sleep(BRITTLE_NOTICE_S + 1.0 + self._random.random())
+        finally:
+            for replica in replicas:
+                replica.brittle = None
+
+    async def _lose_paths(self) -> None:
+        """Let a gateway reach no replica for some seconds."""
+        name = self._random.choice(list(self._proxies))
+        begin = time.monotonic()
+        self._cut_gateway = name
+        kind = self._random.choice(["hang", "reset", "refuse new ones"])
+        for proxy in self._proxies[name].values():
+            if kind == "hang":
+                proxy.let_new_hang()
+                proxy.mode = Mode.SILENCE
+            else:
+                proxy.refuse_new()
+            if kind == "reset":
+                proxy.reset_all()
+        try:
+            await asyncio.sleep(endpoint_checks.CONTACT_S + 1.0 + self._random.random())
+        finally:
+            self._cuts.append(CutTime(gateway=name, begin=begin, end=time.monotonic()))
+            await asyncio.shield(self._restore_paths(name))
+
+    async def _restore_paths(self, name: str) -> None:
+        for proxy in self._proxies[name].values():
+            await proxy.start()
+            if proxy.mode is not Mode.PASS:
+                proxy.mode = Mode.PASS
+                proxy.reset_all()
+        self._cut_gateway = ""
+
     async def _inject_response_faults(self) -> None:
         while True:
             await asyncio.sleep(self._random.random())
@@ -264,12 +446,14 @@
             "op/config", operator_configuration(self._version, self._keys)
         )
 
-    def _clear_faults(self) -> None:
+    async def _clear_faults(self) -> None:
         self._store.is_down = False
         for standin in (self._store, *self._replicas):
             standin.response_faults.share = 0.0
-        for proxy in self._proxies:
-            proxy.mode = Mode.PASS
+        for name in self._proxies:
+            await self._restore_paths(name)
+        # A replica that was about to start again has not been listed yet.
+        await self._write_store()
         for gateway in self._gateways:
             gateway.signal(signal.SIGCONT)
             gateway.start()
@@ -294,13 +478,20 @@
         self._client.close()
         for gateway in self._gateways:
             gateway.kill()
-        for proxy in self._proxies:
-            proxy.close()
+        for proxies in self._proxies.values():
+            for proxy in proxies.values():
+                proxy.close()
         self._store.server.stop()
         for replica in self._replicas:
             replica.server.stop()
 
 
+def _last_before(times: list[float], time_s: float) -> float:
+    """Return the last of some ascending times that is not after another one."""
+    place = bisect.bisect_right(times, time_s)
+    return times[place - 1] if place else float("-inf")
+
+
 async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
     for task in tasks:
         task.cancel()
@@ -313,9 +504,11 @@
     return [Ports(**{name: next(free) for name in names}) for _ in range(gateways)]
 
 
-async def _run(seed: int, folder: Path, gateways: int, seconds: float) -> list[str]:
+async def _run(
+    seed: int, folder: Path, gateways: int, seconds: float, without: str
+) -> list[str]:
     # The stand-ins bind to the event loop that runs when they are created.
-    return await Soak(seed, folder, gateways).run(seconds)
+    return await Soak(seed, folder, gateways, without).run(seconds)
 
 
 def main() -> int:
@@ -326,6 +519,7 @@
     parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--folder", type=Path, default=None)
+    parser.add_argument("--without", choices=SWITCHES, default="")
     options = parser.parse_args()
     # The stand-ins refuse and truncate requests on purpose; don't log these.
     logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
@@ -335,7 +529,9 @@
         folder = parent / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
         print(f"seed {seed}: logs in {folder}")
-        violations = asyncio.run(_run(seed, folder, options.gateways, options.seconds))
+        violations = asyncio.run(
+            _run(seed, folder, options.gateways, options.seconds, options.without)
+        )
         for violation in violations:
             print(f"  VIOLATION: {violation}")
         if violations:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -26,6 +26,10 @@
         Time in seconds until the response or the end of the connection, or None.
     frozen_s
         Time in seconds for which its gateway was frozen since the request was sent.
+    gateway
+        Name of its gateway.
+    leaving
+        Replica and start that said in the answer that they leave, or None.
     """
 
     request_id: str
@@ -36,6 +40,8 @@
     body: bytes = b""
     took_s: float | None = None
     frozen_s: float = 0.0
+    gateway: str = ""
+    leaving: tuple[str, int] | None = None
 
 
 def find_violations(
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -38,17 +38,38 @@
 
 @final
 class GatewayProcess:
-    """A gateway that runs as a child process."""
+    """A gateway that runs as a child process.
+
+    Parameters
+    ----------
+    without
+        Name of a mechanism that is switched off, or empty.
+
+    Attributes
+    ----------
+    disturbances
+        Monotonic times in seconds at which it was started or sent a signal.
+    """
 
     def __init__(
-        self, name: str, ports: Ports, seeds: str, store: int, folder: Path
+        self,
+        name: str,
+        ports: Ports,
+        seeds: str,
+        store: int,
+        folder: Path,
+        without: str = "",
     ) -> None:
         self.name = name
+        self._command = [sys.executable, "-m", "chiveslip.platform"]
+        if without:
+            self._command = [sys.executable, "-m", "soak.switched_off", without]
         self.ports = ports
         self._settings = folder / f"{name}.yaml"
         self._log = folder / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
         self._freezes: list[tuple[float, float]] = []
+        self.disturbances: list[float] = []
         self._frozen_at: float | None = None
         self._settings.write_text(
             _SETTINGS.format(name=name, seeds=seeds, store=store, **attrs.asdict(ports))
@@ -58,9 +79,10 @@
         """Start the process unless it is running."""
         if self._process is not None and self._process.poll() is None:
             return
+        self.disturbances.append(time.monotonic())
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "chiveslip.platform"],
+                self._command,
                 env=os.environ | {"CHIVESLIP_BOOT": str(self._settings)},
                 stdout=log,
                 stderr=log,
@@ -70,6 +92,7 @@
         """Send a signal if the process is running."""
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
+            self.disturbances.append(time.monotonic())
         self._record_freeze(number)
 
     def frozen_s(self, since: float) -> float:
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -6,6 +6,7 @@
 import base64
 import contextlib
 import json
+import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -46,6 +47,7 @@
         # Awaited once, before the second page of a read is sent.
         self.before_second_page: Callable[[], Awaitable[None]] | None = None
         self.changed = asyncio.Condition()
+        self._views: dict[int, dict[str, str]] = {}
         self.server, self.port = _start_server(
             Application(
                 [
@@ -55,6 +57,24 @@
             )
         )
 
+    def add_view(self, addresses: dict[str, str]) -> int:
+        """Serve the items at a further port with other addresses; return the port."""
+        sockets = bind_sockets(0, "127.0.0.1")
+        self.server.add_sockets(sockets)
+        port: int = sockets[0].getsockname()[1]
+        self._views[port] = addresses
+        return port
+
+    def show_at(self, port: int, item: dict[str, Any]) -> dict[str, Any]:
+        """Return an item as it is served at a port."""
+        addresses = self._views.get(port)
+        if not addresses or "value" not in item:
+            return item
+        data = base64.b64decode(item["value"])
+        for address, shown in addresses.items():
+            data = data.replace(f'"{address}"'.encode(), f'"{shown}"'.encode())
+        return item | {"value": base64.b64encode(data).decode()}
+
     async def put(self, key: str, value: dict[str, Any] | bytes) -> None:
         """Write an item."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -119,7 +139,13 @@
     def initialize(self, store: StoreStandIn) -> None:
         self.store = store
 
+    def show(self, items: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        """Return items as they are served at the port that was asked."""
+        return [self.store.show_at(self.port, item) for item in items]
+
     def prepare(self) -> None:
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        self.port = stream.socket.getsockname()[1]
         self.store.reads += 1
         self.set_header("Store-Era", str(self.store.era))
         if self.store.is_down:
@@ -142,7 +168,7 @@
         # Two items per page, so that every test reads several pages.
         page = items[:2]
         document = {
-            "items": page,
+            "items": self.show(page),
             "has_more": len(items) > len(page),
             "store_revision": self.store.revision,
         }
@@ -173,7 +199,10 @@
             self.set_status(410)
             return
         events = [event for event in self.store.events if event["revision"] > after]
-        document = {"events": events, "store_revision": self.store.revision}
+        document = {
+            "events": self.show(events),
+            "store_revision": self.store.revision,
+        }
         headers = {"Store-Era": str(self.store.era)}
         await _finish_json(self, document, self.store.response_faults, headers)
 
@@ -188,6 +217,69 @@
     body: bytes
 
 
+@attrs.frozen(kw_only=True)
+class Arrival:
+    """A request that reached a replica, whether the replica ran it or not.
+
+    Attributes
+    ----------
+    start
+        Start of the replica, counted from 1.
+    source_port
+        Port from which it came.
+    at
+        Monotonic time in seconds.
+    rest_s
+        Time of rest in seconds that the refusal asked for, or 0.
+    """
+
+    request_id: str
+    start: int
+    source_port: int
+    at: float
+    rest_s: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class BrittleTime:
+    """A time in which a replica falls if it refuses too much for want of room.
+
+    Attributes
+    ----------
+    max_refusals_per_s
+        Refusals a second that it bears.
+    room
+        Requests that it has room for.
+    judged_from
+        Monotonic time in seconds from which refusals count.
+    answer_s
+        Time in seconds that a request takes.
+    falls
+        The refusals within a second that each fall followed.
+    """
+
+    max_refusals_per_s: int
+    room: int
+    judged_from: float
+    answer_s: float = 0.0
+    running: int = 0
+    falls: list[list[Arrival]] = attrs.field(factory=list)
+    _refused: list[Arrival] = attrs.field(factory=list)
+
+    def has_room(self, arrival: Arrival) -> bool:
+        """Return whether a request finds room, and count its refusal if not."""
+        if self.running < self.room:
+            return True
+        if arrival.at < self.judged_from:
+            return False
+        recent = [each for each in self._refused if each.at > arrival.at - 1.0]
+        self._refused = [*recent, arrival]
+        if len(self._refused) > self.max_refusals_per_s:
+            self.falls.append(self._refused)
+            self._refused = []
+        return False
+
+
 class ReplicaStandIn:
     """Model replica that loads adapters by order and answers with three events."""
 
@@ -206,6 +298,11 @@
         # Part of a prompt on which the process crashes as it begins to answer.
         self.crashing_part = ""
         self.pause_between_events_s = 0.0
+        # Requests that reached the replica, also those that it refused.
+        self.arrivals: list[Arrival] = []
+        # Time of rest in seconds that it asks for as it refuses all requests, or 0.
+        self.rest_s = 0.0
+        self.brittle: BrittleTime | None = None
         # Further headers of all answers to requests.
         self.answer_headers: dict[str, str] = {}
         self.starts = 1
@@ -233,6 +330,13 @@
         self.accepted_orders = self.fence = 0
         self.server, self.port = _start_server(self._application)
 
+    def restart_in_place(self) -> None:
+        """Start again, empty, at the same port; open connections live on."""
+        self.starts += 1
+        self.models = {name: set() for name in self.models}
+        self.accepted_orders = self.fence = 0
+        self.answer_headers = {}
+
     def keep_stream(self, stream: IOStream) -> None:
         """Remember a connection, which a crash breaks off."""
         self._streams = {known for known in self._streams if not known.closed()}
@@ -317,6 +421,45 @@
     async def _answer(self, request: HTTPServerRequest) -> None:
         replica = self.replica
         self.set_header("X-Request-Id", request.headers["X-Request-Id"])
+        arrival = self._record_arrival(request)
+        if replica.rest_s > 0:
+            self._refuse({"Retry-After": str(replica.rest_s)})
+            return
+        brittle = replica.brittle
+        if brittle is None:
+            await self._run(request)
+            return
+        self.set_header("Server-Brittle", str(brittle.max_refusals_per_s))
+        if not brittle.has_room(arrival):
+            self._refuse({})
+            return
+        brittle.running += 1
+        try:
+            await asyncio.sleep(brittle.answer_s)
+            await self._run(request)
+        finally:
+            brittle.running -= 1
+
+    def _record_arrival(self, request: HTTPServerRequest) -> Arrival:
+        stream = request.connection.stream  # type: ignore[union-attr]
+        arrival = Arrival(
+            request_id=request.headers["X-Request-Id"],
+            start=self.replica.starts,
+            source_port=stream.socket.getpeername()[1],
+            at=time.monotonic(),
+            rest_s=self.replica.rest_s,
+        )
+        self.replica.arrivals.append(arrival)
+        return arrival
+
+    def _refuse(self, headers: dict[str, str]) -> None:
+        self.set_status(503)
+        self.set_header("X-Not-Executed", "1")
+        for name, value in headers.items():
+            self.set_header(name, value)
+
+    async def _run(self, request: HTTPServerRequest) -> None:
+        replica = self.replica
         model, _, adapter = request.headers.get("X-Model", "").partition("/")
         adapters = {name.partition("@")[0] for name in replica.models.get(model, ())}
         if model and (model not in replica.models or adapter not in {"", *adapters}):
