Decline requests of a peer for which no endpoint is known yet

While instances restart one after the other and one of them has no paths, a request of its callers could be handed to an instance that had just started: it took the request, found no configuration or endpoint, and the caller was told "not ready" (1407) although other peers would have served it.

An instance now takes a request only if it lists a ready endpoint of the service. test_instance_that_knows_no_endpoint_yet_takes_no_request_of_a_peer failed before. Found by reading for overlapping faults (a cut together with a roll of all instances).

--- a/src/chiveslip/gateway/delivery.py
+++ b/src/chiveslip/gateway/delivery.py
@@ -92,8 +92,15 @@
         )
 
     def can_deliver(self, service: str) -> bool:
-        """Return whether this instance can deliver a request for a peer."""
-        return not self._paths.is_cut(service) and self._has_room(service)
+        """Return whether this instance can deliver a request for a peer.
+
+        One that has just started may know no endpoint yet.
+        """
+        return (
+            bool(self._directory.find_ready(service))
+            and not self._paths.is_cut(service)
+            and self._has_room(service)
+        )
 
     def find_peers(self, service: str, adapter: str = "") -> list[str]:
         """Return the other instances that may deliver a request, sorted by name."""
--- a/testing/gateway/test_delivery.py
+++ b/testing/gateway/test_delivery.py
@@ -87,6 +87,10 @@
     assert scene.deliveries.find_peers(SERVICE) == sorted(INSTANCES[1:])
 
 
+def test_instance_that_knows_no_endpoint_yet_takes_no_request_of_a_peer() -> None:
+    assert not Scene(INSTANCES[0]).deliveries.can_deliver("unknown")
+
+
 @pytest.mark.parametrize(
     ("without_paths", "peers"),
     [
