Keep what endpoints said when the store lists them again

An endpoint that leaves is removed from the store while it still answers. If the store then returns from an older copy, or its entry expires and is renewed, it is listed as ready again, and an instance that had passed on its "leaving" sent it requests: the statement had been dropped with the entry. A time of rest ended early in the same way.

Statements of leaving now outlive the entry by ten minutes (the start identifies it, so that the next start under the same id is not concerned), rests last until their time. Peers are told of endpoints that were listed within a minute, so that messages stay small. test_statement_outlives_the_entry_that_an_older_copy_of_the_store_lists_again failed before: both were gone. Found by reading.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -531,7 +531,7 @@
         )
         self._coordinator.update_engines(engines)
         self._health.retain_only(self._directory.by_id)
-        self._statements.retain_only(self._directory.by_id)
+        self._statements.drop_expired(self._directory.by_id)
         self._rooms.retain_only(self._directory.by_id.values())
         await self._coordinator.read_reports()
         await self._coordinator.load_models()
--- a/src/chiveslip/gateway/endpoint_statements.py
+++ b/src/chiveslip/gateway/endpoint_statements.py
@@ -17,6 +17,11 @@
 
 # A longer rest is cut to this: an endpoint that never wants a request leaves.
 MAX_REST_S = 300.0
+# An endpoint that leaves may be listed again, by a store that returned from an older
+# copy; its statement outlives its entry by this time.
+LEAVING_RETENTION_S = 600.0
+# Peers are told of an endpoint that leaves until it has been gone for this time.
+_TOLD_S = 60.0
 
 
 @attrs.frozen(kw_only=True)
@@ -74,7 +79,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._leaving: set[Incarnation] = set()
+        # When each endpoint that leaves was last listed.
+        self._leaving: dict[Incarnation, float] = {}
         self._rests_until: dict[Incarnation, float] = {}
         self._log = logs.get_logger("endpoints")
 
@@ -86,7 +92,7 @@
     def record(self, incarnation: Incarnation, statement: EndpointStatement) -> None:
         """Record what an answer said of its endpoint."""
         if statement.is_leaving and incarnation not in self._leaving:
-            self._leaving.add(incarnation)
+            self._leaving[incarnation] = self._clock.now()
             self._log.info("Endpoint says that it leaves.", **_describe(incarnation))
         if statement.rest_s > 0:
             rest_s = min(statement.rest_s, MAX_REST_S)
@@ -112,18 +118,30 @@
         return 0.0 if until is None else max(until - self._clock.now(), 0.0)
 
     def leaving(self) -> list[Incarnation]:
-        """Return the endpoints that have said that they leave."""
-        return sorted(self._leaving, key=lambda i: (i.endpoint, i.started))
-
-    def retain_only(self, endpoints: Iterable[str]) -> None:
-        """Drop the statements of all other endpoints, and rests that have ended."""
-        known = set(endpoints)
+        """Return the endpoints that leave and were listed lately, to tell peers."""
+        since = self._clock.now() - _TOLD_S
+        told = (i for i, listed_at in self._leaving.items() if listed_at >= since)
+        return sorted(told, key=lambda i: (i.endpoint, i.started))
+
+    def drop_expired(self, listed: Iterable[str]) -> None:
+        """Drop rests that have ended, and statements of endpoints gone long ago.
+
+        Parameters
+        ----------
+        listed
+            Ids of the endpoints that are listed now.
+        """
+        known = set(listed)
         now = self._clock.now()
-        self._leaving = {i for i in self._leaving if i.endpoint in known}
+        self._leaving = {
+            incarnation: now if incarnation.endpoint in known else listed_at
+            for incarnation, listed_at in self._leaving.items()
+            if incarnation.endpoint in known or now < listed_at + LEAVING_RETENTION_S
+        }
         self._rests_until = {
             incarnation: until
             for incarnation, until in self._rests_until.items()
-            if until > now and incarnation.endpoint in known
+            if until > now
         }
 
 
--- a/testing/gateway/test_endpoint_statements.py
+++ b/testing/gateway/test_endpoint_statements.py
@@ -9,6 +9,7 @@
 import pytest
 
 from chiveslip.clock import ManualClock
+from chiveslip.gateway.endpoint_statements import LEAVING_RETENTION_S
 from chiveslip.gateway.endpoint_statements import MAX_REST_S
 from chiveslip.gateway.endpoint_statements import EndpointStatement
 from chiveslip.gateway.endpoint_statements import EndpointStatements
@@ -105,6 +106,28 @@
     assert (statements.rest_s(listed) > 0) is is_same
 
 
+def test_statement_outlives_the_entry_that_an_older_copy_of_the_store_lists_again() -> (
+    None
+):
+    clock = ManualClock()
+    statements = EndpointStatements(clock)
+    incarnation = Incarnation("i-0", 5, Address("10.0.0.1", 8000))
+    said = EndpointStatement(is_leaving=True, rest_s=5.0)
+    statements.record(incarnation, said)
+    statements.drop_expired([])
+    assert statements.is_leaving(incarnation)
+    assert statements.rest_s(incarnation) == 5.0
+    clock.advance(61.0)
+    statements.drop_expired([])
+    assert statements.is_leaving(incarnation)
+    assert statements.leaving() == []
+    statements.drop_expired(["i-0"])
+    assert statements.leaving() == [incarnation]
+    clock.advance(LEAVING_RETENTION_S)
+    statements.drop_expired([])
+    assert not statements.is_leaving(incarnation)
+
+
 @pytest.mark.parametrize(
     ("value", "rest_s"),
     [
