Try an endpoint that was silent with one request, and count hanging connections once

A plain endpoint that was silent for a second was skipped for up to four seconds afterwards by each instance that had tried to open several connections to it meanwhile: each of them failed after its second and doubled the backoff, although all hung for one reason.

Connections that were begun before the last counted failure no longer lengthen the backoff. So that a silent endpoint does not cost many callers a second each time its shorter backoff ends, one request tries it then, and a connection that opens, a probe's too, ends the skip at once. test_short_silence_costs_one_backoff_however_many_connections_hang failed before (4 s for ten connections instead of 0.25 s).

--- a/bench/lost_paths.py
+++ b/bench/lost_paths.py
@@ -46,6 +46,7 @@
 from chiveslip.gateway.path_probing import WatchedConnector
 from chiveslip.gateway.paths import EndpointPaths
 from chiveslip.gateway.rooms import EndpointRooms
+from chiveslip.services.health import EndpointHealth
 from chiveslip.settings.fields import Address
 
 SEED = 20261204
@@ -215,7 +216,9 @@
         self._paths = EndpointPaths(
             self._clock, lambda s: {e.id for e in self._directory.find_ready(s)}
         )
-        self._watched = WatchedConnector(self.connector, self._directory, self._paths)
+        self._watched = WatchedConnector(
+            self.connector, self._directory, self._paths, EndpointHealth()
+        )
         self.prober = PathProber(self._watched, self._directory, self._paths, generator)
         self.prober.on_change = self._tell
         self._deliveries = Deliveries(
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -173,9 +173,9 @@
         paths = EndpointPaths(
             clock, lambda service: {e.id for e in directory.find_ready(service)}
         )
-        connector = WatchedConnector(pool, directory, paths)
-        self._path_prober = PathProber(connector, directory, paths, self._random)
         self._health = EndpointHealth()
+        connector = WatchedConnector(pool, directory, paths, self._health)
+        self._path_prober = PathProber(connector, directory, paths, self._random)
         self._directory = directory
         engine_failures = EngineFailures()
         self._view = view
--- a/src/chiveslip/dispatch/service_calls.py
+++ b/src/chiveslip/dispatch/service_calls.py
@@ -263,11 +263,16 @@
     ) -> tuple[ResponseHead, bytes]:
         selector = self._tools.endpoint_selector
         self._add_step(Step.PLACE, endpoint.id)
+        began_at = self._tools.clock.now()
         try:
             exchange = await self._tools.pool.open(endpoint.address, fresh=fresh)
         except ConnectError as error:
-            now = self._tools.clock.now()
-            selector.health.record_failure(endpoint.id, now, is_unreachable=True)
+            selector.health.record_failure(
+                endpoint.id,
+                self._tools.clock.now(),
+                is_unreachable=True,
+                began_at=began_at,
+            )
             raise _NotSentError(str(error)) from error
         # The endpoint may have begun to leave while the connection was opened.
         if not self._tools.endpoints().accepts_calls(endpoint):
--- a/src/chiveslip/gateway/engine_reports.py
+++ b/src/chiveslip/gateway/engine_reports.py
@@ -62,9 +62,17 @@
             task.add_done_callback(lambda _: self._pending.pop(engine.id, None))
         return await asyncio.shield(task)
 
-    def record_unreachable(self, engine: ListedEndpoint) -> None:
-        """Record that an engine did not answer while another one did."""
-        self._health.record_failure(engine.id, self._clock.now(), is_unreachable=True)
+    def record_unreachable(self, engine: ListedEndpoint, asked_at: float) -> None:
+        """Record that an engine did not answer while another one did.
+
+        Parameters
+        ----------
+        asked_at
+            Local time in seconds at which it was asked.
+        """
+        self._health.record_failure(
+            engine.id, self._clock.now(), is_unreachable=True, began_at=asked_at
+        )
         self._log.info("Engine did not answer; chose another one.", engine=engine.id)
 
     async def _read_unless_held_up(self, engine: ListedEndpoint) -> ReadResult:
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -202,20 +202,21 @@
 
     async def _choose_engine(self, call: Call, search: EngineSearch) -> Choice | None:
         """Return an engine that has answered recently, or None if there is none."""
-        silent: list[ListedEndpoint] = []
+        silent: list[tuple[ListedEndpoint, float]] = []
         while True:
             engines = self._directory.find_available(call.service)
             choice = search.choose(engines, self._clock.now())
             if choice is None or not search.needs_report(choice, self._clock.now()):
                 return choice
+            asked_at = self._clock.now()
             result = await self._reports.read(choice.engine)
             if result is ReadResult.NO_ANSWER:
                 search.record_no_answer(choice.engine.id)
-                silent.append(choice.engine)
+                silent.append((choice.engine, asked_at))
             elif result is ReadResult.READ:
                 # The path to this instance works, so the fault is at the others.
                 while silent:
-                    self._reports.record_unreachable(silent.pop())
+                    self._reports.record_unreachable(*silent.pop())
 
     def _describe_request(self, call: Call) -> SearchedRequest:
         capacity = call.table.services[call.service].engine
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -439,6 +439,7 @@
         if target.estimate is not None:
             call.engine_estimates.append(target.estimate)
         selector.record_start(call, target)
+        self._dependencies.endpoint_health.begin_trial(target.endpoint.id, now)
         try:
             attempt = await self._dependencies.sender.send(
                 call,
@@ -474,7 +475,12 @@
         health = self._dependencies.endpoint_health
         is_unreachable = result is AttemptResult.NOT_SENT
         if attempt.is_failure:
-            health.record_failure(endpoint.id, now, is_unreachable=is_unreachable)
+            health.record_failure(
+                endpoint.id,
+                now,
+                is_unreachable=is_unreachable,
+                began_at=call.attempt_times[-1].chosen_at,
+            )
         if result is AttemptResult.ANSWERED:
             if not attempt.is_failure:
                 health.record_success(endpoint.id)
--- a/src/chiveslip/gateway/path_probing.py
+++ b/src/chiveslip/gateway/path_probing.py
@@ -14,6 +14,7 @@
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.paths import MIN_UNREACHED
 from chiveslip.gateway.paths import EndpointPaths
+from chiveslip.services.health import EndpointHealth
 from chiveslip.settings.fields import Address
 from chiveslip.tasks import TaskSet
 
@@ -27,11 +28,16 @@
     """Records which connections to endpoints could be opened."""
 
     def __init__(
-        self, connector: Connector, directory: EndpointDirectory, paths: EndpointPaths
+        self,
+        connector: Connector,
+        directory: EndpointDirectory,
+        paths: EndpointPaths,
+        health: EndpointHealth,
     ) -> None:
         self._connector = connector
         self._directory = directory
         self._paths = paths
+        self._health = health
 
     async def open(self, address: Address, *, fresh: bool) -> Exchange:
         """Return an exchange on a new connection, or on an idle one of the pool."""
@@ -48,6 +54,7 @@
             self._paths.record_end(endpoint.service, waiting)
         if not exchange.reused:
             self._paths.record_opened(endpoint.service)
+            self._health.record_reachable(endpoint.id)
         return exchange
 
 
--- a/src/chiveslip/services/health.py
+++ b/src/chiveslip/services/health.py
@@ -19,6 +19,9 @@
 # Share of failures, as a moving average over about ten responses, from which an
 # endpoint is skipped although some of its requests succeed.
 _MAX_FAILURE_SHARE = 0.5
+# After the backoff of an endpoint that could not be reached, one request tries it. The
+# others skip it until then, as connections to a silent endpoint hang.
+TRIAL_S = 1.0
 _AVERAGE_WEIGHT = 0.15
 
 
@@ -27,6 +30,7 @@
     consecutive_failures: int = 0
     failure_average: float = 0.0
     is_unreachable: bool = False
+    failed_at: float = float("-inf")
     skipped_until: float = float("-inf")
 
 
@@ -46,7 +50,12 @@
         record.failure_average *= 1 - _AVERAGE_WEIGHT
 
     def record_failure(
-        self, endpoint: str, now: float, *, is_unreachable: bool
+        self,
+        endpoint: str,
+        now: float,
+        *,
+        is_unreachable: bool,
+        began_at: float = float("inf"),
     ) -> None:
         """Record a failed request.
 
@@ -54,10 +63,17 @@
         ----------
         is_unreachable
             Whether the connection failed, so that the next request would fail too.
+        began_at
+            When the attempt began. Connections that were tried at the same time fail
+            for one reason, so those begun before an earlier failure do not make the
+            backoff longer.
         """
         record = self._records.setdefault(endpoint, _FailureRecord())
+        if is_unreachable and record.is_unreachable and began_at <= record.failed_at:
+            return
         record.consecutive_failures += 1
         record.is_unreachable = is_unreachable
+        record.failed_at = now
         record.failure_average += (1 - record.failure_average) * _AVERAGE_WEIGHT
         if (
             is_unreachable
@@ -67,8 +83,17 @@
             backoff_s = MIN_BACKOFF_S * 2.0 ** min(record.consecutive_failures - 1, 8)
             record.skipped_until = now + min(backoff_s, MAX_BACKOFF_S)
 
+    def begin_trial(self, endpoint: str, now: float) -> None:
+        """Skip an endpoint that could not be reached while one request tries it."""
+        record = self._records.get(endpoint)
+        if record is None or not record.is_unreachable or record.skipped_until > now:
+            return
+        record.skipped_until = now + TRIAL_S
+
     def record_reachable(self, endpoint: str) -> None:
-        """Record that an endpoint answered a question, which ends its unreachability.
+        """Record that an endpoint was connected or answered a question.
+
+        This ends its unreachability.
 
         It may still fail its requests.
         """
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -389,7 +389,7 @@
         paths = EndpointPaths(
             clock, lambda service: {e.id for e in directory.find_ready(service)}
         )
-        watched = WatchedConnector(connector, directory, paths)
+        watched = WatchedConnector(connector, directory, paths, health)
         sender = Sender(
             watched, dialect, clock, directory.accepts_work, recorder, paths, rooms
         )
--- a/testing/gateway/test_engine_reports.py
+++ b/testing/gateway/test_engine_reports.py
@@ -129,7 +129,7 @@
 
 def test_unreachable_engine_that_answers_again_is_available_at_once() -> None:
     harness = make_harness(ScriptedEngine(lambda: REPORT))
-    harness.reports.record_unreachable(ENGINE)
+    harness.reports.record_unreachable(ENGINE, 0.0)
     now = harness.clock.now()
     assert not harness.health.is_available("engine", now)
     asyncio.run(harness.read())
--- a/testing/services/test_health.py
+++ b/testing/services/test_health.py
@@ -6,6 +6,7 @@
 
 from chiveslip.services.health import MAX_BACKOFF_S
 from chiveslip.services.health import MIN_BACKOFF_S
+from chiveslip.services.health import TRIAL_S
 from chiveslip.services.health import EndpointHealth
 
 
@@ -28,6 +29,42 @@
     assert health.is_available("endpoint", backoff_s)
 
 
+@pytest.mark.parametrize(
+    ("began_at", "backoff_s"),
+    [
+        pytest.param([0.0] * 10, MIN_BACKOFF_S, id="tried at the same time"),
+        pytest.param([0.0, 1.5], 2 * MIN_BACKOFF_S, id="tried again"),
+        pytest.param([0.0, 1.5, 0.2, 1.0], 2 * MIN_BACKOFF_S, id="in another order"),
+    ],
+)
+def test_short_silence_costs_one_backoff_however_many_connections_hang(
+    began_at: list[float], backoff_s: float
+) -> None:
+    health = EndpointHealth()
+    failed_at = 0.0
+    for began in began_at:
+        failed_at = max(failed_at, began + 1.0)
+        health.record_failure(
+            "endpoint", failed_at, is_unreachable=True, began_at=began
+        )
+    assert not health.is_available("endpoint", failed_at)
+    assert health.is_available("endpoint", failed_at + backoff_s)
+
+
+def test_one_request_at_a_time_tries_an_endpoint_that_could_not_be_reached() -> None:
+    health = EndpointHealth()
+    health.begin_trial("endpoint", 0.0)
+    assert health.is_available("endpoint", 0.0)
+    health.record_failure("endpoint", 0.0, is_unreachable=True)
+    assert health.is_available("endpoint", MIN_BACKOFF_S)
+    health.begin_trial("endpoint", MIN_BACKOFF_S)
+    assert not health.is_available("endpoint", MIN_BACKOFF_S + TRIAL_S - 0.01)
+    assert health.is_available("endpoint", MIN_BACKOFF_S + TRIAL_S)
+    health.begin_trial("endpoint", 2.0)
+    health.record_reachable("endpoint")
+    assert health.is_available("endpoint", 2.0)
+
+
 def test_success_resets_backoff_of_flapping_endpoint() -> None:
     health = EndpointHealth()
     for cycle in range(10):
