--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -181,11 +181,7 @@
         return bool(sender) and not self._was_disturbed(sender, since, arrival.at)
 
     def _was_disturbed(self, gateway: str, begin: float, end: float) -> bool:
-        process = self._gateway(gateway)
-        return (
-            _last_before(process.disturbances, end) >= begin
-            or process.frozen_s(begin) > 0
-        )
+        return self._gateway(gateway).was_disturbed(begin, end)
 
     def _gateway(self, name: str) -> GatewayProcess:
         return self._gateways[int(name.removeprefix("g"))]
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import signal
 import subprocess
@@ -95,6 +96,16 @@
             self.disturbances.append(time.monotonic())
         self._record_freeze(number)
 
+    def was_disturbed(self, begin: float, end: float) -> bool:
+        """Return whether it was started, signalled or frozen between two times."""
+        freezes = [*self._freezes]
+        if self._frozen_at is not None:
+            freezes.append((self._frozen_at, math.inf))
+        return any(begin <= at <= end for at in self.disturbances) or any(
+            frozen_at <= end and resumed_at >= begin
+            for frozen_at, resumed_at in freezes
+        )
+
     def frozen_s(self, since: float) -> float:
         """Return for how long in seconds it was frozen since a monotonic time."""
         freezes = list(self._freezes)
