Try a silent endpoint with one call at a time on the product's own path, too

The shorter backoff of an endpoint whose connections hang holds for both ways of serving (services/health.py); the one call that tries it again was only the gateway's. A plain call of the product's own interface now begins such a trial, and a connection that opens ends it.

--- a/src/chiveslip/dispatch/service_calls.py
+++ b/src/chiveslip/dispatch/service_calls.py
@@ -264,6 +264,7 @@
         selector = self._tools.endpoint_selector
         self._add_step(Step.PLACE, endpoint.id)
         began_at = self._tools.clock.now()
+        selector.health.begin_trial(endpoint.id, began_at)
         try:
             exchange = await self._tools.pool.open(endpoint.address, fresh=fresh)
         except ConnectError as error:
@@ -274,6 +275,8 @@
                 began_at=began_at,
             )
             raise _NotSentError(str(error)) from error
+        if not exchange.reused:
+            selector.health.record_reachable(endpoint.id)
         # The endpoint may have begun to leave while the connection was opened.
         if not self._tools.endpoints().accepts_calls(endpoint):
             exchange.close()
