Do not judge a stopped gateway's cut in the soak, and keep the ports of its proxies free

A gateway counts as disturbed while it does not run, proxies listen outside the range of outgoing connections, as test gateways do, and the stand-ins remember the ports.

--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -72,6 +72,8 @@
         self._freezes: list[tuple[float, float]] = []
         self.disturbances: list[float] = []
         self._frozen_at: float | None = None
+        self._ended_at: float | None = None
+        self._absences: list[tuple[float, float]] = []
         self._settings.write_text(
             _SETTINGS.format(name=name, seeds=seeds, store=store, **attrs.asdict(ports))
         )
@@ -80,7 +82,11 @@
         """Start the process unless it is running."""
         if self._process is not None and self._process.poll() is None:
             return
-        self.disturbances.append(time.monotonic())
+        now = time.monotonic()
+        self.disturbances.append(now)
+        if self._ended_at is not None:
+            self._absences.append((self._ended_at, now))
+            self._ended_at = None
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 self._command,
@@ -94,17 +100,20 @@
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
             self.disturbances.append(time.monotonic())
+            if number in (signal.SIGTERM, signal.SIGKILL) and self._ended_at is None:
+                self._ended_at = time.monotonic()
         self._record_freeze(number)
 
     def was_disturbed(self, begin: float, end: float) -> bool:
-        """Return whether it was started, signalled or frozen between two times."""
-        freezes = [*self._freezes]
-        if self._frozen_at is not None:
-            freezes.append((self._frozen_at, math.inf))
-        return any(begin <= at <= end for at in self.disturbances) or any(
-            frozen_at <= end and resumed_at >= begin
-            for frozen_at, resumed_at in freezes
-        )
+        """Return whether it was signalled, frozen or not running between two times."""
+        outages = [*self._freezes, *self._absences]
+        outages += [
+            (since, math.inf)
+            for since in (self._frozen_at, self._ended_at)
+            if since is not None
+        ]
+        was_out = any(start <= end and stop >= begin for start, stop in outages)
+        return was_out or any(begin <= at <= end for at in self.disturbances)
 
     def frozen_s(self, since: float) -> float:
         """Return for how long in seconds it was frozen since a monotonic time."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -14,6 +14,7 @@
 from typing import final
 
 from standins.common import reset_on_close
+from testing.platform.gateways import free_port
 
 _CHUNK_BYTES = 1 << 16
 _DELAY_S = 0.2
@@ -75,8 +76,8 @@
         self._queue_fillers.clear()
         if self._server is not None:
             return
+        self.port = self.port or free_port()
         self._server = await asyncio.start_server(self._relay, "127.0.0.1", self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
 
     def refuse_new(self) -> None:
         """Refuse new connections until `start`; open ones live on."""
--- a/testing/platform/gateways.py
+++ b/testing/platform/gateways.py
@@ -28,7 +28,7 @@
 _PORTS = random.SystemRandom()
 
 
-def _free_port() -> int:
+def free_port() -> int:
     """Return a free port that the system gives to no outgoing connection."""
     while True:
         port = _PORTS.choice(_LISTENING_PORTS)
@@ -66,7 +66,7 @@
 
     async def start_gateway(self, name: str, seeds: list[int]) -> Member:
         """Start a gateway and wait until it is ready."""
-        member = Member(None, *(_free_port() for _ in range(4)))  # type: ignore[arg-type]
+        member = Member(None, *(free_port() for _ in range(4)))  # type: ignore[arg-type]
         addresses = ",".join(f"127.0.0.1:{port}" for port in seeds)
         settings_text = f"""
 instance: {{id: {name}, data_centre: glasgow}}
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -145,7 +145,8 @@
 
     def prepare(self) -> None:
         stream = self.request.connection.stream  # type: ignore[union-attr]
-        self.port = stream.socket.getsockname()[1]
+        # Of a connection that is closed already, the port does not matter.
+        self.port = 0 if stream.closed() else stream.socket.getsockname()[1]
         self.store.reads += 1
         self.set_header("Store-Era", str(self.store.era))
         if self.store.is_down:
@@ -441,11 +442,11 @@
             brittle.running -= 1
 
     def _record_arrival(self, request: HTTPServerRequest) -> Arrival:
-        stream = request.connection.stream  # type: ignore[union-attr]
+        context = request.connection.context  # type: ignore[union-attr]
         arrival = Arrival(
             request_id=request.headers["X-Request-Id"],
             start=self.replica.starts,
-            source_port=stream.socket.getpeername()[1],
+            source_port=context.address[1],
             at=time.monotonic(),
             rest_s=self.replica.rest_s,
         )
