Close an exchange once, however often it is asked

An exchange that is given up because the paths are lost may be closed a second time by the request that used it. If its answer had been read completely, each call put the connection into the pool, so that two later requests could share it and get each other's answers.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -142,7 +142,10 @@
 
     @abc.abstractmethod
     def close(self) -> None:
-        """End the exchange; keep the connection only if it is known to be idle."""
+        """End the exchange; keep the connection only if it is known to be idle.
+
+        Waits for the response end with an error. A second call does nothing.
+        """
 
     async def body(self) -> bytes:
         """Return the whole body.
@@ -310,6 +313,7 @@
         self._is_fully_read = False
         self._expiry: asyncio.TimerHandle | None = None
         self._has_expired = False
+        self._is_closed = False
 
     @property
     def reused(self) -> bool:
@@ -402,6 +406,9 @@
 
     def close(self) -> None:
         """End the exchange; keep the connection only if it is known to be idle."""
+        if self._is_closed:
+            return
+        self._is_closed = True
         if self._expiry is not None:
             self._expiry.cancel()
         if self._is_fully_read and self._reader is not None and self._reader.done():
--- a/testing/dispatch/test_connection.py
+++ b/testing/dispatch/test_connection.py
@@ -43,6 +43,25 @@
 )
 
 
+async def test_exchange_that_is_closed_twice_leaves_its_connection_to_one_other(
+    start_endpoint: StartEndpoint,
+) -> None:
+    endpoint = await start_endpoint([response()])
+    pool = ConnectionPool(ManualClock(), TIMEOUT_S)
+    first = await pool.open(endpoint.address, fresh=True)
+    outgoing = OutgoingRequest(
+        method="GET", path="/", headers={"X-Request-Id": "r1"}, request_id="r1"
+    )
+    await first.send(outgoing, LIMITS)
+    assert await first.body() == b"mine"
+    first.close()
+    first.close()
+    second = await pool.open(endpoint.address, fresh=False)
+    third = await pool.open(endpoint.address, fresh=False)
+    assert [second.reused, third.reused] == [True, False]
+    pool.close()
+
+
 async def fetch(pool: ConnectionPool, endpoint: RawEndpoint) -> bytes:
     """Send one request and return the body of its response."""
     exchange = await pool.open(endpoint.address, fresh=False)
