Name the sender of a request in the soak when it arrives

Its own log shows none between the refusal and the end of that time: the soak told senders by the ports of proxies at the end of the run, and the system had given such ports to other gateways' connections since. The sender is now found as the request arrives.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -80,7 +80,7 @@
         self._store = StoreStandIn()
         self._replicas = [ReplicaStandIn(name) for name in ("k1", "k2", "e1", "e2")]
         self._proxies: dict[str, dict[str, Proxy]] = {}
-        # Gateways by the local ports of the connections to replicas made for them.
+        # Gateways by the local ports of the connections to replicas made for them last.
         self._senders: dict[int, str] = {}
         self._gateways: list[GatewayProcess] = []
         self._keys = [f"{KEY_PREFIX}0"]
@@ -102,6 +102,7 @@
 
     async def _run(self, seconds: float) -> list[str]:
         for replica in self._replicas:
+            replica.find_source = self._find_sender
             self._update_entry(replica)
         await self._write_store()
         seeds = ",".join(f"127.0.0.1:{port.peers}" for port in self._ports[:SEED_COUNT])
@@ -150,7 +151,7 @@
             SentArrival(
                 endpoint=replica.identity,
                 arrival=arrival,
-                sender=self._senders.get(arrival.source_port, ""),
+                sender=arrival.source,
                 excused_until=self._excused_until(replica.identity, arrival),
                 asked_at=asked_at.get(arrival.request_id),
             )
@@ -166,19 +167,21 @@
             ),
         ]
 
+    def _find_sender(self, port: int) -> str:
+        return self._senders.get(port, "")
+
     def _excused_until(self, replica: str, arrival: Arrival) -> float:
         """Return when the sender of a request, or its path, was disturbed last."""
-        sender = self._senders.get(arrival.source_port, "")
-        if sender not in self._proxies:
+        if arrival.source not in self._proxies:
             return arrival.at
-        times = self._gateway(sender).disturbances
-        harms = self._proxies[sender][replica].harms
+        times = self._gateway(arrival.source).disturbances
+        harms = self._proxies[arrival.source][replica].harms
         return max(_last_before(times, arrival.at), _last_before(harms, arrival.at))
 
     def _was_in_touch(self, arrival: Arrival) -> bool:
-        sender = self._senders.get(arrival.source_port, "")
         since = arrival.at - endpoint_checks.CONTACT_S
-        return bool(sender) and not self._was_disturbed(sender, since, arrival.at)
+        is_known = arrival.source in self._proxies
+        return is_known and not self._was_disturbed(arrival.source, since, arrival.at)
 
     def _was_disturbed(self, gateway: str, begin: float, end: float) -> bool:
         return self._gateway(gateway).was_disturbed(begin, end)
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -226,8 +226,8 @@
     ----------
     start
         Start of the replica, counted from 1.
-    source_port
-        Port from which it came.
+    source
+        Who sent it.
     at
         Monotonic time in seconds.
     rest_s
@@ -236,7 +236,7 @@
 
     request_id: str
     start: int
-    source_port: int
+    source: str
     at: float
     rest_s: float = 0.0
 
@@ -299,6 +299,8 @@
         # Part of a prompt on which the process crashes as it begins to answer.
         self.crashing_part = ""
         self.pause_between_events_s = 0.0
+        # Returns who sent a request, by the port that it comes from.
+        self.find_source: Callable[[int], str] = str
         # Requests that reached the replica, also those that it refused.
         self.arrivals: list[Arrival] = []
         # Time of rest in seconds that it asks for as it refuses all requests, or 0.
@@ -446,7 +448,7 @@
         arrival = Arrival(
             request_id=request.headers["X-Request-Id"],
             start=self.replica.starts,
-            source_port=context.address[1],
+            source=self.replica.find_source(context.address[1]),
             at=time.monotonic(),
             rest_s=self.replica.rest_s,
         )
