--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -146,25 +146,26 @@
         return violations + self._find_endpoint_violations()
 
     def _find_endpoint_violations(self) -> list[str]:
-        asked_at = {each.request_id: each.sent_at for each in self._requests}
+        requests = {each.request_id: each for each in self._requests}
         arrivals = [
             SentArrival(
                 endpoint=replica.identity,
                 arrival=arrival,
                 sender=arrival.source,
                 excused_until=self._excused_until(replica.identity, arrival),
-                asked_at=asked_at.get(arrival.request_id),
+                asked_at=requests[arrival.request_id].sent_at,
             )
             for replica in self._replicas
             for arrival in replica.arrivals
+            # A gateway that learns of a replica from a peer uses the peer's proxy.
+            if arrival.source == requests[arrival.request_id].gateway
         ]
+        owed = [each for each in self._requests if each.key not in self._withdrawn]
         return [
             *endpoint_checks.find_requests_to_leaving(self._requests, arrivals),
             *endpoint_checks.find_requests_in_rest(arrivals),
             *endpoint_checks.find_falls(self._brittle_times, self._was_in_touch),
-            *endpoint_checks.find_unserved_cuts(
-                self._requests, self._cuts, self._was_disturbed
-            ),
+            *endpoint_checks.find_unserved_cuts(owed, self._cuts, self._was_disturbed),
         ]
 
     def _find_sender(self, port: int) -> str:
--- a/soak/endpoint_checks.py
+++ b/soak/endpoint_checks.py
@@ -41,14 +41,14 @@
     excused_until
         Time up to which the sender cannot be blamed for what it did not know.
     asked_at
-        When its caller sent it, or None for one that no caller sent.
+        When its caller sent it.
     """
 
     endpoint: str
     arrival: Arrival
     sender: str
     excused_until: float
-    asked_at: float | None
+    asked_at: float
 
 
 @attrs.frozen(kw_only=True)
@@ -72,8 +72,6 @@
     violations = []
     for sent in arrivals:
         key = (sent.sender, (sent.endpoint, sent.arrival.start))
-        if sent.asked_at is None:
-            continue
         if any(
             sent.excused_until < told_at < sent.asked_at - MAX_NOTICE_S
             for told_at in told.get(key, ())
