Show that a part that crashes replicas blocks sound requests for good

Sound requests that share the first part of their prompt with requests that crash replicas are refused if that part was not answered before the first crashes. Trials go to whichever request comes first, and their spacing grows fourfold with each crash.

--- a/review/deployment.py
+++ b/review/deployment.py
@@ -33,7 +33,7 @@
 LINK_BYTES_PER_S = 125_000_000
 HOST = "kiosk.example"
 KEY = "key-of-the-kiosks"
-TENANT = "kiosks"
+OTHER_KEY = "key-of-the-wards"
 _RESTART_DELAY_S = 0.5
 _EMPTY_ENDS = b"\r\n\r\n"
 
@@ -129,6 +129,13 @@
         for writer in list(self._writers):
             writer.close()
 
+    def abort(self) -> None:
+        """Close the port and break off all connections, as a crash does."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -274,6 +281,13 @@
         }
         return entry | ({"models": self._list_models()} if self.is_engine else {})
 
+    async def start_again(self) -> None:
+        """Start again after a crash, empty, at the same port."""
+        self._adapters.clear()
+        self._fence = self._sequence = 0
+        self._born = int(time.time() * 1000)
+        await self.start()
+
     def _list_models(self) -> list[dict[str, Any]]:
         names = [f"{name}@{version}" for name, version in self._adapters.items()]
         return [{"name": "m", "version": 1, "adapters": names}]
@@ -448,13 +462,14 @@
         },
         "tenants": [
             {
-                "name": TENANT,
-                "api_keys": [KEY],
+                "name": name,
+                "api_keys": [key],
                 "unit": "tokens",
                 "plain_tokens": 200,
                 "requests_per_s": 1_000_000,
                 "burst": 1_000_000,
             }
+            for name, key in (("kiosks", KEY), ("wards", OTHER_KEY))
         ],
     }
 
@@ -706,6 +721,7 @@
         deadline_s: float,
         silence_s: float = 60.0,
         body: bytes = b"",
+        key: str = KEY,
         **further: str,
     ) -> Answer:
         """Send a request and return what became of it.
@@ -720,7 +736,7 @@
             "Host": HOST,
             "X-Request-Id": request_id,
             "X-Deadline-Remaining": str(int(deadline_s * 1000)),
-            "Authorization": f"Bearer {KEY}",
+            "Authorization": f"Bearer {key}",
         } | {name.replace("_", "-"): value for name, value in further.items()}
         if body or method == "POST":
             headers["Content-Length"] = str(len(body))
