Run the gateways of the review's cases on one address

Connections over loopback come from 127.0.0.1, whatever address a process listens on, and a gateway takes requests only from addresses of members. With an address for each gateway, peers declined requests that another one handed over.

--- a/review/deployment.py
+++ b/review/deployment.py
@@ -35,6 +35,10 @@
 KEY = "key-of-the-kiosks"
 OTHER_KEY = "key-of-the-wards"
 _RESTART_DELAY_S = 0.5
+# All gateways run on one address: on loopback, a connection does not come from the
+# address that its process listens on, and peers check where a request comes from.
+_ADDRESS = "127.0.0.1"
+_PORT_NAMES = ("front", "ready", "control", "first")
 _EMPTY_ENDS = b"\r\n\r\n"
 
 
@@ -501,11 +505,11 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free on all loopback addresses that are used here."""
+    """Return ports that are free now."""
     with contextlib.ExitStack() as stack:
         probes = [stack.enter_context(socket.socket()) for _ in range(count)]
         for probe in probes:
-            probe.bind(("127.0.0.1", 0))
+            probe.bind((_ADDRESS, 0))
         return [probe.getsockname()[1] for probe in probes]
 
 
@@ -520,7 +524,6 @@
     """
 
     name: str
-    address: str
     ports: dict[str, int]
     settings: Path
     log: Path
@@ -570,7 +573,7 @@
         """Return whether it answers that it is ready."""
         try:
             reader, writer = await asyncio.open_connection(
-                self.address, self.ports["ready"]
+                _ADDRESS, self.ports["ready"]
             )
         except OSError:
             return False
@@ -588,21 +591,24 @@
         self._record = record
         self._folder = folder
         self._store = store
-        names = ("front", "ready", "control", "first")
-        self._ports = dict(zip(names, find_free_ports(len(names)), strict=True))
 
     async def start(self, count: int) -> None:
         """Start gateways and wait until all are ready."""
         template = (ROOT / "deploy/settings.yaml").read_text()
-        addresses = [f"127.0.0.{11 + number}" for number in range(count)]
-        for number, address in enumerate(addresses):
+        free = find_free_ports(count * len(_PORT_NAMES))
+        for number in range(count):
+            ports = dict(zip(_PORT_NAMES, free[number::count], strict=True))
             name = f"frontend-glasgow-{number + 1}"
-            fields = self._build_fields(name, address, addresses)
-            settings = self._folder / f"{name}.yaml"
-            settings.write_text(_render(template, fields))
-            log = self._folder / f"{name}.log"
-            gateway = Gateway(name, address, self._ports, settings, log)
+            gateway = Gateway(
+                name,
+                ports,
+                self._folder / f"{name}.yaml",
+                self._folder / f"{name}.log",
+            )
             self.gateways.append(gateway)
+        for gateway in self.gateways:
+            settings = _render(template, self._build_fields(gateway))
+            gateway.settings.write_text(settings)
             gateway.start()
         async with asyncio.timeout(20):
             for gateway in self.gateways:
@@ -610,18 +616,17 @@
                     await asyncio.sleep(0.05)
         self._record.add(f"{count} gateways are ready")
 
-    def _build_fields(
-        self, name: str, address: str, addresses: list[str]
-    ) -> dict[str, Any]:
-        ports = self._ports
+    def _build_fields(self, gateway: Gateway) -> dict[str, Any]:
+        seeds = [f"{_ADDRESS}:{seed.ports['control']}" for seed in self.gateways[:3]]
+        ports = gateway.ports
         return {
-            "node_name": name,
+            "node_name": gateway.name,
             "zone": "glasgow",
-            "ip_address": address,
+            "ip_address": _ADDRESS,
             "internal_ports": [ports["first"], ports["first"]],
-            "seeds": [f"{seed}:{ports['control']}" for seed in addresses[:3]],
+            "seeds": seeds,
             "listen": {
-                kind: f"{address}:{ports[kind]}"
+                kind: f"{_ADDRESS}:{ports[kind]}"
                 for kind in ("front", "ready", "control")
             },
             "platform": {"address": f"127.0.0.1:{self._store.port}"},
@@ -703,7 +708,7 @@
         """Open the connection unless one is kept."""
         if self._writer is None:
             self._reader, self._writer = await asyncio.open_connection(
-                self._gateway.address, self._gateway.ports["front"]
+                _ADDRESS, self._gateway.ports["front"]
             )
 
     def close(self) -> None:
