--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -1,171 +1,142 @@
-"""The first requests of a new prompt crash the replicas that answer them."""
+"""A replica leaves without notice just after gateways were killed and started again."""
 
 from __future__ import annotations
 
 import asyncio
 import os
 import random
+import signal
 import sys
 import time
 from pathlib import Path
 
-from deployment import KEY
-from deployment import OTHER_KEY
-from deployment import Answer
 from deployment import Caller
 from deployment import Deployment
-from deployment import Fault
+from deployment import Gateway
 from deployment import Message
 from deployment import Record
 from deployment import Replica
 from deployment import run_deployment
 
 GATEWAYS = 3
-ENGINES = 5
+POLLS_PER_S = 60.0
+TRAFFIC_S = 66.0
+# Every gateway is killed once in each of these cycles, one after the other.
+CYCLES_AT_S = tuple(5.0 + 10.0 * number for number in range(6))
+# From the start of the killed process to the removal of a replica's entry.
+REMOVED_AFTER_S = 0.85
+# As the bounds of the deployment.
 CONTACT_S = 3.0
-MAX_EVENT_GAP_S = 3.2
-# A replica that crashed is back after this time.
-DOWN_S = 4.0
-# One organisation changes from an old prompt to a new one. Some requests with the new
-# one hold a part that crashes replicas; all others are sound.
-CHANGE_AT_S = 38.0
-SOUND_FROM_S = CHANGE_AT_S + 2.0
-ENDS_AT_S = 106.0
-SOUND_PER_S = 0.6
-CRASHING_PER_S = 10.0
-OTHERS_PER_S = 6.0
-OLD_PART, NEW_PART, CRASHING_PART = "5c1e07a2", "91bd3f06", "e4402b7d"
-MIN_REQUESTS = 20
-FIFTH = 5
-
-
-class Crashes:
-    """Crashes of replicas that begin to answer a request with the crashing part."""
+DRAIN_S = 2.0
+# The replica serves for the drain time and a little longer, and then exits.
+SERVES_S = 4.0
 
-    def __init__(self, deployment: Deployment) -> None:
-        self._deployment = deployment
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._down: set[str] = set()
-        self.at: list[float] = []
-
-    def watch(self, replica: Replica) -> None:
-        """Crash a replica on requests with the part."""
-
-        def choose(request: Message) -> Fault | None:
-            parts = request.headers.get("x-prompt-prefix", "")
-            if CRASHING_PART not in parts:
-                return None
-            return lambda _request, _writer: self._crash(replica)
-
-        replica.choose_fault = choose
-
-    async def _crash(self, replica: Replica) -> bool:
-        await asyncio.sleep(0.02)
-        if replica.identity in self._down:
-            return False
-        self._down.add(replica.identity)
-        self.at.append(time.monotonic())
-        self._deployment.record.add(f"{replica.identity} crashes")
-        replica.abort()
-        task = asyncio.create_task(self._start_again(replica))
-        self._tasks.add(task)
-        return False
-
-    async def _start_again(self, replica: Replica) -> None:
-        await asyncio.sleep(DOWN_S)
-        self._down.discard(replica.identity)
-        await replica.start_again()
-        store = self._deployment.store
-        await store.put(f"servers/{replica.identity}", replica.build_entry())
-        self._deployment.record.add(f"{replica.identity} is back")
-
-
-class Traffic:
-    """Streams of callers, each sent once."""
 
-    def __init__(self, deployment: Deployment) -> None:
+class Polls:
+    """Polls of callers at one gateway, over connections that they keep."""
+
+    def __init__(self, deployment: Deployment, gateway: Gateway) -> None:
         self._deployment = deployment
-        self._random = random.Random(4)
-        self._began_at = time.monotonic()
+        self._gateway = gateway
+        self._random = random.Random(gateway.name)
         self._number = 0
+        self.served = 0
 
-    async def send_all(
-        self, kind: str, per_s: float, begin_s: float, end_s: float
-    ) -> list[Answer]:
-        """Send requests of one kind for some time; return their answers."""
-        await asyncio.sleep(max(self._began_at + begin_s - time.monotonic(), 0.0))
-        tasks = []
+    async def run(self) -> None:
+        """Send polls until the end of the traffic."""
+        idle: list[Caller] = []
+        ends_at = time.monotonic() + TRAFFIC_S
         async with asyncio.TaskGroup() as group:
-            while time.monotonic() < self._began_at + end_s:
-                tasks.append(group.create_task(self._send(kind)))
-                await asyncio.sleep(1 / per_s)
-        return [task.result() for task in tasks]
-
-    async def _send(self, kind: str) -> Answer:
+            while time.monotonic() < ends_at:
+                await asyncio.sleep(self._random.expovariate(POLLS_PER_S))
+                caller = idle.pop() if idle else None
+                if caller is None:
+                    caller = Caller(self._gateway, self._deployment.record)
+                group.create_task(self._send(caller, idle))
+
+    async def _send(self, caller: Caller, idle: list[Caller]) -> None:
         self._number += 1
-        number = self._number
-        gateway = self._random.choice(self._deployment.platform.gateways)
-        caller = Caller(gateway, self._deployment.record)
-        parts = {
-            "old": [OLD_PART],
-            "new": [NEW_PART, f"{0xA0000000 + number % 7:x}"],
-            "crashing": [NEW_PART, CRASHING_PART],
-            "other": [f"{0xB0000000 + number % 5:x}"],
-        }[kind]
-        parts.append(f"{0xF0000000 + number:x}")
+        request_id = f"{self._gateway.name[-1]}{self._number:05d}"
         answer = await caller.send(
-            f"{kind}{number:05d}",
-            "POST",
-            "/digest/1",
-            deadline_s=15.0,
-            silence_s=MAX_EVENT_GAP_S,
-            body=f"{number}".encode(),
-            key=OTHER_KEY if kind == "other" else KEY,
-            X_Model=f"m/a{self._random.randrange(1, 9)}",
-            X_Token_Count="1460,80",
-            X_Prompt_Prefix=",".join(f"{part}:350" for part in parts),
+            request_id, "GET", "/status/1", deadline_s=0.6, X_Gateway=self._gateway.name
         )
-        caller.close()
-        return answer
+        self.served += answer.status == 200
+        idle.append(caller)
+
+
+class Leaving:
+    """Removes the entries of replicas, and finds the requests that come too late."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._gateways = {g.name: g for g in deployment.platform.gateways}
+        self._number = 0
+        self.late: list[str] = []
+        self.removed = 0
+
+    async def replace(self, replica: Replica) -> Replica:
+        """Start a new replica, and remove the entry of an old one without notice."""
+        record, store = self._deployment.record, self._deployment.store
+        await store.remove(f"servers/{replica.identity}")
+        removed_at = time.monotonic()
+        self.removed += 1
+        record.add(f"the entry of {replica.identity} is removed")
+        replica.choose_fault = lambda request: self._check(request, replica, removed_at)
+        asyncio.get_running_loop().call_later(SERVES_S, replica.close)
+        await asyncio.sleep(SERVES_S + 0.5)
+        self._number += 1
+        new = Replica(f"n{self._number}", "kiosk", record, slots=6, queue=24)
+        await new.start()
+        await store.put(f"servers/{new.identity}", new.build_entry())
+        return new
+
+    def _check(self, request: Message, replica: Replica, removed_at: float) -> None:
+        """Note a request that reaches a replica too late."""
+        now = time.monotonic()
+        gateway = self._gateways[request.headers["x-gateway"]]
+        if now > removed_at + DRAIN_S and now > gateway.started_at + CONTACT_S:
+            line = (
+                f"{request.headers['x-request-id']} reaches {replica.identity} "
+                f"{now - removed_at:.3f} s after its removal from {gateway.name}, "
+                f"which runs for {now - gateway.started_at:.3f} s"
+            )
+            self._deployment.record.add(f"too late: {line}")
+            self.late.append(line)
 
 
 async def play(record: Record, *, has_trouble: bool) -> int:
     """Play the case; return the exit status of the script."""
-    async with run_deployment(
-        record, gateways=GATEWAYS, engines=ENGINES, kiosks=1
-    ) as deployment:
-        crashes = Crashes(deployment)
-        for engine in deployment.engines:
-            crashes.watch(engine)
-        traffic = Traffic(deployment)
+    async with run_deployment(record, gateways=GATEWAYS, engines=1) as deployment:
+        gateways = deployment.platform.gateways
+        leaving = Leaving(deployment)
+        polls = [Polls(deployment, gateway) for gateway in gateways]
+
+        async def make_trouble() -> None:
+            began_at = time.monotonic()
+            replica = deployment.kiosks[0]
+            for number, cycle_at in enumerate(CYCLES_AT_S):
+                await asyncio.sleep(began_at + cycle_at - time.monotonic())
+                gateway = gateways[number % GATEWAYS]
+                started_at = time.monotonic()
+                if has_trouble:
+                    record.add(f"{gateway.name} is killed")
+                    gateway.send_signal(signal.SIGKILL)
+                    while gateway.started_at < started_at:
+                        await asyncio.sleep(0.01)
+                    started_at = gateway.started_at
+                await asyncio.sleep(started_at + REMOVED_AFTER_S - time.monotonic())
+                replica = await leaving.replace(replica)
+
         async with asyncio.TaskGroup() as group:
-            before = group.create_task(
-                traffic.send_all("old", SOUND_PER_S, 2.0, CHANGE_AT_S)
-            )
-            after = group.create_task(
-                traffic.send_all("new", SOUND_PER_S, SOUND_FROM_S, ENDS_AT_S)
-            )
-            group.create_task(traffic.send_all("other", OTHERS_PER_S, 2.0, ENDS_AT_S))
-            if has_trouble:
-                group.create_task(
-                    traffic.send_all("crashing", CRASHING_PER_S, CHANGE_AT_S, ENDS_AT_S)
-                )
-        begun = {run.request_id for e in deployment.engines for run in e.runs}
-        judged_from = 0.0
-        if has_trouble:
-            if not crashes.at:
-                return 2
-            judged_from = crashes.at[:FIFTH][-1] + 2 * CONTACT_S
-        outside = [a.request_id in begun for a in before.result()]
-        judged = [
-            a.request_id in begun for a in after.result() if a.sent_at > judged_from
-        ]
-        record.add(f"{len(crashes.at)} crashes")
-        record.add(f"outside: {sum(outside)} of {len(outside)} begun")
-        record.add(f"later than twice contact_ms: {sum(judged)} of {len(judged)} begun")
-        if min(len(outside), len(judged)) < MIN_REQUESTS or not any(outside):
+            group.create_task(make_trouble())
+            for each in polls:
+                group.create_task(each.run())
+        served = sum(each.served for each in polls)
+        record.add(f"{served} polls served, {leaving.removed} replicas removed")
+        record.add(f"{len(leaving.late)} requests came too late")
+        if served == 0 or leaving.removed == 0:
             return 2
-        return int(sum(judged) / len(judged) < sum(outside) / len(outside) / 2)
+        return int(len(leaving.late) > 0)
 
 
 def main() -> None:
