--- a/src/chiveslip/store/reader.py
+++ b/src/chiveslip/store/reader.py
@@ -97,7 +97,6 @@
             era = self._mirror.revision.era
             try:
                 await self._read_once()
-                self._record_success()
             except HistoryLostError as error:
                 # The new era may have become known from a peer during the watch.
                 self._needs_snapshot = self._mirror.revision.era == era
@@ -113,11 +112,14 @@
     async def _read_once(self) -> None:
         self._read_began_at = self._clock.now()
         if self._needs_snapshot:
-            self._mirror.apply_snapshot(await self._store.read_all())
+            snapshot = await self._store.read_all()
+            self._record_success()
+            self._mirror.apply_snapshot(snapshot)
             self._needs_snapshot = False
             self._answered_at = self._clock.now()
             return
         changes = await self._store.watch(self._mirror.revision, self._max_watch_s())
+        self._record_success()
         self._mirror.apply_changes(changes)
         self._answered_at = self._clock.now()
         self._lost_histories = 0
@@ -137,6 +139,7 @@
         return self._random.random() * _HISTORY_DELAY_S * float(2**doublings)
 
     def _record_success(self) -> None:
+        """Record an answer before its items are applied, which may depend on it."""
         self._has_failed = False
         if self._unreachable_since is None:
             return
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import math
 from collections.abc import AsyncIterator
 
@@ -459,3 +460,28 @@
     text = (await fetch(member.metrics, "/metrics")).body.decode()
     assert "chiveslip_store_era 2.0" in text
     assert "chiveslip_store_returns_total 2.0" in text
+
+
+async def has_lost_store(member: Member) -> bool:
+    page = await fetch(member.metrics, "/metrics")
+    return b"chiveslip_store_lost_seconds 0.0" not in page.body
+
+
+async def test_endpoint_whose_entry_expired_while_the_store_was_away_stays_in_use(
+    cluster: GatewayCluster,
+) -> None:
+    first = await cluster.start_gateway("one", [])
+    second = await cluster.start_gateway("two", [first.peers])
+    entry = cluster.kiosk.build_entry("kiosk")
+    cluster.store.is_down = True
+    for member in (first, second):
+        await wait_until(functools.partial(has_lost_store, member))
+    await cluster.store.remove("servers/k")
+    cluster.store.is_down = False
+    for _ in range(10):
+        assert await statuses(cluster) == {200}
+        await asyncio.sleep(0.1)
+    await cluster.store.put("servers/k", entry)
+    for _ in range(25):
+        assert await statuses(cluster) == {200}
+        await asyncio.sleep(0.1)
