--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -59,6 +59,7 @@
 from chiveslip.store.client import Changes
 from chiveslip.store.client import Item
 from chiveslip.store.client import StoreRevision
+from chiveslip.store.contact import StoreContact
 from chiveslip.store.mirror import StoreMirror
 
 SEED = 20261204
@@ -338,6 +339,7 @@
                 clock=clock,
             ),
             mirror=StoreMirror(),
+            store_contact=StoreContact(clock),
             schedule=schedule,
             metrics=GatewayMetrics(),
             clock=clock,
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -76,6 +76,7 @@
 from chiveslip.services.health import EndpointHealth
 from chiveslip.store.catch_up import PeerCatchUp
 from chiveslip.store.client import KeyValueStore
+from chiveslip.store.contact import StoreContact
 from chiveslip.store.mirror import EraChange
 from chiveslip.store.mirror import Listener
 from chiveslip.store.mirror import StoreMirror
@@ -205,9 +206,11 @@
         )
         self._mirror = StoreMirror(interfaces.choose_store_value)
         self._metrics = GatewayMetrics()
+        self._store_contact = StoreContact(clock)
         self._reader = StoreReader(
             interfaces.make_store(connector, settings),
             self._mirror,
+            self._store_contact,
             clock,
             self._random,
             max_watch_s=lambda: self._schedule().max_watch_s,
@@ -219,8 +222,7 @@
             view=view,
             audit=AuditTrail(settings.instance.id, settings.audit.lines),
             clock=clock,
-            store_reconnected_at=lambda: self._reader.reconnected_at,
-            store_answered_at=lambda: self._reader.answered_at,
+            store_contact=self._store_contact,
         )
         self._mirror.add_era_listener(self._record_era)
         self._mirror.add_listener(interfaces.make_store_listener(self._catalogue))
@@ -264,6 +266,7 @@
             limits=self._limits,
             limit_grantor=self._limit_grantor,
             mirror=self._mirror,
+            store_contact=self._store_contact,
             schedule=self._schedule,
             metrics=self._metrics,
             clock=clock,
@@ -277,7 +280,7 @@
             catch_up=PeerCatchUp(
                 own_revision=lambda: self._mirror.revision,
                 read_began_at=lambda: self._reader.read_began_at,
-                is_store_lost=lambda: self._reader.is_lost,
+                is_store_lost=lambda: self._store_contact.is_lost,
             ),
             peers=self._peers,
             clock=clock,
@@ -527,7 +530,7 @@
             self._record_round_delay(self._clock.now() - due_at)
 
     def _record_era(self, change: EraChange) -> None:
-        self._reader.note_return()
+        self._store_contact.record_return()
         self._metrics.store_returns.inc()
         self._log.warning(
             "Store returned from an older copy.",
@@ -579,7 +582,7 @@
         metrics = self._metrics
         metrics.live_members.set(len(self._membership.live_members(self._clock.now())))
         metrics.coordinated_engines.set(self._coordinator.engine_count)
-        metrics.store_outage.set(self._reader.outage_s)
+        metrics.store_outage.set(self._store_contact.outage_s)
         metrics.store_era.set(self._mirror.revision.era)
         metrics.blocked_parts.set(self._crash_guard.count_blocked())
         metrics.running_requests.set(self._ingress.running_requests)
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -51,6 +51,8 @@
 from chiveslip.settings.fields import Address
 from chiveslip.settings.fields import parse_address
 from chiveslip.store.client import StoreRevision
+from chiveslip.store.contact import PeerContact
+from chiveslip.store.contact import StoreContact
 from chiveslip.store.mirror import StoreMirror
 
 # Every report of an engine repeats the names of its adapters. The cache has room for
@@ -80,6 +82,7 @@
     limits: EndpointLimits
     limit_grantor: LimitGrantor
     mirror: StoreMirror
+    store_contact: StoreContact
     schedule: Callable[[], GossipSchedule]
     metrics: GatewayMetrics
     clock: Clock
@@ -156,6 +159,7 @@
             or not parts.schedule().relays_reports
         ):
             self._apply_report(sender_report, now)
+        self._apply_store_contact(message)
         self._apply_uses(message, now)
         self._apply_suspects(message, now)
         self._apply_part_suspects(message, now)
@@ -183,6 +187,10 @@
             store_era=parts.mirror.revision.era,
             store_revision=parts.mirror.revision.number,
         )
+        contact = parts.store_contact.describe()
+        if contact is not None:
+            message.store_contact.reachable_seconds = contact.reachable_s
+            message.store_contact.answered_seconds = contact.answered_s
         self._add_allowances(message, now)
         self._add_engines(message)
         crashes: Crashes = parts.suspects.prune_crashes(now)
@@ -326,6 +334,23 @@
                 )
                 suspects.record_peer_crash(suspect.part, crash.endpoint, known, now)
 
+    def _apply_store_contact(self, message: wire.Gossip) -> None:
+        if not message.HasField("store_contact"):
+            return
+        contact = PeerContact(
+            reachable_s=message.store_contact.reachable_seconds,
+            answered_s=message.store_contact.answered_seconds,
+        )
+        if not 0 <= contact.answered_s <= contact.reachable_s < math.inf:
+            self._log.warning(
+                "Times of a peer are invalid.",
+                peer=message.sender.instance,
+                reachable_s=contact.reachable_s,
+                answered_s=contact.answered_s,
+            )
+            return
+        self._parts.store_contact.record_peer(contact)
+
     def _apply_limits(self, message: wire.Gossip, now: float) -> None:
         for named in message.endpoint_limits:
             limit = decode_limit(named, now, source=message.sender.instance)
--- a/src/chiveslip/gateway/catalogue.py
+++ b/src/chiveslip/gateway/catalogue.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import final
 
 from chiveslip import logs
@@ -16,9 +15,11 @@
 from chiveslip.gateway.routing import EngineCapacity
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import RoutingTable
+from chiveslip.store.contact import StoreContact
+from chiveslip.store.mirror import STORE_SOURCE
 
-# Entries that expired while the store was unreachable are renewed within this time
-# after it became reachable again; an entry that is still missing then is gone.
+# Entries that expired while the store was away are renewed within this time after its
+# return; an entry that is still missing then is gone.
 _RENEWAL_S = 2.0
 # Time after that within which a read of the store ends, if the store answers.
 _MAX_READ_S = 1.0
@@ -33,10 +34,8 @@
 
     Parameters
     ----------
-    store_reconnected_at
-        Returns the local time in seconds at which the store last became reachable.
-    store_answered_at
-        Returns the local time in seconds at which the last read of the store ended.
+    store_contact
+        Tells when the store last returned, and when it last answered.
     """
 
     def __init__(
@@ -46,15 +45,13 @@
         view: EngineView,
         audit: AuditTrail,
         clock: Clock,
-        store_reconnected_at: Callable[[], float],
-        store_answered_at: Callable[[], float],
+        store_contact: StoreContact,
     ) -> None:
         self._directory = directory
         self._view = view
         self._audit = audit
         self._clock = clock
-        self._store_reconnected_at = store_reconnected_at
-        self._store_answered_at = store_answered_at
+        self._store_contact = store_contact
         self._table: RoutingTable | None = None
         self._organisations: dict[str, Organisation] = {}
         self._versions: dict[str, int] = {}
@@ -142,41 +139,51 @@
     ) -> None:
         """Remove an endpoint whose entry was removed or cannot be read.
 
-        Shortly after the store became reachable again, the endpoint is only marked as
-        expired; `drop_expired_endpoints` removes it later.
+        Shortly after the store returned, the endpoint is only marked as expired;
+        `drop_expired_endpoints` removes it later.
 
         Parameters
         ----------
         source
             Where this instance learnt of the change, for the log.
         may_be_renewed
-            Whether the entry may have expired while the store was unreachable. An
+            Whether the entry may have expired while the store was away. An
             entry that peers knew to be removed before that is not used meanwhile.
         """
         if endpoint not in self._directory.by_id:
             return
-        renewal_ends_at = self._store_reconnected_at() + _RENEWAL_S
+        now = self._clock.now()
+        renewal_ends_at = self._store_contact.return_at + _RENEWAL_S
         is_deferred = may_be_renewed or endpoint in self._expired
-        if is_deferred and self._clock.now() < renewal_ends_at:
+        if is_deferred and now < renewal_ends_at:
             self._expired.setdefault(endpoint, renewal_ends_at)
-            self._log.info("Removal deferred.", endpoint=endpoint, source=source)
+            self._log.info(
+                "Removal deferred.",
+                endpoint=endpoint,
+                source=source,
+                for_s=round(renewal_ends_at - now, 3),
+            )
             return
         self._drop(endpoint, source)
 
     def drop_expired_endpoints(self) -> None:
         """Remove endpoints that expired with the store and were not renewed in time.
 
-        An instance that was held up first reads what was written meanwhile.
+        An instance that was held up first reads what was written meanwhile. If peers
+        show that the store was not away, the endpoints did not expire.
         """
         now = self._clock.now()
-        read_at = self._store_answered_at()
+        read_at = self._store_contact.answered_at
+        was_away_until = self._store_contact.return_at
         for endpoint, renewal_ends_at in list(self._expired.items()):
+            was_removed = was_away_until + _RENEWAL_S < renewal_ends_at
             is_read = read_at >= renewal_ends_at
-            if renewal_ends_at <= now and (
+            is_due = renewal_ends_at <= now and (
                 is_read or now >= renewal_ends_at + _MAX_READ_S
-            ):
+            )
+            if was_removed or is_due:
                 del self._expired[endpoint]
-                self._drop(endpoint, _EXPIRED_SOURCE)
+                self._drop(endpoint, STORE_SOURCE if was_removed else _EXPIRED_SOURCE)
 
     def ready_engines(self) -> list[tuple[ListedEndpoint, EngineCapacity]]:
         """Return all engines that take new work, with their capacities."""
--- a/src/chiveslip/store/reader.py
+++ b/src/chiveslip/store/reader.py
@@ -9,9 +9,11 @@
 
 from chiveslip import logs
 from chiveslip.clock import Clock
+from chiveslip.store.client import NO_REVISION
 from chiveslip.store.client import HistoryLostError
 from chiveslip.store.client import KeyValueStore
 from chiveslip.store.client import StoreError
+from chiveslip.store.contact import StoreContact
 from chiveslip.store.mirror import StoreMirror
 
 # Maximum delay before the first full read after the history was lost.
@@ -26,6 +28,8 @@
 
     Parameters
     ----------
+    contact
+        Where the answers and failures of the reads are recorded.
     max_watch_s
         Returns the maximum wait in seconds of one watch.
     retry_delay_s
@@ -39,6 +43,7 @@
         self,
         store: KeyValueStore,
         mirror: StoreMirror,
+        contact: StoreContact,
         clock: Clock,
         generator: random.Random,
         *,
@@ -48,49 +53,22 @@
     ) -> None:
         self._store = store
         self._mirror = mirror
+        self._contact = contact
         self._clock = clock
         self._random = generator
         self._max_watch_s = max_watch_s
         self._retry_delay_s = retry_delay_s
         self._batch_delay_s = batch_delay_s
         self._needs_snapshot = True
-        self._unreachable_since: float | None = clock.now()
-        self._reconnected_at = float("-inf")
-        self._answered_at = float("-inf")
-        self._has_failed = False
         self._lost_histories = 0
         self._read_began_at = clock.now()
         self._log = logs.get_logger("store")
 
-    @property
-    def reconnected_at(self) -> float:
-        """Local time in seconds at which the store last became reachable, or -inf."""
-        return self._reconnected_at
-
-    @property
-    def answered_at(self) -> float:
-        """Local time in seconds at which the last successful read ended, or -inf."""
-        return self._answered_at
-
-    @property
-    def is_lost(self) -> bool:
-        """Whether the last read failed."""
-        return self._has_failed
-
     @property
     def read_began_at(self) -> float:
         """Local time in seconds at which the current or the next read begins."""
         return self._read_began_at
 
-    @property
-    def outage_s(self) -> float:
-        """Time in seconds for which the store has been unreachable, 0 if reachable."""
-        return (
-            0.0
-            if self._unreachable_since is None
-            else self._clock.now() - self._unreachable_since
-        )
-
     async def run(self) -> None:
         """Read and watch until cancelled."""
         while True:
@@ -116,12 +94,10 @@
             self._record_success()
             self._mirror.apply_snapshot(snapshot)
             self._needs_snapshot = False
-            self._answered_at = self._clock.now()
             return
         changes = await self._store.watch(self._mirror.revision, self._max_watch_s())
         self._record_success()
         self._mirror.apply_changes(changes)
-        self._answered_at = self._clock.now()
         self._lost_histories = 0
         if changes.items:
             # Endpoints change often; without the delay each change costs a request.
@@ -129,10 +105,6 @@
             self._read_began_at = self._clock.now() + delay_s
             await asyncio.sleep(delay_s)
 
-    def note_return(self) -> None:
-        """Note that the store has returned from an older copy."""
-        self._reconnected_at = self._clock.now()
-
     def _history_delay_s(self) -> float:
         """Return a delay that spreads the full reads of all instances."""
         doublings = min(self._lost_histories - 1, _MAX_HISTORY_DOUBLINGS)
@@ -140,21 +112,19 @@
 
     def _record_success(self) -> None:
         """Record an answer before its items are applied, which may depend on it."""
-        self._has_failed = False
-        if self._unreachable_since is None:
-            return
-        lost_s = round(self._clock.now() - self._unreachable_since, 3)
-        self._unreachable_since = None
-        self._reconnected_at = self._clock.now()
-        self._log.info(
-            "Store reachable again.", lost_s=lost_s, revision=str(self._mirror.revision)
-        )
+        lost_s = self._contact.outage_s
+        was_lost = self._contact.is_lost
+        self._contact.record_answer(knew_items=self._mirror.revision != NO_REVISION)
+        if lost_s > 0:
+            self._log.info(
+                "Store reachable again." if was_lost else "Store reachable.",
+                lost_s=round(lost_s, 3),
+                revision=str(self._mirror.revision),
+            )
 
     def _record_failure(self, error: StoreError) -> None:
-        has_failed_before = self._has_failed
-        self._has_failed = True
-        if self._unreachable_since is None:
-            self._unreachable_since = self._clock.now()
+        has_failed_before = self._contact.is_lost
+        self._contact.record_failure()
         if has_failed_before:
             return
         self._log.warning(
--- a/testing/gateway/test_catalogue.py
+++ b/testing/gateway/test_catalogue.py
@@ -16,6 +16,8 @@
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.settings.fields import Address
+from chiveslip.store.contact import PeerContact
+from chiveslip.store.contact import StoreContact
 from chiveslip.store.mirror import STORE_SOURCE
 
 ENDPOINT = ListedEndpoint(
@@ -32,7 +34,7 @@
 
 @attrs.define
 class CatalogueHarness:
-    """A catalogue with one endpoint, on a store that became reachable at a given time.
+    """A catalogue with one endpoint, on a store that was lost for a given time.
 
     Times are seconds after the store became reachable again.
     """
@@ -40,6 +42,7 @@
     catalogue: Catalogue
     directory: EndpointDirectory
     clock: ManualClock
+    contact: StoreContact
     reconnected_at: float
 
     def advance_to(self, at: float) -> None:
@@ -54,6 +57,7 @@
         """Return when the endpoint is dropped, if rounds of maintenance run often."""
         while self.directory.accepts_work(ENDPOINT):
             self.clock.advance(STEP_S)
+            self.contact.record_answer(knew_items=True)
             self.catalogue.drop_expired_endpoints()
             assert self.clock.now() < self.reconnected_at + 60.0
         return self.clock.now() - self.reconnected_at
@@ -61,22 +65,24 @@
 
 @pytest.fixture
 def make_harness() -> Callable[[float], CatalogueHarness]:
-    def build(reconnected_at: float) -> CatalogueHarness:
+    def build(outage_s: float) -> CatalogueHarness:
         clock = ManualClock()
         directory = EndpointDirectory(EndpointStatements(clock))
+        contact = StoreContact(clock)
         catalogue = Catalogue(
             directory=directory,
             view=EngineView(),
             audit=AuditTrail("node-1", 10),
             clock=clock,
-            store_reconnected_at=lambda: clock_start + reconnected_at,
-            store_answered_at=clock.now,
+            store_contact=contact,
         )
-        clock_start = clock.now()
+        contact.record_answer(knew_items=False)
         catalogue.update_endpoint(ENDPOINT, STORE_SOURCE)
-        return CatalogueHarness(
-            catalogue, directory, clock, clock_start + reconnected_at
-        )
+        if outage_s > 0:
+            contact.record_failure()
+            clock.advance(outage_s)
+            contact.record_answer(knew_items=True)
+        return CatalogueHarness(catalogue, directory, clock, contact, clock.now())
 
     return build
 
@@ -131,3 +137,34 @@
     harness.remove(may_be_renewed=False)
     assert harness.directory.accepts_work(ENDPOINT)
     assert harness.dropped_after() <= 2.0 + STEP_S + 1e-6
+
+
+def test_endpoint_removed_just_after_a_start_is_dropped_at_once(
+    make_harness: MakeHarness,
+) -> None:
+    harness = make_harness(0.0)
+    harness.advance_to(0.3)
+    harness.remove()
+    assert not harness.directory.accepts_work(ENDPOINT)
+
+
+@pytest.mark.parametrize(
+    ("reachable_s", "answered_s", "is_kept"),
+    [
+        pytest.param(20.0, 0.1, False, id="peer-was-answered-all-the-while"),
+        pytest.param(20.0, 9.0, True, id="peer-was-not-answered-since"),
+        pytest.param(0.3, 0.1, True, id="peer-lost-the-store-too"),
+    ],
+)
+def test_peer_that_kept_the_store_shows_that_the_entry_did_not_expire(
+    make_harness: MakeHarness, reachable_s: float, answered_s: float, is_kept: bool
+) -> None:
+    harness = make_harness(4.0)
+    harness.advance_to(0.1)
+    harness.remove()
+    harness.advance_to(0.4)
+    harness.contact.record_peer(
+        PeerContact(reachable_s=reachable_s, answered_s=answered_s)
+    )
+    harness.catalogue.drop_expired_endpoints()
+    assert harness.directory.accepts_work(ENDPOINT) == is_kept
--- a/testing/platform/gateways.py
+++ b/testing/platform/gateways.py
@@ -80,16 +80,20 @@
         *,
         stop_grace: str = "8 s",
         notice: str = "0 s",
+        store_port: int | None = None,
     ) -> Member:
         """Start a gateway and wait until it is ready.
 
         Parameters
         ----------
+        store_port
+            Port at which it reads the store, or None for the first one.
         stop_grace, notice
             Settings of a planned stop.
         """
         member = Member(None, *(free_port() for _ in range(4)))  # type: ignore[arg-type]
         addresses = ",".join(f"127.0.0.1:{port}" for port in seeds)
+        store_address = f"127.0.0.1:{store_port or self.store.port}"
         settings_text = f"""
 instance: {{id: {name}, data_centre: glasgow}}
 listen:
@@ -98,7 +102,7 @@
   peers: "127.0.0.1:{member.peers}"
   metrics: "127.0.0.1:{member.metrics}"
 fleet: {{seeds: "{addresses}", gossip: "50 ms"}}
-store: {{address: "127.0.0.1:{self.store.port}", gather: "10 ms", pause: "50 ms"}}
+store: {{address: "{store_address}", gather: "10 ms", pause: "50 ms"}}
 gateway:
   order_lease: "300 ms"
   adapter_load: "20 ms"
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -39,6 +39,8 @@
         self.events: list[dict[str, Any]] = []
         self.revision = 100
         self.is_down = False
+        # Further ports at which every read fails.
+        self.failing_ports: set[int] = set()
         self.response_faults = ResponseFaults("store")
         self.oldest_revision = 0
         self.era = 0
@@ -149,7 +151,7 @@
         self.port = 0 if stream.closed() else stream.socket.getsockname()[1]
         self.store.reads += 1
         self.set_header("Store-Era", str(self.store.era))
-        if self.store.is_down:
+        if self.store.is_down or self.port in self.store.failing_ports:
             self.set_status(503)
             self.finish()
 
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -462,11 +462,44 @@
     assert "chiveslip_store_returns_total 2.0" in text
 
 
+# A round of gossip, a watch of the store and scheduling.
+REMOVAL_BOUND_S = 1.0
+
+
 async def has_lost_store(member: Member) -> bool:
     page = await fetch(member.metrics, "/metrics")
     return b"chiveslip_store_lost_seconds 0.0" not in page.body
 
 
+async def test_instance_that_has_just_started_obeys_a_removal_at_once(
+    cluster: GatewayCluster,
+) -> None:
+    member = await cluster.start_gateway("one", [])
+    assert (await send_request(member, "/once/x")).code == 200
+    await cluster.store.remove("servers/k")
+    await asyncio.sleep(REMOVAL_BOUND_S)
+    assert await statuses(cluster) == {503}
+
+
+async def test_instance_whose_own_reads_failed_obeys_a_removal_that_peers_know(
+    cluster: GatewayCluster,
+) -> None:
+    port = cluster.store.add_view({})
+    first = await cluster.start_gateway("one", [])
+    second = await cluster.start_gateway("two", [first.peers], store_port=port)
+
+    async def is_reachable() -> bool:
+        return not await has_lost_store(second)
+
+    cluster.store.failing_ports.add(port)
+    await wait_until(lambda: has_lost_store(second))
+    cluster.store.failing_ports.clear()
+    await wait_until(is_reachable)
+    await cluster.store.remove("servers/k")
+    await asyncio.sleep(REMOVAL_BOUND_S)
+    assert await statuses(cluster) == {503}
+
+
 async def test_endpoint_whose_entry_expired_while_the_store_was_away_stays_in_use(
     cluster: GatewayCluster,
 ) -> None:
