--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -17,6 +17,7 @@
 from chiveslip.clock import Clock
 from chiveslip.dispatch.connection import ConnectionPool
 from chiveslip.dispatch.connection import Connector
+from chiveslip.dispatch.held_bytes import HeldBytes
 from chiveslip.dispatch.part_suspects import PartSuspects
 from chiveslip.dispatch.retry_budget import RetryBudget
 from chiveslip.dispatch.suspects import CrashSuspects
@@ -152,7 +153,8 @@
             max_watch_s=settings.store.watch,
         )
         self._current_schedule = schedule_for(1, self._schedule_settings)
-        pool = ConnectionPool(clock, settings.services.connect)
+        self._held = HeldBytes.for_memory(settings.limits.memory)
+        pool = ConnectionPool(clock, settings.services.connect, self._held)
         protocol = interfaces.make_protocol()
         self._membership = Membership(
             instance=settings.instance.id,
@@ -590,6 +592,7 @@
         metrics.cut_services.set(self._path_prober.cut_services)
         metrics.brittle_services.set(len(self._rooms.brittle_services()))
         metrics.limited_endpoints.set(len(self._limits.named()))
+        metrics.record_held_bytes(self._held)
         self._update_report_ages()
         table = self._catalogue.table
         if table is not None:
--- a/src/chiveslip/daemon/instance.py
+++ b/src/chiveslip/daemon/instance.py
@@ -20,6 +20,7 @@
 from chiveslip.daemon.node import NodeDependencies
 from chiveslip.daemon.status import collect_status
 from chiveslip.dispatch.connection import ConnectionPool
+from chiveslip.dispatch.held_bytes import HeldBytes
 from chiveslip.fleet.ownership import LeaseLimits
 from chiveslip.fleet.ownership import Ownership
 from chiveslip.fleet.peers import GrpcPeers
@@ -47,7 +48,11 @@
             incarnation=uuid.uuid4().hex,
             source=_make_source(settings),
             peers=GrpcPeers(self._address_of, settings.fleet.peer_timeout),
-            connector=ConnectionPool(clock, settings.services.connect),
+            connector=ConnectionPool(
+                clock,
+                settings.services.connect,
+                HeldBytes.for_memory(settings.limits.memory),
+            ),
         )
         self._node = Node(settings, dependencies, self._ownership)
         self._traces = TraceBuffer()
--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -29,6 +29,9 @@
 from tornado.iostream import UnsatisfiableReadError
 
 from chiveslip.clock import Clock
+from chiveslip.dispatch.held_bytes import HeldBytes
+from chiveslip.dispatch.held_bytes import HeldBytesError
+from chiveslip.dispatch.held_bytes import Holding
 from chiveslip.dispatch.outgoing import REQUEST_ID_HEADER
 from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_end import Ending
@@ -65,6 +68,10 @@
 _MAX_SHORT_BODY_BYTES = 32 * 1024
 # Late responses to earlier requests that are skipped before the exchange fails.
 _MAX_CROSSED_RESPONSES = 2
+# Parts of a body that are received ahead of their reader.
+_MAX_QUEUED_CHUNKS = 2
+# What the bytes of a response are counted as that is kept until it is complete.
+_HELD_KIND = "whole responses"
 
 
 class ConnectError(Exception):
@@ -140,6 +147,20 @@
             If the body is truncated, or larger than the limits allow.
         """
 
+    def give_up(self, detail: str) -> None:
+        """End the response, as it exceeds a limit."""
+        self.close()
+
+    def hold(self, size: int) -> None:
+        """Count bytes of the body that are kept until the exchange is closed.
+
+        Raises
+        ------
+        ExchangeInterruptedError
+            If the process holds too many bytes, and this body most of them.
+        """
+        return
+
     @abc.abstractmethod
     def close(self) -> None:
         """End the exchange; keep the connection only if it is known to be idle.
@@ -147,15 +168,30 @@
         Waits for the response end with an error. A second call does nothing.
         """
 
-    async def body(self) -> bytes:
+    async def body(self, max_bytes: float = math.inf) -> bytes:
         """Return the whole body.
 
+        Parameters
+        ----------
+        max_bytes
+            Largest size, if it is below that of the limits.
+
         Raises
         ------
         ExchangeInterruptedError
             If the body is truncated, or exceeds the limits.
         """
-        body = b"".join([chunk async for chunk in self.chunks()])
+        parts: list[bytes] = []
+        size = 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > max_bytes:
+                detail = f"the body is larger than {max_bytes} bytes"
+                self.give_up(detail)
+                raise ExchangeInterruptedError(detail)
+            self.hold(len(chunk))
+            parts.append(chunk)
+        body = b"".join(parts)
         content_type = (await self.head()).headers.get("Content-Type", "")
         assert self.end is not None
         fault = find_document_fault(self.end, content_type, body)
@@ -222,7 +258,9 @@
         self, request_id: str, method: str, max_bytes: int, *, is_reused: bool
     ) -> None:
         self.head: asyncio.Future[ResponseHead] = asyncio.Future()
-        self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue(maxsize=16)
+        self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue(
+            maxsize=_MAX_QUEUED_CHUNKS
+        )
         self.is_finished = False
         self.framing: Framing | None = None
         self.received_bytes = 0
@@ -314,6 +352,7 @@
         self._expiry: asyncio.TimerHandle | None = None
         self._has_expired = False
         self._is_closed = False
+        self._holding: Holding | None = None
 
     @property
     def reused(self) -> bool:
@@ -398,6 +437,22 @@
                 f"the response did not end within the timeout: {self._end}"
             ) from error
 
+    def hold(self, size: int) -> None:
+        """Count bytes of the body that are kept until the exchange is closed."""
+        if self._holding is None:
+            self._holding = self._pool.held.begin(
+                _HELD_KIND, lambda: self.give_up("the process holds too many bytes")
+            )
+        try:
+            self._pool.held.add(self._holding, size)
+        except HeldBytesError as error:
+            raise ExchangeInterruptedError(f"{error}: {self._end}") from error
+
+    def give_up(self, detail: str) -> None:
+        """End the response, as it exceeds a limit."""
+        self._record_end(Ending.LIMIT, detail)
+        self._stream.close()
+
     def _expire(self) -> None:
         """End the wait for a chunk; without one, the next wait ends at once."""
         if self._receiver.chunks.empty():
@@ -409,6 +464,8 @@
         if self._is_closed:
             return
         self._is_closed = True
+        if self._holding is not None:
+            self._pool.held.end(self._holding)
         if self._expiry is not None:
             self._expiry.cancel()
         if self._is_fully_read and self._reader is not None and self._reader.done():
@@ -498,13 +555,24 @@
     """Opens connections to endpoints, and keeps idle ones for reuse.
 
     A connection is reused only if its last response was received completely.
+
+    Parameters
+    ----------
+    held
+        Bounds the bytes of the responses that are kept whole.
     """
 
-    def __init__(self, clock: Clock, connect_timeout_s: float) -> None:
+    def __init__(self, clock: Clock, connect_timeout_s: float, held: HeldBytes) -> None:
         self._clock = clock
+        self._held = held
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[Address, collections.deque[_Idle]] = {}
 
+    @property
+    def held(self) -> HeldBytes:
+        """Bounds the bytes of the responses that are kept whole."""
+        return self._held
+
     async def open(self, address: Address, *, fresh: bool) -> Exchange:
         """Return an exchange on a new connection, or on an idle one of the pool."""
         reused = None if fresh else self._take_idle(address)
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -14,6 +14,8 @@
 from prometheus_client import Histogram
 from prometheus_client import generate_latest
 
+from chiveslip.dispatch.held_bytes import HeldBytes
+
 # Bucket bounds around the latency objectives of streams and of short calls.
 _LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0)
 _SHORT_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8)
@@ -59,6 +61,18 @@
             ("framing", "ending", "position"),
             registry=registry,
         )
+        self.held_bytes = Gauge(
+            "chiveslip_held_bytes",
+            "Bytes of messages that are kept until they are complete, by kind.",
+            ("kind",),
+            registry=registry,
+        )
+        self.given_up_messages = Counter(
+            "chiveslip_given_up_messages",
+            "Messages that were given up, as the process held too many bytes, by kind.",
+            ("kind",),
+            registry=registry,
+        )
         self.handovers = Counter(
             "chiveslip_handovers",
             "Requests handed over to peers for want of a path, by service and result.",
@@ -200,6 +214,14 @@
             registry=registry,
         )
 
+    def record_held_bytes(self, held: HeldBytes) -> None:
+        """Update the metrics of the bytes that the process holds."""
+        self.held_bytes.clear()
+        for kind, size in held.sizes_by_kind().items():
+            self.held_bytes.labels(kind).set(size)
+        for kind, number in held.take_given_up().items():
+            self.given_up_messages.labels(kind).inc(number)
+
     def render_text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -44,6 +44,9 @@
 
 _MAX_BODY_BYTES = 8 << 20
 _MAX_STREAM_BYTES = 64 << 20
+# A failure is kept whole, as another attempt may follow. It holds an explanation; one
+# that is longer is no answer.
+_MAX_FAILURE_BYTES = 1 << 20
 # The body of a refusal is read only to keep its connection.
 _MAX_REFUSAL_BODY_S = 0.05
 # Time after the end of an endpoint's answer for the caller to take the last bytes.
@@ -350,7 +353,7 @@
                 result=AttemptResult.UNKNOWN,
                 detail=f"unverified answer with status {head.status}",
             )
-        is_stream = call.route.is_stream and head.status < 300
+        is_stream = call.route.is_stream and _is_success(head)
         if stream.has_head and not (is_stream and _may_resume(head)):
             return Attempt(
                 result=AttemptResult.TRUNCATED,
@@ -369,8 +372,9 @@
         call: Call,
         withholds_failure: bool,
     ) -> Attempt:
+        max_bytes = _MAX_BODY_BYTES if _is_success(head) else _MAX_FAILURE_BYTES
         try:
-            body = await exchange.body()
+            body = await exchange.body(max_bytes)
         except ResponseTimeoutError as error:
             return self._build_timeout_attempt(call, error)
         except ExchangeInterruptedError as error:
@@ -468,6 +472,10 @@
         return max(call.deadline + _DEADLINE_GRACE_S - self._clock.now(), 0.0)
 
 
+def _is_success(head: ResponseHead) -> bool:
+    return head.status < http.HTTPStatus.MULTIPLE_CHOICES
+
+
 def is_event_stream(headers: HTTPHeaders) -> bool:
     """Return whether the body consists of events; so it does if no type is named."""
     return "Content-Type" not in headers or _names_event_stream(headers)
--- a/testing/dispatch/test_connection.py
+++ b/testing/dispatch/test_connection.py
@@ -12,6 +12,7 @@
 from chiveslip.dispatch.connection import ConnectionPool
 from chiveslip.dispatch.connection import ExchangeInterruptedError
 from chiveslip.dispatch.connection import ResponseTimeoutError
+from chiveslip.dispatch.held_bytes import HeldBytes
 from chiveslip.dispatch.outgoing import OutgoingRequest
 from chiveslip.dispatch.response_limits import ResponseLimits
 from chiveslip.settings.fields import Address
@@ -47,7 +48,7 @@
     start_endpoint: StartEndpoint,
 ) -> None:
     endpoint = await start_endpoint([response()])
-    pool = ConnectionPool(ManualClock(), TIMEOUT_S)
+    pool = ConnectionPool(ManualClock(), TIMEOUT_S, HeldBytes(64 << 20))
     first = await pool.open(endpoint.address, fresh=True)
     outgoing = OutgoingRequest(
         method="GET", path="/", headers={"X-Request-Id": "r1"}, request_id="r1"
@@ -96,7 +97,7 @@
     start_endpoint: StartEndpoint, script: list[Step]
 ) -> None:
     endpoint = await start_endpoint(script)
-    pool = ConnectionPool(ManualClock(), TIMEOUT_S)
+    pool = ConnectionPool(ManualClock(), TIMEOUT_S, HeldBytes(64 << 20))
     assert await fetch(pool, endpoint) == b"mine"
     pool.close()
 
@@ -128,7 +129,7 @@
     start_endpoint: StartEndpoint, script: list[Step]
 ) -> None:
     endpoint = await start_endpoint([*script, CLOSE])
-    pool = ConnectionPool(ManualClock(), TIMEOUT_S)
+    pool = ConnectionPool(ManualClock(), TIMEOUT_S, HeldBytes(64 << 20))
     with pytest.raises(ExchangeInterruptedError):
         await fetch(pool, endpoint)
     pool.close()
@@ -138,7 +139,7 @@
     start_endpoint: StartEndpoint,
 ) -> None:
     endpoint = await start_endpoint([])
-    pool = ConnectionPool(ManualClock(), TIMEOUT_S)
+    pool = ConnectionPool(ManualClock(), TIMEOUT_S, HeldBytes(64 << 20))
     exchange = await pool.open(endpoint.address, fresh=False)
     await exchange.send(OutgoingRequest(method="GET", path="/"), LIMITS)
     with pytest.raises(ResponseTimeoutError):
@@ -151,7 +152,7 @@
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         address = Address("127.0.0.1", probe.getsockname()[1])
-    pool = ConnectionPool(ManualClock(), TIMEOUT_S)
+    pool = ConnectionPool(ManualClock(), TIMEOUT_S, HeldBytes(64 << 20))
     with pytest.raises(ConnectError):
         await pool.open(address, fresh=False)
 
@@ -189,7 +190,7 @@
 ) -> None:
     endpoint = await start_endpoint([first])
     clock = ManualClock()
-    pool = ConnectionPool(clock, TIMEOUT_S)
+    pool = ConnectionPool(clock, TIMEOUT_S, HeldBytes(64 << 20))
     await fetch(pool, endpoint)
     clock.advance(idle_s)
     await fetch(pool, endpoint)
@@ -214,7 +215,7 @@
 
     server = await asyncio.start_server(answer_late, "127.0.0.1", 0, limit=4096)
     address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
-    pool = ConnectionPool(ManualClock(), TIMEOUT_S)
+    pool = ConnectionPool(ManualClock(), TIMEOUT_S, HeldBytes(64 << 20))
     exchange = await pool.open(address, fresh=True)
     outgoing = OutgoingRequest(
         method="POST", path="/", body=b"x" * body_bytes, request_id="r1"
--- a/testing/gateway/test_broken_answers.py
+++ b/testing/gateway/test_broken_answers.py
@@ -8,6 +8,7 @@
 
 from chiveslip.clock import ManualClock
 from chiveslip.dispatch.connection import ConnectionPool
+from chiveslip.dispatch.held_bytes import HeldBytes
 from testing.gateway.conftest import GatewayHarness
 from testing.gateway.conftest import RecordingReply
 from testing.raw_endpoint import CLOSE
@@ -58,7 +59,7 @@
 
     async def send(path: str, *scripts: list[Step]) -> RecordingReply:
         endpoint = await start_endpoint(*scripts)
-        pool = ConnectionPool(ManualClock(), 1.0)
+        pool = ConnectionPool(ManualClock(), 1.0, HeldBytes(64 << 20))
         harness = make_gateway(connector=pool, address=endpoint.address)
         try:
             return await harness.exchange(path)
@@ -193,7 +194,7 @@
     """The second request runs, after a copy of an earlier refusal."""
     first = [ANSWER.replace(b"r1", b"r0")]
     endpoint = await start_endpoint(first, [REFUSAL % copied_id, 0.05, ANSWER])
-    pool = ConnectionPool(ManualClock(), 1.0)
+    pool = ConnectionPool(ManualClock(), 1.0, HeldBytes(64 << 20))
     harness = make_gateway(connector=pool, address=endpoint.address)
     await harness.exchange(path, X_Request_Id="r0")
     reply = await harness.exchange(path)
@@ -208,7 +209,7 @@
     """A copy of its refusal on the same connection would have its own id."""
     refusal = REFUSAL % b"X-Request-Id: r1\r\n"
     endpoint = await start_endpoint([refusal], [ANSWER])
-    pool = ConnectionPool(ManualClock(), 1.0)
+    pool = ConnectionPool(ManualClock(), 1.0, HeldBytes(64 << 20))
     harness = make_gateway(connector=pool, address=endpoint.address)
     reply = await harness.exchange("/once/x")
     pool.close()
--- a/testing/gateway/test_endless_answers.py
+++ b/testing/gateway/test_endless_answers.py
@@ -9,6 +9,7 @@
 
 from chiveslip.clock import SystemClock
 from chiveslip.dispatch.connection import ConnectionPool
+from chiveslip.dispatch.held_bytes import HeldBytes
 from testing.gateway.conftest import GatewayHarness
 from testing.gateway.conftest import RecordingReply
 from testing.raw_endpoint import CLOSE
@@ -50,7 +51,7 @@
 
     async def send(path: str, endpoint: RawEndpoint) -> RecordingReply:
         clock = SystemClock()
-        pool = ConnectionPool(clock, 1.0)
+        pool = ConnectionPool(clock, 1.0, HeldBytes(64 << 20))
         harness = make_gateway(connector=pool, address=endpoint.address, clock=clock)
         try:
             async with asyncio.timeout(MAX_ANSWER_S):
@@ -162,3 +163,85 @@
     reply = await exchange("/stream/x", endpoint)
     assert reply.is_truncated
     await wait_until_closed(endpoint)
+
+
+FAILED = "HTTP/1.1 500 Failed\r\nX-Request-Id: r1\r\nX-Server-Signature: sig\r\n"
+# Limit on the body of a failure, and what sockets and buffers hold.
+MAX_FAILURE_BYTES = (1 << 20) + (8 << 20)
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize(
+    "script",
+    [
+        pytest.param(
+            [f"{FAILED}\r\n".encode(), Endless(part=b"x" * 65536)], id="unframed"
+        ),
+        pytest.param(
+            [
+                f"{FAILED}Transfer-Encoding: chunked\r\n\r\n".encode(),
+                Endless(part=in_chunk(b"x" * 65536)),
+            ],
+            id="chunks",
+        ),
+        pytest.param(
+            [
+                f"{FAILED}Content-Length: {60 << 20}\r\n\r\n".encode(),
+                Endless(part=b"x" * 65536),
+            ],
+            id="length",
+        ),
+    ],
+)
+async def test_endless_failure_is_not_kept_beyond_its_limit(
+    exchange: Callable[..., object],
+    start_endpoint: StartEndpoint,
+    path: str,
+    script: list[Step],
+) -> None:
+    endpoint = await start_endpoint(script)
+    started = asyncio.get_running_loop().time()
+    reply = await exchange(path, endpoint)
+    assert reply.status in (502, 503)
+    assert asyncio.get_running_loop().time() - started < DEADLINE_S
+    await wait_until_closed(endpoint)
+    assert endpoint.sent_bytes < endpoint.requests * MAX_FAILURE_BYTES
+
+
+# Far below what the endless answers of a test bring in its time.
+MAX_HELD_BYTES = 2 << 20
+
+
+async def test_endless_answers_together_do_not_exceed_what_a_process_may_hold(
+    make_gateway: Callable[..., GatewayHarness], start_endpoint: StartEndpoint
+) -> None:
+    clock = SystemClock()
+    held = HeldBytes(MAX_HELD_BYTES)
+    pool = ConnectionPool(clock, 1.0, held)
+    most = 0
+
+    async def watch() -> None:
+        nonlocal most
+        while True:
+            most = max(most, held.total)
+            await asyncio.sleep(0.001)
+
+    def connect(endpoint: RawEndpoint) -> GatewayHarness:
+        return make_gateway(connector=pool, address=endpoint.address, clock=clock)
+
+    part = in_chunk(b"x" * 16384)
+    endless = await start_endpoint([CHUNKED, Endless(part=part, interval_s=0.01)])
+    sound = await start_endpoint([*GOOD, CLOSE])
+    watcher = asyncio.create_task(watch())
+    try:
+        async with asyncio.timeout(2 * MAX_ANSWER_S):
+            held_up = [connect(endless).exchange("/once/x") for _ in range(10)]
+            replies = await asyncio.gather(*held_up, connect(sound).exchange("/once/x"))
+    finally:
+        watcher.cancel()
+        pool.close()
+    assert {reply.status for reply in replies[:-1]} <= {502, 504}
+    assert replies[-1].status == 200
+    assert MAX_HELD_BYTES / 2 < most <= MAX_HELD_BYTES
+    assert held.total == 0
+    assert sum(held.take_given_up().values()) > 0
--- a/testing/platform/test_endless_responses.py
+++ b/testing/platform/test_endless_responses.py
@@ -13,6 +13,7 @@
 
 from chiveslip.clock import SystemClock
 from chiveslip.dispatch.connection import ConnectionPool
+from chiveslip.dispatch.held_bytes import HeldBytes
 from chiveslip.gateway.endpoint_limits import EndpointLimits
 from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.engine_control import EngineControlError
@@ -113,7 +114,7 @@
 async def check_given_up(
     read: Read, error: type[Exception], endpoint: RawEndpoint
 ) -> None:
-    pool = ConnectionPool(SystemClock(), 1.0)
+    pool = ConnectionPool(SystemClock(), 1.0, HeldBytes(64 << 20))
     async with asyncio.timeout(MAX_READ_S):
         with pytest.raises(error):
             await read(pool, endpoint.address)
@@ -199,7 +200,7 @@
 async def test_long_page_on_a_slow_link_is_read_to_its_end(read: Read) -> None:
     assert SlowPage.BYTES / SlowPage.BYTES_PER_S > TIMEOUT_S
     server = await asyncio.start_server(SlowPage().answer, "127.0.0.1", 0)
-    pool = ConnectionPool(SystemClock(), 1.0)
+    pool = ConnectionPool(SystemClock(), 1.0, HeldBytes(64 << 20))
     await read(pool, Address("127.0.0.1", server.sockets[0].getsockname()[1]))
     pool.close()
     server.close()
--- a/testing/platform/test_lost_paths.py
+++ b/testing/platform/test_lost_paths.py
@@ -17,6 +17,7 @@
 from chiveslip.dispatch.connection import ConnectionPool
 from chiveslip.dispatch.connection import Connector
 from chiveslip.dispatch.connection import Exchange
+from chiveslip.dispatch.held_bytes import HeldBytes
 from chiveslip.generated import peer_pb2 as wire
 from chiveslip.generated.peer_grpc import GatewayPeerStub
 from chiveslip.settings.fields import Address
@@ -63,7 +64,7 @@
     made: list[CuttableConnector] = []
 
     def __init__(self, clock: Clock, connect_timeout_s: float) -> None:
-        self._pool = ConnectionPool(clock, connect_timeout_s)
+        self._pool = ConnectionPool(clock, connect_timeout_s, HeldBytes(64 << 20))
         self.cut = Cut.NONE
         self.proxies: dict[int, Proxy] = {}
         self.made.append(self)
--- a/testing/platform/test_settings_template.py
+++ b/testing/platform/test_settings_template.py
@@ -25,6 +25,7 @@
         "ready": "10.1.0.25:8224",
         "control": "10.1.0.25:8229",
     },
+    "limits": {"memory_mb": 200},
     "bounds": {
         "retry_budget_ratio": 0.2,
         "retry_budget_slack": 52,
@@ -98,6 +99,7 @@
     assert settings.gateway.retry_slack == 52
     assert settings.gateway.stop_grace == 8.0
     assert settings.store.address == Address("10.200.1.7", 8225)
+    assert settings.limits.memory == 200 << 20
 
 
 @pytest.mark.parametrize(
@@ -142,6 +144,25 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("value", "memory_mb", "has_warning"),
+    [
+        pytest.param(None, 300, False, id="missing"),
+        pytest.param(300.5, 300.5, False, id="fraction"),
+        pytest.param(0, 64, True, id="none"),
+        pytest.param(1e15, 65536, True, id="huge"),
+        pytest.param(-200, 300, True, id="negative"),
+        pytest.param("much", 300, True, id="text"),
+    ],
+)
+def test_memory_of_the_machine_is_used_within_the_range(
+    value: Any, memory_mb: float, has_warning: bool
+) -> None:
+    loaded = check_rendered(replace_field("limits.memory_mb", value)).unwrap()
+    assert loaded.settings.limits.memory == memory_mb * (1 << 20)
+    assert bool(loaded.warnings) == has_warning
+
+
 @pytest.mark.parametrize("bound", list(_BOUNDS))
 @pytest.mark.parametrize("value", [-5, -0.25, "NaN", "Infinity", True, "soon", "1e999"])
 def test_meaningless_bound_is_replaced_by_its_default_with_a_warning(
