--- a/src/chiveslip/gateway/ingress.py
+++ b/src/chiveslip/gateway/ingress.py
@@ -54,12 +54,27 @@
         return self.target.partition("?")[0]
 
 
+# Their answers end with the head, whatever its headers say (RFC 9110, 6.4.1).
+_STATUSES_WITHOUT_BODY = frozenset(
+    {http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED}
+)
+
+
 @final
 class IngressReply(Reply):
-    """Writes one answer to a caller's connection."""
+    """Writes one answer to a caller's connection.
+
+    Parameters
+    ----------
+    method
+        Method of the request: an answer to HEAD has no body.
+    """
 
-    def __init__(self, connection: HTTP1Connection, *, closes_connection: bool) -> None:
+    def __init__(
+        self, connection: HTTP1Connection, method: str, *, closes_connection: bool
+    ) -> None:
         self._connection = connection
+        self._method = method
         self._closes_connection = closes_connection
         self._has_started = False
         self._has_ended = False
@@ -77,8 +92,11 @@
 
     async def respond(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Write a complete answer."""
-        headers["Content-Length"] = str(len(body))
-        self._write_head(status, headers, body)
+        has_body = self._has_body(status)
+        # For HEAD, the length that the body would have is given if it is known.
+        if has_body or (body and status not in _STATUSES_WITHOUT_BODY):
+            headers["Content-Length"] = str(len(body))
+        self._write_head(status, headers, body if has_body else None)
         self.end()
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
@@ -95,6 +113,8 @@
         CallerDisconnectedError
             If the caller closed the connection.
         """
+        if not self._has_body(self._status):
+            return
         try:
             await self._connection.write(chunk)
         except StreamClosedError as error:
@@ -113,6 +133,9 @@
         self._connection.set_close_callback(None)
         self._connection.stream.close()
 
+    def _has_body(self, status: int) -> bool:
+        return self._method != "HEAD" and status not in _STATUSES_WITHOUT_BODY
+
     def _write_head(
         self, status: int, headers: HTTPHeaders, body: bytes | None
     ) -> None:
@@ -221,7 +244,9 @@
         self, request: IngressRequest, connection: HTTP1Connection
     ) -> asyncio.Task[None]:
         """Start a task that answers a request."""
-        reply = IngressReply(connection, closes_connection=self.closes_connections)
+        reply = IngressReply(
+            connection, request.method, closes_connection=self.closes_connections
+        )
         return self._tasks.start(self._run_handler(request, reply))
 
     async def close(self) -> None:
