--- a/bench/crashing_parts.py
+++ b/bench/crashing_parts.py
@@ -166,8 +166,9 @@
         blocked = self._suspects.find_blocked(parts, ORGANISATION)
         if not blocked:
             return True
-        if self._suspects.trial_in_s(blocked, now) == 0:
-            self._suspects.record_trial(blocked, now)
+        trial = self._suspects.next_trial(blocked, now)
+        if trial.in_s == 0:
+            self._suspects.record_trial(trial.parts, now)
             return True
         if not is_harmful:
             self._outcome.wrongly_refused += 1
--- a/src/chiveslip/dispatch/part_suspects.py
+++ b/src/chiveslip/dispatch/part_suspects.py
@@ -144,6 +144,23 @@
     clearances: int
 
 
+@attrs.frozen(kw_only=True)
+class Trial:
+    """A request that may be sent although parts of its prompt are blocked.
+
+    Attributes
+    ----------
+    parts
+        The parts that it tells something of; the instance that coordinates the first
+        of them makes the trial.
+    in_s
+        Time in seconds until it may be made.
+    """
+
+    parts: tuple[str, ...]
+    in_s: float
+
+
 @attrs.frozen
 class _Block:
     episodes: float
@@ -280,16 +297,45 @@
             if part in blocks and blocks[part].covers(organisation)
         )
 
-    def trial_in_s(self, parts: Iterable[str], now: float) -> float:
-        """Return the time in seconds until blocked parts may be tried."""
+    def next_trial(self, blocked: tuple[str, ...], now: float) -> Trial:
+        """Return the trial that a request with these blocked parts would be.
+
+        Parts that were at the same crashes are told apart only by a request that holds
+        some of them. Whether it crashes an endpoint or goes on, it clears one side, so
+        that it is not delayed as a trial of all of them is.
+        """
+        group = self._find_split(blocked)
+        if group:
+            return Trial(parts=group, in_s=self._result_in_s(group, now))
         blocks = self._current_blocks()
         due_at = [
             max(
                 blocks[part].trial_from, self._suspects[part].tried_at + _TRIAL_RESULT_S
             )
-            for part in parts
+            for part in blocked
             if part in blocks
         ]
+        return Trial(parts=blocked, in_s=max(max(due_at, default=now) - now, 0.0))
+
+    def _find_split(self, blocked: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the parts that a request tells apart, or none if it does not."""
+        blocks = self._current_blocks()
+        told_apart: set[str] = set()
+        for part in blocked:
+            crashes = self._suspects[part].crashes.keys()
+            group = {p for p in blocks if crashes & self._suspects[p].crashes.keys()}
+            if group <= set(blocked):
+                return ()
+            told_apart |= group
+        return tuple(sorted(told_apart))
+
+    def _result_in_s(self, parts: Iterable[str], now: float) -> float:
+        """Return the time in seconds until the last trial of parts has a result."""
+        due_at = [
+            suspect.tried_at + _TRIAL_RESULT_S
+            for suspect in (self._suspects[part] for part in parts)
+            if suspect.last_crash_at <= suspect.tried_at
+        ]
         return max(max(due_at, default=now) - now, 0.0)
 
     def record_trial(self, parts: Iterable[str], now: float) -> None:
--- a/src/chiveslip/gateway/crash_guard.py
+++ b/src/chiveslip/gateway/crash_guard.py
@@ -78,7 +78,9 @@
             code=result_codes.CRASH_SUSPECT,
             detail=f"Endpoints crashed while they ran requests with the prompt part "
             f"{' or '.join(blocked)} (hash).",
-            retry_after_s=max(self._parts.trial_in_s(blocked, now), _MIN_RETRY_AFTER_S),
+            retry_after_s=max(
+                self._parts.next_trial(blocked, now).in_s, _MIN_RETRY_AFTER_S
+            ),
         )
 
     def admit(self, traits: CrashTraits) -> CrashTraits | Refusal:
@@ -97,15 +99,16 @@
     def _begin_trial(self, traits: CrashTraits) -> bool:
         """Return whether a trial may be made now, and record it.
 
-        Of the whole fleet, the coordinator of the first part decides this.
+        Of the whole fleet, the coordinator of the trial's first part decides this.
         """
         now = self._clock.now()
         blocked = self._parts.find_blocked(traits.parts, traits.organisation)
-        if not blocked or self._parts.trial_in_s(blocked, now) > 0:
+        if not blocked:
             return False
-        if not self._may_try(blocked[0]):
+        trial = self._parts.next_trial(blocked, now)
+        if trial.in_s > 0 or not self._may_try(trial.parts[0]):
             return False
-        self._parts.record_trial(blocked, now)
+        self._parts.record_trial(trial.parts, now)
         self._telemetry.record_part_trial(blocked)
         return True
 
--- a/testing/dispatch/test_part_suspects.py
+++ b/testing/dispatch/test_part_suspects.py
@@ -105,9 +105,50 @@
 )
 def test_trials_become_rarer_with_each_crash(crashes: int, trial_from: float) -> None:
     suspects = play([(n, CRASH, "x") for n in range(crashes)])
-    assert suspects.trial_in_s("x", 0.0) == pytest.approx(trial_from)
+    assert suspects.next_trial(("x",), 0.0).in_s == pytest.approx(trial_from)
     suspects.record_trial("x", trial_from)
-    assert suspects.trial_in_s("x", trial_from) == pytest.approx(15.0)
+    assert suspects.next_trial(("x",), trial_from).in_s == pytest.approx(15.0)
+
+
+# Two parts that come together crash three endpoints.
+TOGETHER = [(n, CRASH, "nx") for n in range(3)]
+REGULAR_TRIAL_AT = 7.0
+
+
+@pytest.mark.parametrize(
+    ("blocked", "told_apart", "trial_at"),
+    [
+        pytest.param("n", "nx", 3.0, id="one-of-two"),
+        pytest.param("x", "nx", 3.0, id="the-other-one"),
+        pytest.param("nx", "nx", REGULAR_TRIAL_AT, id="both"),
+    ],
+)
+def test_request_that_tells_suspects_apart_is_tried_at_once(
+    blocked: str, told_apart: str, trial_at: float
+) -> None:
+    suspects = play(TOGETHER)
+    trial = suspects.next_trial(tuple(blocked), 3.0)
+    assert trial.parts == tuple(told_apart)
+    assert 3.0 + trial.in_s == pytest.approx(trial_at)
+
+
+@pytest.mark.parametrize("result", [(3.2, ANSWER, "n"), (3.2, CRASH, "x")])
+def test_either_result_of_such_a_trial_clears_the_harmless_part(result: Event) -> None:
+    assert play([*TOGETHER, result]).blocked_parts == {"x"}
+
+
+@pytest.mark.parametrize("blocked", ["n", "x", "nx"])
+def test_second_trial_waits_for_the_result_of_the_first(blocked: str) -> None:
+    suspects = play(TOGETHER)
+    suspects.record_trial(suspects.next_trial(("n",), 3.0).parts, 3.0)
+    assert suspects.next_trial(tuple(blocked), 3.0).in_s == pytest.approx(15.0)
+
+
+def test_parts_with_separate_crashes_are_not_told_apart() -> None:
+    suspects = play([*TOGETHER, *((n + 0.5, CRASH, "z") for n in range(3))])
+    assert suspects.blocked_parts == {"n", "x", "z"}
+    assert suspects.next_trial(("z",), 3.0).in_s == pytest.approx(4.5)
+    assert suspects.next_trial(("n", "z"), 3.0).in_s == pytest.approx(4.5)
 
 
 def test_crashes_expire_and_the_part_is_used_again() -> None:
