--- a/testing/platform/gateways.py
+++ b/testing/platform/gateways.py
@@ -146,12 +146,27 @@
             await asyncio.sleep(0.02)
 
 
-async def fetch(port: int, path: str, **headers: str) -> HTTPResponse:
-    """Send a GET request to a port of a gateway."""
+async def fetch(
+    port: int,
+    path: str,
+    *,
+    on_chunk: Callable[[bytes], None] | None = None,
+    **headers: str,
+) -> HTTPResponse:
+    """Send a GET request to a port of a gateway.
+
+    Parameters
+    ----------
+    on_chunk
+        Called with each part of the body, which the response then lacks.
+    """
     client = AsyncHTTPClient(force_instance=True)
     try:
         return await client.fetch(
-            f"http://127.0.0.1:{port}{path}", headers=headers, raise_error=False
+            f"http://127.0.0.1:{port}{path}",
+            headers=headers,
+            raise_error=False,
+            streaming_callback=on_chunk,
         )
     finally:
         client.close()
@@ -164,9 +179,16 @@
     adapter: str = "",
     key: str = KEY,
     request_id: str = "r1",
+    on_chunk: Callable[[bytes], None] | None = None,
     **further_headers: str,
 ) -> HTTPResponse:
-    """Send a request as a caller."""
+    """Send a request as a caller.
+
+    Parameters
+    ----------
+    on_chunk
+        As of `fetch`.
+    """
     headers = {
         "Host": "kiosk.example",
         "X-Request-Id": request_id,
@@ -176,7 +198,7 @@
     if adapter:
         headers |= {"X-Model": f"m/{adapter}", "X-Token-Count": "100,50"}
     headers |= {k.replace("_", "-"): value for k, value in further_headers.items()}
-    return await fetch(member.callers, path, **headers)
+    return await fetch(member.callers, path, on_chunk=on_chunk, **headers)
 
 
 @contextlib.asynccontextmanager
--- a/testing/platform/test_lost_paths.py
+++ b/testing/platform/test_lost_paths.py
@@ -63,8 +63,8 @@
     store_port = 0
     made: list[CuttableConnector] = []
 
-    def __init__(self, clock: Clock, connect_timeout_s: float) -> None:
-        self._pool = ConnectionPool(clock, connect_timeout_s, HeldBytes(64 << 20))
+    def __init__(self, clock: Clock, connect_timeout_s: float, held: HeldBytes) -> None:
+        self._pool = ConnectionPool(clock, connect_timeout_s, held)
         self.cut = Cut.NONE
         self.proxies: dict[int, Proxy] = {}
         self.made.append(self)
@@ -183,6 +183,16 @@
     assert cluster.kiosk.received_requests == []
 
 
+def list_runs(cluster: GatewayCluster, request_id: str) -> list[str]:
+    """Return the last event id with which each run of a request began."""
+    return [
+        request.headers.get("Last-Event-Id", "")
+        for engine in cluster.engines
+        for request in engine.received_requests
+        if request.headers["X-Request-Id"] == request_id
+    ]
+
+
 @pytest.mark.parametrize("has_begun", [False, True])
 async def test_stream_that_the_lost_paths_hold_up_goes_on_through_a_peer(
     cluster: GatewayCluster, has_begun: bool
@@ -203,10 +213,21 @@
         await wait_until(is_served)
         for engine in cluster.engines:
             engine.pause_between_events_s = EVENT_PAUSE_S
+        body: list[bytes] = []
         sent = asyncio.create_task(
-            send_request(members[0], "/urgent/x", adapter="a7", request_id="held-up")
+            send_request(
+                members[0],
+                "/urgent/x",
+                adapter="a7",
+                request_id="held-up",
+                on_chunk=body.append,
+            )
         )
-        await asyncio.sleep(1.5 * EVENT_PAUSE_S if has_begun else 0.5 * EVENT_PAUSE_S)
+
+        async def has_come_so_far() -> bool:
+            return bool(body) if has_begun else bool(list_runs(cluster, "held-up"))
+
+        await wait_until(has_come_so_far)
         connector.silence()
         for engine in cluster.engines:
             engine.pause_between_events_s = 0.0
@@ -215,15 +236,11 @@
     finally:
         for proxy in connector.proxies.values():
             proxy.close()
-    events = [line for line in answer.body.split(b"\n") if line.startswith(b"id: ")]
+    lines = b"".join(body).split(b"\n")
+    events = [line for line in lines if line.startswith(b"id: ")]
     assert (answer.code, events) == (200, [b"id: 1", b"id: 2", b"id: 3"])
-    runs = [
-        request.headers.get("Last-Event-Id", "")
-        for engine in cluster.engines
-        for request in engine.received_requests
-        if request.headers["X-Request-Id"] == "held-up"
-    ]
-    assert sorted(runs) == ["", "1"] if has_begun else ["", ""]
+    expected = ["", "1"] if has_begun else ["", ""]
+    assert sorted(list_runs(cluster, "held-up")) == expected
 
 
 async def _connect_from_elsewhere(channel: Channel) -> H2Protocol:
