--- a/local/fleet.py
+++ b/local/fleet.py
@@ -11,8 +11,8 @@
 import attrs
 import yaml
 
+from local.ports import reserve_port
 from local.processes import Processes
-from local.processes import free_ports
 from local.processes import wait_for_url
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -87,7 +87,7 @@
         shutil.copytree(ROOT / "example", self.source)
         self.published.mkdir()
         names = ("platform", *ENGINES, *SERVICES)
-        ports = free_ports(len(names) + 3 * len(INSTANCES))
+        ports = [reserve_port() for _ in range(len(names) + 3 * len(INSTANCES))]
         self.standins = dict(zip(names, ports, strict=False))
         remaining_ports = iter(ports[len(names) :])
         for name in INSTANCES:
--- a/local/processes.py
+++ b/local/processes.py
@@ -6,7 +6,6 @@
 import contextlib
 import os
 import signal
-import socket
 import sys
 from pathlib import Path
 from types import TracebackType
@@ -17,13 +16,10 @@
 
 _TERMINATE_TIMEOUT_S = 10.0
 _READY_POLL_S = 0.05
-_FIRST_PORT = 12000
-_LAST_PORT = 32000
-_PORT_STRIDE = 101
 
 
 class NotReadyError(Exception):
-    """A process did not become ready in time, or there are too few free ports."""
+    """A process did not become ready in time."""
 
 
 class Processes:
@@ -84,36 +80,6 @@
             await process.wait()
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free now on the loopback address.
-
-    They lie below the system's ephemeral range, so that no outgoing connection takes
-    one before its server starts.
-    """
-    ports: list[int] = []
-    span = _LAST_PORT - _FIRST_PORT
-    # Processes that search at the same time start at different ports.
-    offset = os.getpid() * _PORT_STRIDE % span
-    for step in range(span):
-        port = _FIRST_PORT + (offset + step) % span
-        if _is_free(port):
-            ports.append(port)
-        if len(ports) == count:
-            return ports
-    raise NotReadyError(
-        f"fewer than {count} free ports from {_FIRST_PORT} to {_LAST_PORT - 1}"
-    )
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
 async def wait_for_url(url: str, timeout_s: float) -> None:
     """Wait until `url` responds with status 200.
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,7 +26,7 @@
 from tornado.httpclient import HTTPClientError
 from tornado.iostream import StreamClosedError
 
-from local.processes import free_ports
+from local.ports import reserve_port
 from soak import checks
 from soak import endpoint_checks
 from soak.checks import SentRequest
@@ -533,7 +533,7 @@
 
 def _allocate_ports(gateways: int) -> list[Ports]:
     names = ("callers", "readiness", "peers", "metrics")
-    free = iter(free_ports(gateways * len(names)))
+    free = iter([reserve_port() for _ in range(gateways * len(names))])
     return [Ports(**{name: next(free) for name in names}) for _ in range(gateways)]
 
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -14,8 +14,8 @@
 from collections.abc import Collection
 from typing import final
 
+from local.ports import reserve_port
 from standins.common import reset_on_close
-from testing.platform.gateways import free_port
 
 _CHUNK_BYTES = 1 << 16
 _DELAY_S = 0.2
@@ -83,7 +83,7 @@
         self._queue_fillers.clear()
         if self._server is not None:
             return
-        self.port = self.port or free_port(self._reserved_ports)
+        self.port = self.port or reserve_port(self._reserved_ports)
         self._server = await asyncio.start_server(self._relay, "127.0.0.1", self.port)
 
     def refuse_new(self) -> None:
--- a/testing/gateway/test_ingress.py
+++ b/testing/gateway/test_ingress.py
@@ -20,7 +20,7 @@
 from chiveslip.generated import result_codes
 from chiveslip.platform.protocol import PlatformProtocol
 from chiveslip.results import Refusal
-from testing.platform.gateways import free_port
+from local.ports import reserve_port
 
 MAX_ANSWER_S = 5.0
 METHODS = ["GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE", "BREW"]
@@ -70,7 +70,7 @@
         await answer(reply)
 
     ingress = Ingress(handle, max_body_bytes=1 << 10, max_head_bytes=1 << 10)
-    port = free_port()
+    port = reserve_port()
     ingress.listen("127.0.0.1", port)
     try:
         yield port
--- a/testing/platform/gateways.py
+++ b/testing/platform/gateways.py
@@ -4,11 +4,8 @@
 
 import asyncio
 import contextlib
-import random
-import socket
 from collections.abc import AsyncIterator
 from collections.abc import Callable
-from collections.abc import Collection
 from typing import Any
 
 import attrs
@@ -19,31 +16,13 @@
 from chiveslip.daemon.gateway import GatewayInstance
 from chiveslip.platform.main import UserPlatformInterfaces
 from chiveslip.settings.check import check_settings
+from local.ports import reserve_port
 from testing.platform.published import build_configuration
 from testing.platform.standins import ReplicaStandIn
 from testing.platform.standins import StoreStandIn
 
 KEY = "key-of-the-trust"
 MAX_WAIT_S = 20.0
-_LISTENING_PORTS = range(15000, 32000)
-_PORTS = random.SystemRandom()
-
-
-def free_port(reserved: Collection[int] = ()) -> int:
-    """Return a free port that the system gives to no outgoing connection.
-
-    Parameters
-    ----------
-    reserved
-        Ports on which somebody will listen later.
-    """
-    while True:
-        port = _PORTS.choice(_LISTENING_PORTS)
-        if port in reserved:
-            continue
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
 
 
 def published_configuration(
@@ -91,7 +70,7 @@
         stop_grace, notice
             Settings of a planned stop.
         """
-        member = Member(None, *(free_port() for _ in range(4)))  # type: ignore[arg-type]
+        member = Member(None, *(reserve_port() for _ in range(4)))  # type: ignore[arg-type]
         addresses = ",".join(f"127.0.0.1:{port}" for port in seeds)
         store_address = f"127.0.0.1:{store_port or self.store.port}"
         settings_text = f"""
