--- a/src/chiveslip/gateway/catalogue.py
+++ b/src/chiveslip/gateway/catalogue.py
@@ -23,6 +23,8 @@
 _RENEWAL_S = 2.0
 # Time after that within which a read of the store ends, if the store answers.
 _MAX_READ_S = 1.0
+# An instance that was not held up drops expired endpoints at least this often.
+_MAX_ROUND_S = 0.75
 _FIRST_VERSION = 1
 # Source of a removal that was deferred until the entry could have been renewed.
 _EXPIRED_SOURCE = "expiry"
@@ -56,6 +58,7 @@
         self._organisations: dict[str, Organisation] = {}
         self._versions: dict[str, int] = {}
         self._expired: dict[str, float] = {}
+        self._dropped_at = clock.now()
         self._log = logs.get_logger("catalogue")
 
     @property
@@ -169,17 +172,20 @@
     def drop_expired_endpoints(self) -> None:
         """Remove endpoints that expired with the store and were not renewed in time.
 
-        An instance that was held up first reads what was written meanwhile. If peers
-        show that the store was not away, the endpoints did not expire.
+        An instance that was held up, or whose reads fail, first reads what was written
+        meanwhile. If peers show that the store was not away, the endpoints did not
+        expire.
         """
         now = self._clock.now()
-        read_at = self._store_contact.answered_at
-        was_away_until = self._store_contact.return_at
+        contact = self._store_contact
+        has_all_writes = not contact.is_lost and now < self._dropped_at + _MAX_ROUND_S
+        self._dropped_at = now
         for endpoint, renewal_ends_at in list(self._expired.items()):
-            was_removed = was_away_until + _RENEWAL_S < renewal_ends_at
-            is_read = read_at >= renewal_ends_at
+            was_removed = contact.return_at + _RENEWAL_S < renewal_ends_at
             is_due = renewal_ends_at <= now and (
-                is_read or now >= renewal_ends_at + _MAX_READ_S
+                has_all_writes
+                or contact.answered_at >= renewal_ends_at
+                or now >= renewal_ends_at + _MAX_READ_S
             )
             if was_removed or is_due:
                 del self._expired[endpoint]
--- a/testing/gateway/test_catalogue.py
+++ b/testing/gateway/test_catalogue.py
@@ -53,11 +53,18 @@
             ENDPOINT.id, STORE_SOURCE, may_be_renewed=may_be_renewed
         )
 
-    def dropped_after(self) -> float:
-        """Return when the endpoint is dropped, if rounds of maintenance run often."""
+    def dropped_after(self, *, is_reading: bool = True) -> float:
+        """Return when the endpoint is dropped, if rounds of maintenance run often.
+
+        Parameters
+        ----------
+        is_reading
+            Whether a read of the store ends in each round.
+        """
         while self.directory.accepts_work(ENDPOINT):
             self.clock.advance(STEP_S)
-            self.contact.record_answer(knew_items=True)
+            if is_reading:
+                self.contact.record_answer(knew_items=True)
             self.catalogue.drop_expired_endpoints()
             assert self.clock.now() < self.reconnected_at + 60.0
         return self.clock.now() - self.reconnected_at
@@ -168,3 +175,30 @@
     )
     harness.catalogue.drop_expired_endpoints()
     assert harness.directory.accepts_work(ENDPOINT) == is_kept
+
+
+def test_endpoint_that_was_not_renewed_is_dropped_before_the_next_read_ends(
+    make_harness: MakeHarness,
+) -> None:
+    harness = make_harness(4.0)
+    harness.advance_to(0.1)
+    harness.remove()
+    assert harness.dropped_after(is_reading=False) <= 2.0 + STEP_S + 1e-6
+
+
+@pytest.mark.parametrize(
+    ("is_lost", "dropped_by"),
+    [pytest.param(False, 2.5, id="held-up"), pytest.param(True, 3.0, id="reads-fail")],
+)
+def test_instance_reads_before_it_drops_what_it_could_not_see_renewed(
+    make_harness: MakeHarness, is_lost: bool, dropped_by: float
+) -> None:
+    harness = make_harness(4.0)
+    harness.remove()
+    if is_lost:
+        harness.contact.record_failure()
+    harness.advance_to(2.4)
+    harness.catalogue.drop_expired_endpoints()
+    assert harness.directory.accepts_work(ENDPOINT)
+    dropped_after = harness.dropped_after(is_reading=False)
+    assert dropped_after <= dropped_by + STEP_S + 1e-6
