--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -32,6 +32,7 @@
 from soak.checks import SentRequest
 from soak.endpoint_checks import CutTime
 from soak.endpoint_checks import LimitedTime
+from soak.endpoint_checks import RemovedTime
 from soak.endpoint_checks import SentArrival
 from soak.gateways import GatewayProcess
 from soak.gateways import Ports
@@ -62,6 +63,13 @@
 # Time that endpoints grant before they count what they refuse.
 BRITTLE_NOTICE_S = 2.0
 REFUSING_S = 0.3
+# Time for which a replica serves after its entry was removed.
+REMOVED_S = endpoint_checks.DRAIN_S + 1.5
+# Within this time every gateway that reads the store has a change.
+MAX_ACKNOWLEDGED_S = 1.0
+# Far below what the machines of the users have, far above what a gateway needs.
+MAX_MEMORY_BYTES = 150 << 20
+MEMORY_INTERVAL_S = 0.1
 # Longer than the window in which requests to a limited endpoint are counted.
 LIMITED_S = 5.0
 
@@ -92,6 +100,11 @@
         self._requests: list[SentRequest] = []
         self._brittle_times: list[list[BrittleTime]] = []
         self._limited_times: list[LimitedTime] = []
+        self._removed_times: list[RemovedTime] = []
+        # Whether no fault of the store may begin.
+        self._keeps_store = False
+        # When the store was away, and when it had faults.
+        self._store_faults: list[tuple[float, float]] = []
         self._cuts: list[CutTime] = []
         self._cut_gateway = ""
         self._version = 1
@@ -126,6 +139,7 @@
         faults = [asyncio.create_task(self._inject_faults()) for _ in range(2)]
         faults.append(asyncio.create_task(self._inject_response_faults()))
         faults.append(asyncio.create_task(self._inject_endpoint_faults()))
+        meter = asyncio.create_task(self._measure_memory())
         await asyncio.sleep(seconds)
         await _cancel(faults)
         await self._clear_faults()
@@ -134,7 +148,7 @@
             if await self._wait_until_served()
             else ["requests are not served after the faults ended"]
         )
-        await _cancel(clients)
+        await _cancel([*clients, meter])
         await asyncio.sleep(SETTLE_S)
         received = [
             request
@@ -148,8 +162,19 @@
         violations += checks.find_violations(
             self._requests, received, self._withdrawn, KEY_PREFIX, DEADLINE_S
         )
+        violations += [
+            f"{gateway.name} held {gateway.most_memory_bytes >> 20} MiB"
+            for gateway in self._gateways
+            if gateway.most_memory_bytes > MAX_MEMORY_BYTES
+        ]
         return violations + self._find_endpoint_violations()
 
+    async def _measure_memory(self) -> None:
+        while True:
+            for gateway in self._gateways:
+                gateway.measure_memory()
+            await asyncio.sleep(MEMORY_INTERVAL_S)
+
     def _find_endpoint_violations(self) -> list[str]:
         requests = {each.request_id: each for each in self._requests}
         arrivals = [
@@ -169,6 +194,11 @@
         return [
             *endpoint_checks.find_requests_to_leaving(self._requests, arrivals),
             *endpoint_checks.find_requests_in_rest(arrivals),
+            *endpoint_checks.find_requests_to_removed(
+                filter(self._was_acknowledged, self._removed_times),
+                arrivals,
+                self._was_in_touch,
+            ),
             *endpoint_checks.find_requests_over_limits(
                 self._limited_times, self._requests, arrivals
             ),
@@ -192,6 +222,14 @@
         is_known = arrival.source in self._proxies
         return is_known and not self._was_disturbed(arrival.source, since, arrival.at)
 
+    def _was_acknowledged(self, removed: RemovedTime) -> bool:
+        """Return whether the store had no fault around a removal."""
+        since = removed.begin - endpoint_checks.CONTACT_S
+        until = removed.begin + MAX_ACKNOWLEDGED_S
+        return not any(
+            begin <= until and end >= since for begin, end in self._store_faults
+        )
+
     def _was_disturbed(self, gateway: str, begin: float, end: float) -> bool:
         return self._gateway(gateway).was_disturbed(begin, end)
 
@@ -312,6 +350,9 @@
         gateway.start()
 
     async def _interrupt_store(self) -> None:
+        if self._keeps_store:
+            return
+        begin = time.monotonic()
         self._store.is_down = True
         try:
             await asyncio.sleep(self._random.random() * 2)
@@ -319,9 +360,13 @@
             if self._random.random() < 0.3:
                 self._store.drop_history()
             self._store.is_down = False
+            self._store_faults.append((begin, time.monotonic()))
 
     async def _return_store(self) -> None:
         """Let the store return from an older copy; its writers write again."""
+        if self._keeps_store:
+            return
+        begin = time.monotonic()
         copy = self._store.copy()
         await asyncio.sleep(self._random.random() * 3)
         self._store.is_down = True
@@ -330,6 +375,7 @@
             await self._store.return_from_copy(copy)
         finally:
             self._store.is_down = False
+            self._store_faults.append((begin, time.monotonic()))
         await asyncio.sleep(self._random.random())
         await self._write_store()
 
@@ -360,6 +406,8 @@
             self._leave_replica,
             self._rest_replica,
             self._make_brittle,
+            self._remove_entry,
+            self._fail_without_end,
             self._name_limit,
             self._lose_paths,
         ]
@@ -394,6 +442,45 @@
             replica.rest_s = 0.0
         await asyncio.sleep(rest_s)
 
+    async def _remove_entry(self) -> None:
+        """Let a replica leave without notice, and start again in its place.
+
+        The store has no faults from before, so that the removal binds the gateways.
+        """
+        replica = self._random.choice(self._replicas)
+        self._keeps_store = True
+        try:
+            await asyncio.sleep(endpoint_checks.CONTACT_S)
+            await self._serve_removed(replica)
+        finally:
+            self._keeps_store = False
+        await self._write_store()
+
+    async def _serve_removed(self, replica: ReplicaStandIn) -> None:
+        key = f"servers/{replica.identity}"
+        del self._entries[key]
+        await self._store.remove(key)
+        begin = time.monotonic()
+        try:
+            await asyncio.sleep(REMOVED_S)
+        finally:
+            self._removed_times.append(
+                RemovedTime(
+                    endpoint=replica.identity, begin=begin, end=time.monotonic()
+                )
+            )
+            replica.restart_in_place()
+            self._update_entry(replica)
+
+    async def _fail_without_end(self) -> None:
+        for replica in self._replicas:
+            replica.endless_failures = self._random.random()
+        try:
+            await asyncio.sleep(1.0 + self._random.random())
+        finally:
+            for replica in self._replicas:
+                replica.endless_failures = 0.0
+
     async def _make_brittle(self) -> None:
         replicas = [each for each in self._replicas if each.identity.startswith("k")]
         judged_from = time.monotonic() + BRITTLE_NOTICE_S
@@ -465,11 +552,16 @@
 
     async def _end_responses_wrongly(self) -> None:
         standin = self._random.choice([self._store, *self._replicas])
+        if standin is self._store and self._keeps_store:
+            return
+        begin = time.monotonic()
         standin.response_faults.share = self._random.random()
         try:
             await asyncio.sleep(self._random.random() * 2)
         finally:
             standin.response_faults.share = 0.0
+            if standin is self._store:
+                self._store_faults.append((begin, time.monotonic()))
 
     async def _replace_key(self) -> None:
         self._version += self._random.randrange(1, 4)
--- a/soak/endpoint_checks.py
+++ b/soak/endpoint_checks.py
@@ -30,6 +30,8 @@
 LIMIT_WINDOW_S = 4.0
 MAX_LIMIT_EXCESS = 1.5
 LIMIT_SLACK_REQUESTS = 5
+# An endpoint whose entry was removed gets nothing after this time (`drain_ms`).
+DRAIN_S = 2.0
 _MIN_REQUESTS = 20
 _MIN_SHARE_OF_OTHERS = 2 / 3
 
@@ -65,6 +67,15 @@
     end: float
 
 
+@attrs.frozen(kw_only=True)
+class RemovedTime:
+    """A time in which an endpoint served although its entry was removed."""
+
+    endpoint: str
+    begin: float
+    end: float
+
+
 @attrs.frozen(kw_only=True)
 class CutTime:
     """A time in which a gateway had no path to any endpoint."""
@@ -97,6 +108,28 @@
     return violations
 
 
+def find_requests_to_removed(
+    removed_times: Iterable[RemovedTime],
+    arrivals: Iterable[SentArrival],
+    was_in_touch: Callable[[Arrival], bool],
+) -> list[str]:
+    """Return the requests that reached an endpoint long after its removal.
+
+    A request that was held up on a harmed path is excused.
+    """
+    sents = list(arrivals)
+    return [
+        f"{sent.arrival.request_id}: reached {sent.endpoint} from {sent.sender} "
+        f"{sent.arrival.at - removed.begin:.2f} s after the removal of its entry"
+        for removed in removed_times
+        for sent in sents
+        if sent.endpoint == removed.endpoint
+        and removed.begin + DRAIN_S < sent.arrival.at <= removed.end
+        and sent.excused_until <= sent.arrival.at - CONTACT_S
+        and was_in_touch(sent.arrival)
+    ]
+
+
 def find_requests_over_limits(
     limited_times: Iterable[LimitedTime],
     requests: Iterable[SentRequest],
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -50,6 +52,8 @@
     ----------
     disturbances
         Monotonic times in seconds at which it was started or sent a signal.
+    most_memory_bytes
+        Largest memory of its processes that `measure_memory` saw.
     """
 
     def __init__(
@@ -71,6 +75,7 @@
         self._process: subprocess.Popen[bytes] | None = None
         self._freezes: list[tuple[float, float]] = []
         self.disturbances: list[float] = []
+        self.most_memory_bytes = 0
         self._frozen_at: float | None = None
         self._ended_at: float | None = None
         self._absences: list[tuple[float, float]] = []
@@ -104,6 +109,15 @@
                 self._ended_at = time.monotonic()
         self._record_freeze(number)
 
+    def measure_memory(self) -> None:
+        """Measure the memory of the process, if it is running."""
+        if self._process is None or self._process.poll() is not None:
+            return
+        with contextlib.suppress(OSError):
+            pages = Path(f"/proc/{self._process.pid}/statm").read_text().split()[1]
+            used = int(pages) * resource.getpagesize()
+            self.most_memory_bytes = max(self.most_memory_bytes, used)
+
     def was_disturbed(self, begin: float, end: float) -> bool:
         """Return whether it was signalled, frozen or not running between two times."""
         outages = [*self._freezes, *self._absences]
--- a/testing/platform/response_faults.py
+++ b/testing/platform/response_faults.py
@@ -16,6 +16,9 @@
 from standins.common import reset_on_close
 
 _ENDLESS_INTERVAL_S = 0.1
+# About 50 MB a second.
+_FAST_PART = b"x" * (256 << 10)
+_FAST_INTERVAL_S = 0.005
 
 
 class ResponseFault(enum.Enum):
@@ -71,6 +74,23 @@
         finally:
             stream.close()
 
+    async def send_endless_failure(
+        self, handler: RequestHandler, headers: dict[str, str]
+    ) -> None:
+        """Send a failure whose body does not end, as fast as a link allows."""
+        head = "HTTP/1.1 500 Internal Server Error\r\n"
+        head += "".join(f"{n}: {v}\r\n" for n, v in HTTPHeaders(headers).get_all())
+        stream = handler.detach()
+        try:
+            await stream.write(f"{head}\r\n".encode())
+            while True:
+                await stream.write(_FAST_PART)
+                await asyncio.sleep(_FAST_INTERVAL_S)
+        except StreamClosedError:
+            return
+        finally:
+            stream.close()
+
     async def _send_bytes(
         self, stream: IOStream, head: bytes, body: bytes, fault: ResponseFault
     ) -> None:
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -6,6 +6,7 @@
 import base64
 import contextlib
 import json
+import random
 import time
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -296,6 +297,9 @@
         # Event number after which the next stream is interrupted.
         self.interrupt_after: int | None = None
         self.response_faults = ResponseFaults(identity)
+        # Share of the requests that get a failure whose body does not end.
+        self.endless_failures = 0.0
+        self._random = random.Random(identity)
         # Event that requests wait for, or None if they are answered at once.
         self.release_event: asyncio.Event | None = None
         # Part of a prompt on which the process crashes as it begins to answer.
@@ -323,6 +327,10 @@
         )
         self.server, self.port = _start_server(self._application)
 
+    def draw_endless_failure(self) -> bool:
+        """Return whether the next request gets a failure that does not end."""
+        return self._random.random() < self.endless_failures
+
     def crash(self) -> None:
         """Close the port and break off all requests."""
         self.server.stop()
@@ -486,6 +494,15 @@
             self.set_header(name, value)
         if replica.release_event is not None:
             await replica.release_event.wait()
+        if replica.draw_endless_failure():
+            await replica.response_faults.send_endless_failure(
+                self,
+                {
+                    "X-Request-Id": request.headers["X-Request-Id"],
+                    "X-Server-Signature": replica.identity,
+                },
+            )
+            return
         first_event = int(request.headers.get("Last-Event-Id", "0")) + 1
         fault = replica.response_faults.draw()
         if fault is not None:
