--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -459,9 +459,9 @@
     async def _serve_removed(self, replica: ReplicaStandIn) -> None:
         key = f"servers/{replica.identity}"
         del self._entries[key]
-        await self._store.remove(key)
         begin = time.monotonic()
         try:
+            await self._store.remove(key)
             await asyncio.sleep(REMOVED_S)
         finally:
             self._removed_times.append(
