--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -96,6 +96,10 @@
         self.items.pop(key, None)
         await self._publish({"key": key, "revision": self.revision, "removed": True})
 
+    async def reset_connections(self) -> None:
+        """Close all connections of readers, which may connect again at once."""
+        await self.server.close_all_connections()
+
     def drop_history(self) -> None:
         """Drop all events, so that watches from earlier revisions receive 410."""
         self.events.clear()
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -466,6 +466,10 @@
 REMOVAL_BOUND_S = 1.0
 
 
+# The renewal time, the next read after a reset, and a round of maintenance.
+MAX_DEFERRAL_S = 2.0 + 0.5
+
+
 async def has_lost_store(member: Member) -> bool:
     page = await fetch(member.metrics, "/metrics")
     return b"chiveslip_store_lost_seconds 0.0" not in page.body
@@ -506,6 +510,8 @@
     first = await cluster.start_gateway("one", [])
     second = await cluster.start_gateway("two", [first.peers])
     entry = cluster.kiosk.build_entry("kiosk")
+    # What an instance knows at its start must not decide.
+    await asyncio.sleep(MAX_DEFERRAL_S)
     cluster.store.is_down = True
     for member in (first, second):
         await wait_until(functools.partial(has_lost_store, member))
@@ -518,3 +524,80 @@
     for _ in range(25):
         assert await statuses(cluster) == {200}
         await asyncio.sleep(0.1)
+
+
+async def test_reset_connections_to_the_store_defer_a_removal_for_two_seconds_at_most(
+    cluster: GatewayCluster,
+) -> None:
+    first = await cluster.start_gateway("one", [])
+    await cluster.start_gateway("two", [first.peers])
+    # The reads of both end at once, so that neither can tell the other.
+    await cluster.store.reset_connections()
+    await asyncio.sleep(0.3)
+    await cluster.store.remove("servers/k")
+    await asyncio.sleep(MAX_DEFERRAL_S)
+    assert await statuses(cluster) == {503}
+
+
+@pytest.mark.parametrize("starts_s_after_return", [None, 0.5])
+async def test_endpoint_that_expired_is_used_by_instances_that_start_around_a_return(
+    cluster: GatewayCluster, starts_s_after_return: float | None
+) -> None:
+    first = await cluster.start_gateway("one", [])
+    entry = cluster.kiosk.build_entry("kiosk")
+    # What an instance knows at its start must not decide.
+    await asyncio.sleep(MAX_DEFERRAL_S)
+    cluster.store.is_down = True
+    await wait_until(lambda: has_lost_store(first))
+    await cluster.store.remove("servers/k")
+    start = asyncio.create_task(
+        cluster.start_gateway("two", [first.peers])
+        if starts_s_after_return is None
+        else _start_later(cluster, first, starts_s_after_return)
+    )
+    await asyncio.sleep(0.3)
+    cluster.store.is_down = False
+    await asyncio.sleep(1.0)
+    await start
+    # The instance that ran on never lost it; the new one has it once it is renewed.
+    assert (await send_request(first, "/once/x")).code == 200
+    await cluster.store.put("servers/k", entry)
+    await asyncio.sleep(REMOVAL_BOUND_S)
+    for _ in range(25):
+        assert await statuses(cluster) == {200}
+        await asyncio.sleep(0.1)
+    # An outage of before is no reason to keep what is removed now.
+    await cluster.store.remove("servers/k")
+    await asyncio.sleep(REMOVAL_BOUND_S)
+    assert await statuses(cluster) == {503}
+
+
+async def _start_later(
+    cluster: GatewayCluster, first: Member, delay_s: float
+) -> Member:
+    await asyncio.sleep(0.3 + delay_s)
+    return await cluster.start_gateway("two", [first.peers])
+
+
+async def test_instances_all_killed_while_the_store_is_away_use_what_is_renewed(
+    cluster: GatewayCluster,
+) -> None:
+    entry = cluster.kiosk.build_entry("kiosk")
+    cluster.store.is_down = True
+    await cluster.store.remove("servers/k")
+    # Instances without a configuration do not become ready before the store returns.
+    starts = [
+        asyncio.create_task(cluster.start_gateway(name, [])) for name in ("one", "two")
+    ]
+    await asyncio.sleep(0.5)
+    cluster.store.is_down = False
+    await asyncio.gather(*starts)
+    assert await statuses(cluster) == {503}
+    await cluster.store.put("servers/k", entry)
+    await asyncio.sleep(REMOVAL_BOUND_S)
+    for _ in range(25):
+        assert await statuses(cluster) == {200}
+        await asyncio.sleep(0.1)
+    await cluster.store.remove("servers/k")
+    await asyncio.sleep(REMOVAL_BOUND_S)
+    assert await statuses(cluster) == {503}
