Keep idle connections for as long as their endpoint announces

Cause: connections were kept for at most 4 s, also if the endpoint announced a longer idle timeout. Change: an announced timeout less one second holds, up to 30 s. Without one, 4 s as before. The case within-long-keep-alive-timeout failed before.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -51,6 +51,10 @@
 # Shorter than the shortest idle timeout (5 s) that endpoints are known to apply
 # without announcing it.
 _MAX_IDLE_S = 4.0
+# Upper limit for an idle timeout that an endpoint announces. An instance of a large
+# fleet sends to one engine only every ten seconds or so, and a new connection costs
+# more than an idle one.
+_MAX_ANNOUNCED_IDLE_S = 30.0
 _MAX_IDLE_PER_ADDRESS = 32
 # Subtracted from an idle timeout that an endpoint announces: the time that a request
 # may take to reach it.
@@ -329,7 +333,8 @@
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
         if name.lower() == "timeout" and value.isdigit():
-            return min(max(int(value) - _IDLE_MARGIN_S, 0.0), _MAX_IDLE_S)
+            idle_s = max(int(value) - _IDLE_MARGIN_S, 0.0)
+            return min(idle_s, _MAX_ANNOUNCED_IDLE_S)
     return _MAX_IDLE_S
 
 
--- a/testing/dispatch/test_connection.py
+++ b/testing/dispatch/test_connection.py
@@ -183,6 +183,18 @@
             2,
             id="keep-alive-timeout-of-1-s",
         ),
+        pytest.param(
+            response(extra="Keep-Alive: timeout=15\r\n"),
+            12.0,
+            1,
+            id="within-long-keep-alive-timeout",
+        ),
+        pytest.param(
+            response(extra="Keep-Alive: timeout=3600\r\n"),
+            60.0,
+            2,
+            id="beyond-the-upper-limit",
+        ),
     ],
 )
 async def test_idle_connection_is_reused(
