Prefer engines that keep the parts of a prompt on routes with sessions

An engine does not prefill a part again that it keeps for the same adapter. Placement ignored the parts, so instances sent the same part of a hot adapter to different engines.

PromptParts keeps a bounded table of own requests and a rendezvous order for each adapter and first part. Placement prefers, among the engines that have the adapter and cost little more than the cheapest, one that is known to keep the session's part, then the first of that order; as many of them share a part as its demand needs.

It applies to routes with sticky_sessions and is switched off by gateway.prompt_placement; other routes are placed as before, which a test checks. The headers X-Prompt-Prefix (with tokens) and X-Length-Hint are read.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -382,6 +382,7 @@
                     limits=limit_requests,
                     newest_version=self._catalogue.newest_version,
                     clock=clock,
+                    places_prompts=settings.gateway.prompt_placement == "on",
                 ),
                 service_selector=ServiceTargetSelector(
                     directory=directory,
--- a/src/chiveslip/gateway/engine_search.py
+++ b/src/chiveslip/gateway/engine_search.py
@@ -18,6 +18,7 @@
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.placement import Choice
 from chiveslip.gateway.placement import Placement
+from chiveslip.gateway.prompt_parts import Prompt
 from chiveslip.gateway.routing import EngineCapacity
 
 # Engines that are asked for one request, and those of them that do not answer.
@@ -34,12 +35,19 @@
 
 @attrs.frozen(kw_only=True)
 class SearchedRequest:
-    """What a search knows of its request."""
+    """What a search knows of its request.
+
+    Attributes
+    ----------
+    prompt
+        Its parts, or None if they have no influence.
+    """
 
     model: str
     adapter: Adapter | None
     prompt_tokens: float
     capacity: EngineCapacity
+    prompt: Prompt | None = None
 
 
 @final
@@ -116,6 +124,7 @@
             request.prompt_tokens,
             self._excluded,
             now,
+            request.prompt,
         )
 
     def needs_report(self, choice: Choice, now: float) -> bool:
@@ -148,6 +157,7 @@
             request.prompt_tokens,
             self._excluded,
             now,
+            request.prompt,
         )
         return choices[0] if choices else None
 
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -32,6 +32,8 @@
 from chiveslip.gateway.load_times import LoadTimes
 from chiveslip.gateway.placement import Choice
 from chiveslip.gateway.placement import Placement
+from chiveslip.gateway.prompt_parts import Prompt
+from chiveslip.gateway.prompt_parts import describe_prompt
 from chiveslip.gateway.sending import Attempt
 from chiveslip.gateway.sending import AttemptResult
 from chiveslip.generated import result_codes
@@ -61,6 +63,8 @@
     prompt_tokens: float
     estimate_s: float
     waited_for_load: bool
+    prompt: Prompt | None = None
+    cached_tokens: float = 0.0
     own: OwnRequest | None = None
 
 
@@ -131,7 +135,13 @@
 
 @final
 class EngineTargetSelector(TargetSelector):
-    """Selects engines by their adapters and their load."""
+    """Selects engines by their adapters and their load.
+
+    Parameters
+    ----------
+    places_prompts
+        Whether the parts of prompts have an influence on routes with sessions.
+    """
 
     def __init__(
         self,
@@ -146,8 +156,10 @@
         limits: LimitRequests,
         newest_version: Callable[[str], int],
         clock: Clock,
+        places_prompts: bool = True,
     ) -> None:
         self._directory = directory
+        self._places_prompts = places_prompts
         self._limits = limits
         self._view = view
         self._placement = placement
@@ -171,7 +183,10 @@
         failed_loads = _FailedLoads()
         if call.attempts == 0:
             self._placement.record_request(
-                request.adapter, request.prompt_tokens, self._clock.now()
+                request.adapter,
+                request.prompt_tokens,
+                self._clock.now(),
+                request.prompt,
             )
         while failed_loads.may_ask:
             choice = await self._choose_engine(call, search)
@@ -244,11 +259,19 @@
     def _describe_request(self, call: Call) -> SearchedRequest:
         capacity = call.table.services[call.service].engine
         assert capacity is not None
+        metadata = call.metadata
+        adapter = self._requested_adapter(call)
+        prompt = None
+        if self._places_prompts and call.route.has_sessions:
+            prompt = describe_prompt(
+                metadata.model, adapter, metadata.prompt_parts, metadata.output_hint
+            )
         return SearchedRequest(
-            model=call.metadata.model,
-            adapter=self._requested_adapter(call),
-            prompt_tokens=float(call.metadata.prompt_tokens or _DEFAULT_PROMPT_TOKENS),
+            model=metadata.model,
+            adapter=adapter,
+            prompt_tokens=float(metadata.prompt_tokens or _DEFAULT_PROMPT_TOKENS),
             capacity=capacity,
+            prompt=prompt,
         )
 
     def _place(
@@ -267,6 +290,8 @@
             prompt_tokens=request.prompt_tokens,
             estimate_s=choice.wait_s,
             waited_for_load=load.ready_in_s > 0,
+            prompt=request.prompt,
+            cached_tokens=min(choice.cached_tokens, request.prompt_tokens),
         )
         version = adapter[1] if adapter is not None and adapter[1] else None
         return Target(
@@ -279,13 +304,17 @@
     def record_start(self, call: Call, target: Target) -> None:
         """Count the request and its prompt at the engine."""
         placed = self._placed[call]
+        now = self._clock.now()
         placed.own = self._view.record_request_start(
             target.endpoint.id,
             placed.adapter,
-            placed.prompt_tokens,
-            self._clock.now(),
+            placed.prompt_tokens - placed.cached_tokens,
+            now,
             placed.estimate_s,
         )
+        if placed.prompt is not None:
+            parts = self._placement.prompt_parts
+            parts.record_sent(target.endpoint, placed.prompt, now)
 
     def record_first_event(self, call: Call, target: Target) -> None:
         """Record that the prefill has finished."""
@@ -302,6 +331,7 @@
         if placed.own is not None:
             self._view.record_request_end(placed.own)
             self._record_failure(target, placed.own, attempt)
+            self._record_parts(target, placed)
         if placed.adapter is None:
             return
         result = None if attempt is None else attempt.result
@@ -316,6 +346,17 @@
             self._view.expect_adapter(engine, placed.adapter, ready_at)
             call.retryable_endpoint = engine
 
+    def _record_parts(self, target: Target, placed: _PlacedRequest) -> None:
+        """Record whether an engine prefilled the prompt that was sent to it."""
+        if placed.prompt is None or placed.own is None:
+            return
+        self._placement.prompt_parts.record_end(
+            target.endpoint,
+            placed.prompt,
+            self._clock.now(),
+            has_run=placed.own.has_first_event,
+        )
+
     def _record_failure(
         self, target: Target, own: OwnRequest, attempt: Attempt | None
     ) -> None:
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -23,6 +23,10 @@
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.load_times import LoadTimes
+from chiveslip.gateway.prompt_parts import Prompt
+from chiveslip.gateway.prompt_parts import PromptParts
+from chiveslip.gateway.prompt_parts import order_engines
+from chiveslip.gateway.prompt_parts import ordered_tokens
 from chiveslip.gateway.routing import EngineCapacity
 from chiveslip.services.health import EndpointHealth
 
@@ -52,6 +56,9 @@
 # Above this share of the request slots, the pauses of an engine grow.
 _OVERLOAD_SHARE = 0.9
 _OVERLOAD_COST_S = 1.0
+# An engine that should keep the parts of a prompt is chosen if it costs at most this
+# much more than the cheapest engine, beyond the prefill that it saves.
+_PARTS_TOLERANCE_S = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -68,6 +75,8 @@
         Estimated time in seconds to the first event.
     is_present
         Whether the adapter is present or being loaded.
+    cached_tokens
+        Tokens of the prompt that the engine is expected to keep.
     """
 
     engine: ListedEndpoint
@@ -75,6 +84,7 @@
     rank_cost_s: float
     wait_s: float
     is_present: bool
+    cached_tokens: float = 0.0
 
 
 @final
@@ -99,20 +109,30 @@
     ) -> None:
         self._instance_count = instance_count
         self._demand = AdapterDemand()
+        self._part_demand = AdapterDemand()
         self._random = generator
         self._view = view
         self._health = health
         self._load_times = load_times
         self._failures = failures
         self._engine_count = 1
+        self.prompt_parts = PromptParts()
 
     def record_request(
-        self, adapter: Adapter | None, prompt_tokens: float, now: float
+        self,
+        adapter: Adapter | None,
+        prompt_tokens: float,
+        now: float,
+        prompt: Prompt | None = None,
     ) -> None:
         """Count a request in the demand for its adapter; once, before the choice."""
         self._failures.record_request(now)
-        if adapter is not None and not self._view.receives_all_peers:
+        if self._view.receives_all_peers:
+            return
+        if adapter is not None:
             self._demand.record_request(adapter, prompt_tokens, now)
+        if prompt is not None and prompt.order_key:
+            self._part_demand.record_request((prompt.order_key, 0), prompt_tokens, now)
 
     def choose_engine(
         self,
@@ -123,6 +143,7 @@
         prompt_tokens: float,
         excluded: Collection[str],
         now: float,
+        prompt: Prompt | None = None,
     ) -> Choice | None:
         """Return an engine that is not in `excluded`, or None if there is none.
 
@@ -130,16 +151,21 @@
         fleet, where the instances choose from the same old reports, the engines that
         have the adapter, or that it needs, share its requests at random, cheaper ones
         more often.
+
+        Parameters
+        ----------
+        prompt
+            Its parts, if engines that keep them are to be preferred.
         """
         self._engine_count = len(engines)
         choices = self.rate_engines(
-            engines, capacity, model, adapter, prompt_tokens, excluded, now
+            engines, capacity, model, adapter, prompt_tokens, excluded, now, prompt
         )
         if not choices:
             return None
         cheapest = min(choices, key=_cost)
         if self._view.receives_all_peers:
-            return cheapest
+            return self._prefer_kept(choices, cheapest, capacity, prompt, now)
         engines_needed = self._count_engines_needed(adapter, capacity, now)
         needed = 0 if engines_needed == 1 else engines_needed * _CANDIDATES_PER_ENGINE
         shared = [
@@ -147,7 +173,8 @@
             for rank, choice in enumerate(choices)
             if rank < needed or choice.is_present or choice is cheapest
         ]
-        return self._sample_choice(shared)
+        sampled = self._sample_choice(shared)
+        return self._prefer_kept(shared, sampled, capacity, prompt, now)
 
     def rate_engines(
         self,
@@ -158,6 +185,7 @@
         prompt_tokens: float,
         excluded: Collection[str],
         now: float,
+        prompt: Prompt | None = None,
     ) -> list[Choice]:
         """Return the engines that are not in `excluded`, in the adapter's order."""
         candidates = [
@@ -176,7 +204,7 @@
             rank_cost = _RANK_COST_S / engines_needed
         return [
             self._rate_engine(
-                engine, capacity, adapter, prompt_tokens, rank * rank_cost, now
+                engine, capacity, adapter, prompt_tokens, rank * rank_cost, now, prompt
             )
             for rank, engine in enumerate(_rank_engines(adapter, available))
         ]
@@ -195,6 +223,62 @@
             now=now,
         )
 
+    def _prefer_kept(
+        self,
+        choices: list[Choice],
+        chosen: Choice,
+        capacity: EngineCapacity,
+        prompt: Prompt | None,
+        now: float,
+    ) -> Choice:
+        """Return a choice that keeps parts of the prompt if it costs little more.
+
+        Among the engines that have the adapter, those that this instance knows to keep
+        more than the shared parts are preferred, then the first ones in the order for
+        the adapter and the first part: as many as the demand for the part needs.
+        """
+        if prompt is None or not prompt.prefixes:
+            return chosen
+        expected_tokens = ordered_tokens(prompt)
+        saved_s = prompt.shared_tokens / PREFILL_TOKENS_PER_S
+        max_cost = min(choices, key=_cost).cost_s + saved_s + _PARTS_TOLERANCE_S
+        # Any engine that has the adapter keeps the part of a session as well.
+        present = [
+            choice
+            for choice in choices
+            if choice.is_present and choice.cost_s - choice.rank_cost_s <= max_cost
+        ]
+        if not present:
+            return chosen
+        most_kept = max(present, key=lambda choice: choice.cached_tokens)
+        if most_kept.cached_tokens > prompt.shared_tokens:
+            return most_kept
+        eligible = {c.engine.id: c for c in present if c.cost_s <= max_cost}
+        if not prompt.order_key or not eligible:
+            return chosen
+        engines_needed = self._count_part_engines(prompt, capacity, now)
+        first = [
+            eligible[name] for name in order_engines(prompt, eligible)[:engines_needed]
+        ]
+        preferred = first[0] if len(first) == 1 else self._sample_choice(first)
+        if preferred.cached_tokens >= expected_tokens:
+            return preferred
+        return attrs.evolve(preferred, cached_tokens=expected_tokens)
+
+    def _count_part_engines(
+        self, prompt: Prompt, capacity: EngineCapacity, now: float
+    ) -> int:
+        """Return how many engines the requests with the first part need."""
+        if self._view.receives_all_peers:
+            return 1
+        return self._part_demand.engines_needed(
+            (prompt.order_key, 0),
+            instances=self._instance_count(),
+            slots=capacity.slots,
+            prefill_tokens_per_s=PREFILL_TOKENS_PER_S,
+            now=now,
+        )
+
     def _sample_choice(self, choices: list[Choice]) -> Choice:
         """Return one of several choices at random, cheaper ones more often."""
         min_cost = min(choices, key=_cost).cost_s
@@ -212,9 +296,16 @@
         prompt_tokens: float,
         rank_cost: float,
         now: float,
+        prompt: Prompt | None = None,
     ) -> Choice:
         """Return the choice that an engine would be, with its cost."""
-        wait_s = self._estimate_wait_s(engine.id, capacity, prompt_tokens, now)
+        cached_tokens = 0.0
+        if prompt is not None:
+            kept_tokens = self.prompt_parts.cached_tokens(engine, prompt, now)
+            cached_tokens = min(kept_tokens, prompt_tokens)
+        wait_s = self._estimate_wait_s(
+            engine.id, capacity, prompt_tokens - cached_tokens, now
+        )
         is_present = True
         held_s = 0.0
         load_s = 0.0
@@ -248,6 +339,7 @@
             rank_cost_s=rank_cost,
             wait_s=estimate_s,
             is_present=is_present,
+            cached_tokens=cached_tokens,
         )
 
     def _estimate_wait_s(
--- a/src/chiveslip/gateway/protocol.py
+++ b/src/chiveslip/gateway/protocol.py
@@ -14,6 +14,7 @@
 from chiveslip.gateway.endpoint_statements import NO_STATEMENT
 from chiveslip.gateway.endpoint_statements import EndpointStatement
 from chiveslip.gateway.endpoints import ListedEndpoint
+from chiveslip.gateway.prompt_parts import PromptPart
 
 
 @attrs.frozen(kw_only=True)
@@ -39,6 +40,11 @@
     shared_parts
         Ids of the parts of its prompt, in order, without the last one, which belongs
         to the request or its session alone.
+    prompt_parts
+        Parts of its prompt, in order, with their lengths; the last one belongs to the
+        request or its session.
+    output_hint
+        The caller's estimate of the output in tokens, or None if undeclared.
     """
 
     request_id: str
@@ -50,6 +56,8 @@
     output_tokens: int | None
     last_event_id: str
     shared_parts: tuple[str, ...] = ()
+    prompt_parts: tuple[PromptPart, ...] = ()
+    output_hint: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chiveslip/gateway/routing.py
+++ b/src/chiveslip/gateway/routing.py
@@ -43,6 +43,9 @@
         surely did not run it are not counted.
     is_public
         Whether a request needs no key.
+    has_sessions
+        Whether the last part of a prompt belongs to a session, whose requests share
+        it.
     """
 
     name: str
@@ -57,6 +60,7 @@
     services: tuple[tuple[str, float], ...]
     max_runs: int
     is_public: bool
+    has_sessions: bool = False
 
     def choose_service(self, generator: random.Random) -> str:
         """Return a service for the next request, chosen at random by weight."""
--- a/src/chiveslip/hashing.py
+++ b/src/chiveslip/hashing.py
@@ -18,6 +18,16 @@
     return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode())
 
 
+def prefix_keys(base: str, parts: Iterable[str]) -> list[int]:
+    """Return a 64-bit key for each part of a sequence with all parts before it."""
+    hasher = xxhash.xxh3_64(base.encode())
+    keys = []
+    for part in parts:
+        hasher.update(f"\x00{part}".encode())
+        keys.append(hasher.intdigest())
+    return keys
+
+
 def content_hash(content: bytes) -> str:
     """Return the SHA-256 of `content` in hexadecimal."""
     return hashlib.sha256(content).hexdigest()
--- a/src/chiveslip/platform/configuration.py
+++ b/src/chiveslip/platform/configuration.py
@@ -97,6 +97,7 @@
         # Replicas that one request may be sent to, including the first one.
         max_runs=max(fields.read_count(route, "max_attempts", 1), 1),
         is_public=bool(route.get("public")),
+        has_sessions=bool(route.get("sticky_sessions")),
     )
 
 
--- a/src/chiveslip/platform/protocol.py
+++ b/src/chiveslip/platform/protocol.py
@@ -9,6 +9,7 @@
 from tornado.httputil import HTTPHeaders
 
 from chiveslip.gateway.endpoint_statements import EndpointStatement
+from chiveslip.gateway.prompt_parts import PromptPart
 from chiveslip.gateway.protocol import AnswerMetadata
 from chiveslip.gateway.protocol import ForwardingContext
 from chiveslip.gateway.protocol import GatewayProtocol
@@ -21,6 +22,7 @@
 _MODEL = "X-Model"
 _TOKEN_COUNT = "X-Token-Count"
 _PROMPT_PREFIX = "X-Prompt-Prefix"
+_LENGTH_HINT = "X-Length-Hint"
 _LAST_EVENT_ID = "Last-Event-Id"
 _AUTHORIZATION = "Authorization"
 _SIGNATURE = "X-Server-Signature"
@@ -99,6 +101,8 @@
             output_tokens=output,
             last_event_id=headers.get(_LAST_EVENT_ID, ""),
             shared_parts=_parse_shared_parts(headers.get(_PROMPT_PREFIX, "")),
+            prompt_parts=_parse_prompt_parts(headers.get(_PROMPT_PREFIX, "")),
+            output_hint=_parse_positive(headers.get(_LENGTH_HINT, "")) or None,
         )
 
     def build_endpoint_headers(
@@ -231,3 +235,18 @@
     """Return the ids of all parts but the last, from ID:TOKENS pairs."""
     ids = [pair.partition(":")[0].strip().lower() for pair in text.split(",")]
     return tuple(part for part in ids[:-1][:_MAX_SHARED_PARTS] if part)
+
+
+def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
+    """Return all parts up to the first unreadable one, from ID:TOKENS pairs."""
+    parts: list[PromptPart] = []
+    for pair in text.split(",")[:_MAX_SHARED_PARTS]:
+        name, _, tokens = pair.partition(":")
+        try:
+            part = PromptPart(name.strip().lower(), parse_count(tokens.strip()))
+        except UnreadableError:
+            break
+        if not part.id or part.tokens > _MAX_TOKENS:
+            break
+        parts.append(part)
+    return tuple(parts)
--- a/testing/platform/test_configuration.py
+++ b/testing/platform/test_configuration.py
@@ -62,6 +62,24 @@
     assert "k1" not in repr(table)
 
 
+@pytest.mark.parametrize(
+    ("changes", "has_sessions"),
+    [
+        ({}, False),
+        ({"sticky_sessions": False}, False),
+        ({"sticky_sessions": True}, True),
+    ],
+)
+def test_routes_without_sessions_are_placed_as_before(
+    changes: dict[str, Any], *, has_sessions: bool
+) -> None:
+    """Guards against placement by prompts where no one asked for it."""
+    table = read_configuration(encode_configuration(routes=[ROUTE | changes]))
+    route = table.find_route("kiosk.example", "/a/x")
+    assert route is not None
+    assert route.has_sessions is has_sessions
+
+
 def test_rate_is_counted_in_the_tenants_unit() -> None:
     organisation = read_configuration(encode_configuration()).keys[
         hashing.key_hash("k1")
