Evacuate data centres by a key in the store

A key op/evacuate/ZONE asks that nothing more be sent to the endpoints of a data centre until it is removed. The directory leaves these endpoints out of find_ready, find_available and accepts_work, so that first tries, retries, resumed streams, waiting and handed-over requests and load orders obey; the coordinator also checks each order, as it takes the list of engines once a round only. What the engines held stays known.

Sender.send asks for a grant before the last check rather than after it: the question may go to a peer, and the endpoint may begin to leave meanwhile.

A return of the store from a copy changes neither an evacuation nor its end. For this the mirror marks values that the copy lacks as kept, tells them to instances that start after the return, and prefers an entry that was written after a removal that is known.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -48,6 +48,7 @@
 from chiveslip.gateway.engine_reports import EngineReports
 from chiveslip.gateway.engine_selection import EngineTargetSelector
 from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.evacuations import Evacuations
 from chiveslip.gateway.forwarded import ForwardedRequests
 from chiveslip.gateway.forwarding import Gateway
 from chiveslip.gateway.forwarding import GatewayDependencies
@@ -188,8 +189,9 @@
             propagation_s=lambda: self._schedule().propagation_s,
             clock=clock,
         )
+        self._evacuations = Evacuations()
         directory = EndpointDirectory(
-            self._statements, self._rooms.has_room, self._limits
+            self._statements, self._rooms.has_room, self._limits, self._evacuations
         )
         paths = EndpointPaths(
             clock, lambda service: {e.id for e in directory.find_ready(service)}
@@ -225,6 +227,7 @@
             audit=AuditTrail(settings.instance.id, settings.audit.lines),
             clock=clock,
             store_contact=self._store_contact,
+            evacuations=self._evacuations,
         )
         self._mirror.add_era_listener(self._record_era)
         self._mirror.add_listener(interfaces.make_store_listener(self._catalogue))
@@ -246,6 +249,7 @@
             has_paths=lambda service: not paths.is_cut(service),
             clock=clock,
             metrics=self._metrics,
+            is_evacuated=directory.is_evacuated,
         )
         allowances = SharedAllowances(
             schedule=self._schedule,
@@ -571,6 +575,9 @@
             (engine.id for engine, _ in engines), self._clock.now()
         )
         self._coordinator.update_engines(engines)
+        self._evacuations.record_running(
+            self._count_evacuated_requests(), self._clock.now()
+        )
         self._health.retain_only(self._directory.by_id)
         self._statements.drop_expired(self._directory.by_id)
         self._rooms.retain_only(self._directory.by_id.values())
@@ -578,6 +585,14 @@
         await self._coordinator.read_reports()
         await self._coordinator.load_models()
 
+    def _count_evacuated_requests(self) -> dict[str, int]:
+        """Return the own requests that run in evacuated data centres, by centre."""
+        running = dict.fromkeys(self._evacuations.data_centres, 0)
+        for endpoint in self._directory.by_id.values():
+            if endpoint.data_centre in running:
+                running[endpoint.data_centre] += self._rooms.count_running(endpoint.id)
+        return running
+
     async def _serve_metrics(
         self, request: IngressRequest, reply: IngressReply
     ) -> None:
@@ -591,6 +606,9 @@
         metrics.forwarded_requests.set(self._forwarded.running)
         metrics.cut_services.set(self._path_prober.cut_services)
         metrics.brittle_services.set(len(self._rooms.brittle_services()))
+        evacuated = self._count_evacuated_requests()
+        metrics.evacuated_data_centres.set(len(evacuated))
+        metrics.evacuated_requests.set(sum(evacuated.values()))
         metrics.limited_endpoints.set(len(self._limits.named()))
         metrics.record_held_bytes(self._held)
         self._update_report_ages()
--- a/src/chiveslip/gateway/catalogue.py
+++ b/src/chiveslip/gateway/catalogue.py
@@ -12,6 +12,7 @@
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.evacuations import Evacuations
 from chiveslip.gateway.routing import EngineCapacity
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import RoutingTable
@@ -38,6 +39,8 @@
     ----------
     store_contact
         Tells when the store last returned, and when it last answered.
+    evacuations
+        Where evacuated data centres are kept, or None if there are none.
     """
 
     def __init__(
@@ -48,8 +51,10 @@
         audit: AuditTrail,
         clock: Clock,
         store_contact: StoreContact,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._directory = directory
+        self._evacuations = evacuations or Evacuations()
         self._view = view
         self._audit = audit
         self._clock = clock
@@ -105,6 +110,14 @@
                 "Adapter version activated.", adapter=adapter, version=version
             )
 
+    def begin_evacuation(self, data_centre: str, source: str) -> None:
+        """Send nothing more to the endpoints of a data centre."""
+        self._evacuations.begin(data_centre, self._clock.now(), source=source)
+
+    def end_evacuation(self, data_centre: str, source: str) -> None:
+        """Use the endpoints of a data centre again."""
+        self._evacuations.end(data_centre, self._clock.now(), source=source)
+
     def update_endpoint(self, endpoint: ListedEndpoint, source: str) -> None:
         """Add an endpoint or replace its description.
 
--- a/src/chiveslip/gateway/endpoints.py
+++ b/src/chiveslip/gateway/endpoints.py
@@ -12,6 +12,7 @@
 from chiveslip.gateway.endpoint_limits import EndpointLimits
 from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoint_statements import Incarnation
+from chiveslip.gateway.evacuations import Evacuations
 from chiveslip.settings.fields import Address
 
 
@@ -66,6 +67,9 @@
         Returns whether this instance may have one more request at an endpoint.
     limits
         Limits that endpoints named, or None if nothing is limited.
+    evacuations
+        Data centres whose endpoints get nothing, or None if there are none. Their
+        endpoints stay listed, so that they are known when they return.
     """
 
     def __init__(
@@ -73,10 +77,12 @@
         statements: EndpointStatements,
         has_room: Callable[[ListedEndpoint], bool] = lambda _endpoint: True,
         limits: EndpointLimits | None = None,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._statements = statements
         self._has_room = has_room
         self._limits = limits
+        self._evacuations = evacuations or Evacuations()
         self._by_id: dict[str, ListedEndpoint] = {}
         self._ready: dict[str, list[ListedEndpoint]] = {}
         self._by_address: dict[Address, ListedEndpoint] = {}
@@ -123,8 +129,12 @@
             and not self._declines_work(listed)
         )
 
+    def is_evacuated(self, endpoint: ListedEndpoint) -> bool:
+        """Return whether the data centre of an endpoint is evacuated."""
+        return self._evacuations.is_evacuated(endpoint.data_centre)
+
     def _declines_work(self, endpoint: ListedEndpoint) -> bool:
-        if not self._has_room(endpoint):
+        if self.is_evacuated(endpoint) or not self._has_room(endpoint):
             return True
         if self._statements.is_empty:
             return False
@@ -179,6 +189,7 @@
                 for other in self._by_id.values()
                 if other.service != endpoint.service
                 and other.state is EndpointState.READY
+                and not self.is_evacuated(other)
             ),
             key=lambda other: other.id,
         )
@@ -201,14 +212,17 @@
         ]
 
     def find_ready(self, service: str) -> list[ListedEndpoint]:
-        """Return the endpoints of `service` that are not leaving, sorted by id."""
-        if self._statements.is_empty:
+        """Return the endpoints of `service` that take new work, sorted by id.
+
+        Those that are leaving do not, nor those in evacuated data centres.
+        """
+        if self._statements.is_empty and self._evacuations.is_empty:
             return self._find_listed_ready(service)
         is_leaving = self._statements.is_leaving
         return [
             endpoint
             for endpoint in self._find_listed_ready(service)
-            if not is_leaving(endpoint.incarnation)
+            if not is_leaving(endpoint.incarnation) and not self.is_evacuated(endpoint)
         ]
 
     def _find_listed_ready(self, service: str) -> list[ListedEndpoint]:
--- a/src/chiveslip/gateway/engine_coordinator.py
+++ b/src/chiveslip/gateway/engine_coordinator.py
@@ -116,6 +116,8 @@
     ----------
     has_paths
         Returns whether this instance reaches the engines of a service.
+    is_evacuated
+        Returns whether the data centre of an engine is evacuated.
     """
 
     def __init__(
@@ -128,8 +130,10 @@
         has_paths: Callable[[str], bool],
         clock: Clock,
         metrics: GatewayMetrics,
+        is_evacuated: Callable[[ListedEndpoint], bool] = lambda _engine: False,
     ) -> None:
         self._rights = rights
+        self._is_evacuated = is_evacuated
         self._control = control
         self._view = view
         self._load_times = load_times
@@ -194,6 +198,7 @@
             engine
             for engine in self._engines.values()
             if now - engine.report_requested_at >= _REPORT_INTERVAL_S
+            and not self._is_evacuated(engine.listed)
         ]
         await asyncio.gather(*(self._read_report(engine) for engine in due))
 
@@ -239,6 +244,8 @@
         coordinated = self._engines.get(engine)
         if coordinated is None or not self._rights.is_coordinator_of(engine):
             return LoadResult(outcome=LoadOutcome.NOT_COORDINATOR)
+        if self._is_evacuated(coordinated.listed):
+            return LoadResult(outcome=LoadOutcome.FAILED)
         known = self._known_result(coordinated, adapter)
         if known is not None:
             return known
@@ -265,6 +272,8 @@
 
     def _can_order(self, engine: _CoordinatedEngine) -> bool:
         """Return whether this instance may send orders to an engine right now."""
+        if self._is_evacuated(engine.listed):
+            return False
         is_allowed = self._clock.now() >= engine.orders_allowed_from
         return is_allowed and self._rights.is_coordinator_of(engine.listed.id)
 
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -117,6 +117,16 @@
             "Endpoints that have named a limit of requests a second.",
             registry=registry,
         )
+        self.evacuated_data_centres = Gauge(
+            "chiveslip_evacuated_data_centres",
+            "Data centres to whose endpoints nothing may be sent.",
+            registry=registry,
+        )
+        self.evacuated_requests = Gauge(
+            "chiveslip_evacuated_requests_running",
+            "Requests of this instance that still run in evacuated data centres.",
+            registry=registry,
+        )
         self.allowance_requests_unanswered = Counter(
             "chiveslip_allowance_requests_unanswered",
             "Requests for units that the instance that grants them did not answer.",
--- a/src/chiveslip/gateway/rooms.py
+++ b/src/chiveslip/gateway/rooms.py
@@ -266,6 +266,10 @@
             if share > 0
         }
 
+    def count_running(self, endpoint: str) -> int:
+        """Return how many requests of this instance run at an endpoint."""
+        return self._running.get(endpoint, 0)
+
     def begin(self, endpoint: str) -> RoomUse:
         """Count a request that is sent to an endpoint, until `end`."""
         running = self._running[endpoint] = self._running.get(endpoint, 0) + 1
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -66,7 +66,7 @@
     NOT_SENT = "not sent"
     """No connection could be opened."""
     ENDPOINT_LEFT = "endpoint left"
-    """The endpoint began to leave before the request was sent."""
+    """The endpoint no longer took new work when the request was about to be sent."""
     OVER_LIMIT = "over limit"
     """Not sent: the endpoint gets as many requests as it has named as its limit."""
     WITHHELD = "withheld"
@@ -232,15 +232,16 @@
             self._limits.give_back(call)
             return Attempt(result=AttemptResult.NOT_SENT, detail=str(error))
         try:
-            # The endpoint may have begun to leave while the connection was opened.
+            # The endpoint may have named a limit while the connection was opened.
+            if not await self._limits.may_send(call, context.endpoint):
+                return Attempt(result=AttemptResult.OVER_LIMIT)
+            # It may have begun to leave meanwhile, or its data centre be evacuated.
             if not self._accepts_work(context.endpoint):
+                self._limits.give_back(call)
                 return Attempt(result=AttemptResult.ENDPOINT_LEFT)
             if not may_send():
                 self._limits.give_back(call)
                 return Attempt(result=AttemptResult.WITHHELD)
-            # It may have named a limit meanwhile.
-            if not await self._limits.may_send(call, context.endpoint):
-                return Attempt(result=AttemptResult.OVER_LIMIT)
             call.send_grant = None
             use = self._rooms.begin(context.endpoint.id)
             has_found_room = False
--- a/src/chiveslip/platform/catalogue_updater.py
+++ b/src/chiveslip/platform/catalogue_updater.py
@@ -44,6 +44,12 @@
                 return
             endpoint = replicas.read_endpoint(item.key, item.value)
             self._catalogue.update_endpoint(endpoint, source)
+        elif item.key.startswith(configuration.EVACUATIONS_PREFIX):
+            data_centre = configuration.read_evacuation(item.key)
+            if item.value is None:
+                self._catalogue.end_evacuation(data_centre, source)
+            else:
+                self._catalogue.begin_evacuation(data_centre, source)
         elif item.key == configuration.CONFIGURATION_KEY and item.value is not None:
             table = configuration.read_configuration(item.value)
             self._catalogue.activate_table(table)
--- a/src/chiveslip/platform/configuration.py
+++ b/src/chiveslip/platform/configuration.py
@@ -1,4 +1,7 @@
-"""Parses the store entries that the operator writes: routes, tenants and versions."""
+"""Parses the store entries that the operator writes.
+
+These are routes, tenants, versions of adapters, and evacuations of data centres.
+"""
 
 from __future__ import annotations
 
@@ -17,6 +20,7 @@
 
 CONFIGURATION_KEY = "op/config"
 VERSIONS_PREFIX = "op/version/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 
 _STREAMING = "streaming"
 _IDEMPOTENT = "idempotent"
@@ -74,6 +78,20 @@
     return name, fields.read_count(document, "version")
 
 
+def read_evacuation(key: str) -> str:
+    """Return the data centre that the key of an evacuation names.
+
+    Raises
+    ------
+    UnreadableError
+        If it names none.
+    """
+    data_centre = key.removeprefix(EVACUATIONS_PREFIX)
+    if not fields.is_text(data_centre):
+        raise UnreadableError("key: expected the name of a data centre")
+    return data_centre
+
+
 def _read_route(route: dict[str, Any]) -> Route:
     kind = fields.read_string(route, "kind")
     is_stream = kind == _STREAMING
@@ -181,8 +199,10 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "EVACUATIONS_PREFIX",
     "VERSIONS_PREFIX",
     "UnreadableError",
     "read_configuration",
+    "read_evacuation",
     "read_version",
 ]
--- a/src/chiveslip/platform/entry_order.py
+++ b/src/chiveslip/platform/entry_order.py
@@ -2,7 +2,8 @@
 
 Revisions cannot tell once the store has returned from an older copy. What was known
 before does not go back with it: a configuration is ordered by its version, an adapter's
-version by its number, a replica by its start, and leaving is final for one start.
+version by its number, a replica by its start, and leaving is final for one start. An
+evacuation holds, or is revoked, as the operator did last before the return.
 """
 
 from __future__ import annotations
@@ -27,6 +28,8 @@
     copy
         Value in the copy, or None if the copy lacks the key.
     """
+    if key.startswith(configuration.EVACUATIONS_PREFIX):
+        return known
     if key.startswith(_OPERATOR_PREFIX):
         return _choose_operator_value(key, known, copy)
     if key.startswith(replicas.SERVERS_PREFIX):
--- a/src/chiveslip/store/client.py
+++ b/src/chiveslip/store/client.py
@@ -56,12 +56,16 @@
         Whether the key was known to be removed before the store returned from a copy
         that lists it. It has the revision of the copy's value, so that it holds until
         the key is written again.
+    is_kept_value
+        Whether the store returned from a copy that lacks the key, and the value that
+        was known before is kept. It holds until the key is written again.
     """
 
     key: str
     value: bytes | None
     revision: StoreRevision
     is_kept_removal: bool = False
+    is_kept_value: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chiveslip/store/mirror.py
+++ b/src/chiveslip/store/mirror.py
@@ -106,7 +106,9 @@
         missing = [
             Item(key=key, value=None, revision=snapshot.revision)
             for key, known in self._items.items()
-            if key not in present and known.revision <= snapshot.revision
+            if key not in present
+            and known.revision <= snapshot.revision
+            and not _is_kept(known, snapshot.revision)
         ]
         items = [*missing, *snapshot.items]
         if snapshot.revision.era > self._revision.era:
@@ -141,6 +143,7 @@
                 value=None if item.removed else item.value,
                 revision=StoreRevision(item.era, item.revision),
                 is_kept_removal=item.removed and reply.complete,
+                is_kept_value=item.is_kept,
             )
             for item in reply.items
         ]
@@ -154,13 +157,17 @@
         """Take the values of a peer that are newer by content than those of the copy.
 
         For an instance that read the copy, and does not know all that was known before.
-        Removals that the peer keeps against the copy are taken, too.
+        Removals that the peer keeps against the copy are taken, too, and values that
+        the copy lacks, unless the key may have been removed since.
         """
         if reply.store_era != self._revision.era:
             return
+        is_behind = reply.store_revision < self._revision.number
         for sent in reply.items:
             own = self._items.get(sent.key)
             if own is None:
+                if sent.is_kept and not is_behind:
+                    self._put_kept(sent, peer)
                 continue
             if sent.removed:
                 self._merge_removal(own, StoreRevision(sent.era, sent.revision), peer)
@@ -170,6 +177,14 @@
             if self._choose_value(sent.key, sent.value, own.value) == sent.value:
                 self._set(attrs.evolve(own, value=sent.value), peer)
 
+    def _put_kept(self, sent: wire.StoreItem, peer: str) -> None:
+        """Take a value that a peer keeps although the copy lacks its key."""
+        revision = StoreRevision(sent.era, sent.revision)
+        kept = Item(
+            key=sent.key, value=sent.value, revision=revision, is_kept_value=True
+        )
+        self._put(kept, peer)
+
     def _merge_removal(self, own: Item, removed_at: StoreRevision, peer: str) -> None:
         """Remove a key that a peer keeps removed, unless it was written again."""
         if own.revision <= removed_at:
@@ -203,6 +218,7 @@
                     era=item.revision.era,
                     revision=item.revision.number,
                     removed=item.value is None,
+                    is_kept=item.is_kept_value,
                 )
         return reply
 
@@ -216,10 +232,22 @@
         ]
 
     def _choose_item(self, item: Item) -> Item:
+        removal = self._removals.get(item.key)
+        if (
+            item.value is not None
+            and removal is not None
+            and removal.revision.number < item.revision.number
+        ):
+            # The key was written after the removal that is known here.
+            return item
         value = self._choose_value(item.key, self._known_value(item.key), item.value)
         is_kept = item.is_kept_removal or item.value is not None
         return attrs.evolve(
-            item, value=value, is_kept_removal=value is None and is_kept
+            item,
+            value=value,
+            is_kept_removal=value is None and is_kept,
+            is_kept_value=value is not None
+            and (item.is_kept_value or item.value is None),
         )
 
     def _known_value(self, key: str) -> bytes | None:
@@ -257,3 +285,8 @@
             self._items[item.key] = item
         for listener in self._listeners:
             listener(item, source)
+
+
+def _is_kept(known: Item, snapshot: StoreRevision) -> bool:
+    """Return whether a value is kept although a snapshot of its era lacks the key."""
+    return known.is_kept_value and known.revision.era == snapshot.era
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -43,6 +43,7 @@
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
+from chiveslip.gateway.evacuations import Evacuations
 from chiveslip.gateway.forwarding import Gateway
 from chiveslip.gateway.forwarding import GatewayDependencies
 from chiveslip.gateway.handover import AnswerPart
@@ -282,6 +283,7 @@
     paths: EndpointPaths
     rooms: EndpointRooms
     forwarder: ScriptedForwarder
+    evacuations: Evacuations
 
     def lose_paths(self) -> None:
         """Record that no endpoint could be reached."""
@@ -367,7 +369,8 @@
         rooms = EndpointRooms("here", lambda: members, clock)
         limits = EndpointLimits(clock)
         recorder = StatementRecorder(statements, rooms, limits)
-        directory = EndpointDirectory(statements, rooms.has_room, limits)
+        evacuations = Evacuations()
+        directory = EndpointDirectory(statements, rooms.has_room, limits, evacuations)
         for index in range(4):
             directory.put(
                 ListedEndpoint(
@@ -476,6 +479,7 @@
             paths,
             rooms,
             forwarder,
+            evacuations,
         )
 
     return build
--- a/testing/gateway/test_engine_coordinator.py
+++ b/testing/gateway/test_engine_coordinator.py
@@ -122,6 +122,7 @@
     propagation_s: list[float]
     view: EngineView
     cut_services: set[str]
+    evacuated: set[str]
 
     def update(self) -> None:
         self.coordinator.update_engines([(ENGINE, LIMITS)])
@@ -150,6 +151,7 @@
         live_instances, has_quorum, propagation_s = list(INSTANCES), [True], [0.0]
         view = EngineView()
         cut_services: set[str] = set()
+        evacuated: set[str] = set()
         rights = CoordinatorRights(
             instance=instance,
             lease_s=LEASE_S,
@@ -166,6 +168,7 @@
             has_paths=lambda service: service not in cut_services,
             clock=clock,
             metrics=GatewayMetrics(),
+            is_evacuated=lambda listed: listed.data_centre in evacuated,
         )
         return CoordinatorHarness(
             coordinator,
@@ -176,6 +179,7 @@
             propagation_s,
             view,
             cut_services,
+            evacuated,
         )
 
     return build
@@ -553,6 +557,20 @@
     assert harness.engine.received == []
 
 
+def test_evacuated_engine_gets_no_order(make_harness: MakeHarness) -> None:
+    """Between two rounds an evacuated engine still counts as coordinated."""
+    harness = make_harness(FIRST)
+    harness.run(2.0)
+    harness.engine.while_connecting = lambda: harness.evacuated.add("glasgow")
+    assert harness.load() is LoadOutcome.FAILED
+    harness.engine.while_connecting = lambda: None
+    assert harness.load("m/b") is LoadOutcome.FAILED
+    assert harness.engine.received == []
+    harness.evacuated.clear()
+    harness.run(2.0)
+    assert harness.load("m/b") is LoadOutcome.USABLE
+
+
 def test_count_of_orders_that_is_too_high_is_corrected(
     make_harness: MakeHarness,
 ) -> None:
--- a/testing/store/test_mirror.py
+++ b/testing/store/test_mirror.py
@@ -201,3 +201,54 @@
     peer = build_peer_that_saw_removals(80)
     late.merge_peer_values(peer.build_changes_reply(NO_REVISION), "peer")
     assert values_by_key(late) == {"k": b"1"}
+
+
+def choose_known(_key: str, known: bytes | None, _copy: bytes | None) -> bytes | None:
+    return known
+
+
+@pytest.mark.parametrize("written_at", [95, 110])
+def test_entry_that_was_written_after_a_known_removal_is_taken(written_at: int) -> None:
+    """An instance that was cut off knows a removal that is older than the entry."""
+    mirror = StoreMirror(choose_known)
+    mirror.apply_snapshot(build_changes([build_item("k", "1", 70)], 80))
+    mirror.apply_changes(build_changes([build_item("k", None, 100)], 100))
+    copy = [build_item("k", "1", written_at, 1)]
+    mirror.apply_snapshot(build_changes(copy, 120, era=1))
+    assert ("k" in values_by_key(mirror)) == (written_at > 100)
+
+
+def build_peer_that_keeps(key: str, *, number: int) -> StoreMirror:
+    """Return a mirror that keeps a value which the copy of the store lacks."""
+    peer = StoreMirror(choose_known)
+    peer.apply_snapshot(build_changes([build_item(key, "1", 90)], 100))
+    peer.apply_snapshot(build_changes([], number, era=1))
+    return peer
+
+
+@pytest.mark.parametrize("path", ["merge", "pull", "pull-then-read"])
+def test_instance_that_begins_with_the_copy_takes_what_it_lacks(path: str) -> None:
+    """An instance that starts after the return must know what the operator wrote."""
+    peer, late = build_peer_that_keeps("k", number=80), StoreMirror(choose_known)
+    if path == "merge":
+        late.apply_snapshot(build_changes([], 80, era=1))
+        late.merge_peer_values(peer.build_changes_reply(NO_REVISION), "peer")
+    else:
+        late.apply_peer_reply(peer.build_changes_reply(NO_REVISION), "peer")
+    if path == "pull-then-read":
+        late.apply_snapshot(build_changes([], 80, era=1))
+    assert values_by_key(late) == {"k": b"1"}
+    # It passes on what it took, and ends it when the key is removed.
+    last = StoreMirror(choose_known)
+    last.apply_snapshot(build_changes([], 80, era=1))
+    last.merge_peer_values(late.build_changes_reply(NO_REVISION), "late")
+    assert values_by_key(last) == {"k": b"1"}
+    last.apply_changes(build_changes([build_item("k", None, 81, 1)], 81, era=1))
+    assert values_by_key(last) == {}
+
+
+def test_peer_that_lags_does_not_restore_what_was_removed_since() -> None:
+    late, peer = StoreMirror(choose_known), build_peer_that_keeps("k", number=80)
+    late.apply_snapshot(build_changes([], 82, era=1))
+    late.merge_peer_values(peer.build_changes_reply(NO_REVISION), "peer")
+    assert values_by_key(late) == {}
