Test a gateway under crowds of misbehaving callers

Each crowd runs as a process of its own against one gateway process on loopback, with the memory and descriptors of a small machine. A test checks that the process lives, that its memory and descriptors stay under a bound, and that one ordinary request, readiness and metrics are answered while the crowd's connections are open.

--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -47,6 +47,10 @@
     ----------
     without
         Name of a mechanism that is switched off, or empty.
+    further_settings
+        Sections of its settings besides those that every process has, as YAML.
+    max_descriptors
+        Descriptors that it may open, as on a small machine, or None.
 
     Attributes
     ----------
@@ -54,6 +58,8 @@
         Monotonic times in seconds at which it was started or sent a signal.
     most_memory_bytes
         Largest memory of its processes that `measure_memory` saw.
+    most_descriptors
+        Largest number of its open descriptors that `measure_descriptors` saw.
     """
 
     def __init__(
@@ -64,6 +70,9 @@
         store: int,
         folder: Path,
         without: str = "",
+        *,
+        further_settings: str = "",
+        max_descriptors: int | None = None,
     ) -> None:
         self.name = name
         self._command = [sys.executable, "-m", "chiveslip.platform"]
@@ -76,11 +85,14 @@
         self._freezes: list[tuple[float, float]] = []
         self.disturbances: list[float] = []
         self.most_memory_bytes = 0
+        self.most_descriptors = 0
+        self._max_descriptors = max_descriptors
         self._frozen_at: float | None = None
         self._ended_at: float | None = None
         self._absences: list[tuple[float, float]] = []
         self._settings.write_text(
             _SETTINGS.format(name=name, seeds=seeds, store=store, **attrs.asdict(ports))
+            + further_settings
         )
 
     def start(self) -> None:
@@ -99,6 +111,13 @@
                 stdout=log,
                 stderr=log,
             )
+        if self._max_descriptors is not None:
+            limits = (self._max_descriptors, self._max_descriptors)
+            resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, limits)
+
+    def is_running(self) -> bool:
+        """Return whether the process was started and has not ended."""
+        return self._process is not None and self._process.poll() is None
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
@@ -118,6 +137,14 @@
             used = int(pages) * resource.getpagesize()
             self.most_memory_bytes = max(self.most_memory_bytes, used)
 
+    def measure_descriptors(self) -> None:
+        """Count the open descriptors of the process, if it is running."""
+        if self._process is None or self._process.poll() is not None:
+            return
+        with contextlib.suppress(OSError):
+            count = len(os.listdir(f"/proc/{self._process.pid}/fd"))
+            self.most_descriptors = max(self.most_descriptors, count)
+
     def was_disturbed(self, begin: float, end: float) -> bool:
         """Return whether it was signalled, frozen or not running between two times."""
         outages = [*self._freezes, *self._absences]
--- a/testing/platform/gateways.py
+++ b/testing/platform/gateways.py
@@ -129,10 +129,12 @@
     port: int,
     path: str,
     *,
+    method: str = "GET",
+    body: bytes | None = None,
     on_chunk: Callable[[bytes], None] | None = None,
     **headers: str,
 ) -> HTTPResponse:
-    """Send a GET request to a port of a gateway.
+    """Send a request to a port of a gateway.
 
     Parameters
     ----------
@@ -143,6 +145,8 @@
     try:
         return await client.fetch(
             f"http://127.0.0.1:{port}{path}",
+            method=method,
+            body=body,
             headers=headers,
             raise_error=False,
             streaming_callback=on_chunk,
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -318,6 +318,8 @@
         self.brittle: BrittleTime | None = None
         # Further headers of all answers to requests.
         self.answer_headers: dict[str, str] = {}
+        # Bodies of the answers to plain requests by path, if not the usual one.
+        self.answers: dict[str, bytes] = {}
         # Time from the acceptance of an order to the answer.
         self.order_delay_s = 0.0
         self.starts = 1
@@ -515,7 +517,7 @@
             )
             return
         if not model:
-            self.finish(b"done")
+            self.finish(replica.answers.get(request.path, b"done"))
             return
         self.set_header("Content-Type", "text/event-stream")
         parts = request.headers.get("X-Prompt-Prefix", "").split(",")
