Share what instances observe of engines' speeds by gossip

Cause: an instance of a fleet of 81 sends a request to one engine only every twenty seconds, so its own observations show no speed.

Change: message EngineSpeed in Gossip and InstanceReport, as EngineFailures; invalid numbers and ages are ignored.

--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -47,6 +47,7 @@
 from chiveslip.gateway.engine_control import OrderAnswer
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
 from chiveslip.gateway.engine_failures import EngineFailures
+from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.limit_grants import LimitGrantor
 from chiveslip.gateway.load_times import LoadTimes
@@ -318,6 +319,7 @@
             ),
             engine_view=view,
             engine_failures=EngineFailures(),
+            engine_speeds=EngineSpeeds(),
             coordinator=coordinator,
             suspects=CrashSuspects(3),
             part_suspects=PartSuspects(),
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -47,6 +47,7 @@
 from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_reports import EngineReports
 from chiveslip.gateway.engine_selection import EngineTargetSelector
+from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.forwarded import ForwardedRequests
 from chiveslip.gateway.forwarding import Gateway
@@ -199,6 +200,7 @@
         self._path_prober = PathProber(connector, directory, paths, self._random)
         self._directory = directory
         engine_failures = EngineFailures()
+        self._engine_speeds = EngineSpeeds()
         self._view = view
         self._report_log = ReportLog(view)
         load_times = LoadTimes(
@@ -260,6 +262,7 @@
             allowances=allowances,
             engine_view=view,
             engine_failures=engine_failures,
+            engine_speeds=self._engine_speeds,
             coordinator=self._coordinator,
             suspects=suspects,
             part_suspects=part_suspects,
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -43,6 +43,9 @@
 from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
 from chiveslip.gateway.engine_failures import EngineFailures
+from chiveslip.gateway.engine_speeds import EngineSpeeds
+from chiveslip.gateway.engine_speeds import EngineStart
+from chiveslip.gateway.engine_speeds import SpeedEvidence
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.limit_grants import LimitGrantor
 from chiveslip.gateway.metrics import GatewayMetrics
@@ -74,6 +77,7 @@
     allowances: SharedAllowances
     engine_view: EngineView
     engine_failures: EngineFailures
+    engine_speeds: EngineSpeeds
     coordinator: EngineCoordinator
     suspects: CrashSuspects
     part_suspects: PartSuspects
@@ -257,6 +261,9 @@
             message.engine_failures.add(
                 endpoint=engine, started=started, requests=requests
             )
+        speeds = parts.engine_speeds.summaries(parts.clock.now())
+        for start, evidence in speeds.items():
+            message.engine_speeds.append(_build_engine_speed(start, evidence))
 
     def _apply_member(self, member: wire.MemberState, now: float) -> None:
         update = _parse_member(member)
@@ -283,6 +290,11 @@
             {(f.endpoint, f.started): f.requests for f in report.engine_failures},
             now - member.age_seconds,
         )
+        parts.engine_speeds.apply_peer(
+            member.instance,
+            dict(map(_parse_engine_speed, report.engine_speeds)),
+            now - member.age_seconds,
+        )
 
     def _apply_uses(self, message: wire.Gossip, now: float) -> None:
         uses = [
@@ -409,6 +421,7 @@
         engine_states=message.engine_states,
         last_orders=message.last_orders,
         engine_failures=message.engine_failures,
+        engine_speeds=message.engine_speeds,
     )
     for use in message.allowance_uses:
         # The level is left out: only an instance that has just started needs it, and
@@ -465,6 +478,35 @@
     )
 
 
+def _build_engine_speed(
+    start: EngineStart, evidence: SpeedEvidence
+) -> wire.EngineSpeed:
+    return wire.EngineSpeed(
+        endpoint=start[0],
+        started=start[1],
+        lasting_seconds=evidence.lasting_s,
+        lasting_log=evidence.lasting_log,
+        recent_seconds=evidence.recent_s,
+        recent_log=evidence.recent_log,
+        first_events_seconds=evidence.first_events_s,
+        first_events_log=evidence.first_events_log,
+    )
+
+
+def _parse_engine_speed(
+    speed: wire.EngineSpeed,
+) -> tuple[EngineStart, SpeedEvidence]:
+    evidence = SpeedEvidence(
+        lasting_s=speed.lasting_seconds,
+        lasting_log=speed.lasting_log,
+        recent_s=speed.recent_seconds,
+        recent_log=speed.recent_log,
+        first_events_s=speed.first_events_seconds,
+        first_events_log=speed.first_events_log,
+    )
+    return (speed.endpoint, speed.started), evidence
+
+
 def _format_adapter(adapter: tuple[str, int]) -> str:
     return f"{adapter[0]}@{adapter[1]}"
 
--- a/testing/fleet/test_large_fleet.py
+++ b/testing/fleet/test_large_fleet.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
+import attrs
 import pytest
 
 from bench.large_fleet import SETTINGS
@@ -16,6 +18,8 @@
 from chiveslip.fleet.gossip_schedule import schedule_for
 from chiveslip.gateway.endpoint_statements import EndpointStatement
 from chiveslip.gateway.endpoint_statements import Incarnation
+from chiveslip.gateway.endpoints import EndpointState
+from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.routing import Organisation
 from chiveslip.settings.fields import Address
 
@@ -28,6 +32,18 @@
 MEDIUM_SCHEDULE = schedule_for(MEDIUM, SETTINGS)
 
 
+def speed_engine(number: int) -> ListedEndpoint:
+    return ListedEndpoint(
+        id=f"engine-{number}",
+        service="llm",
+        address=Address("10.0.1.1", 1),
+        data_centre="here",
+        slots=16,
+        state=EndpointState.READY,
+        started=1,
+    )
+
+
 def organisation(number: int, rate: float, burst: float) -> Organisation:
     return Organisation(
         name=f"organisation-{number}",
@@ -393,3 +409,50 @@
     members[0].parts.rooms.record_brittle("kiosk", 1.0, 0.0, source="endpoint")
     fleet.run(1.0)
     assert all(member.parts.rooms.is_brittle("kiosk") for member in members)
+
+
+@pytest.mark.parametrize("size", [6, LARGE])
+def test_speeds_of_engines_reach_all_members(fleet_of: FleetOf, size: int) -> None:
+    """Guards against evidence that stays with the instance that observed it."""
+    fleet = fleet_of(size)
+    fleet.run(5.0)
+    engines = [speed_engine(number) for number in range(3)]
+    for number, member in enumerate(fleet.running_members()[:3]):
+        for engine, pause_s in zip(engines, (0.04, 0.04, 0.1), strict=True):
+            for window in range(4):
+                at = fleet.clock.now() + (window + number) * 0.01
+                member.parts.engine_speeds.record_pauses(engine, pause_s, 1.0, 0.25, at)
+    fleet.run(SCHEDULE.propagation_s)
+    now = fleet.clock.now()
+    for member in fleet.running_members():
+        speeds = member.parts.engine_speeds
+        speeds.refresh("llm", engines, now)
+        assert speeds.relative_speed(engines[0]) == 1.0
+        assert speeds.relative_speed(engines[2]) == pytest.approx(0.4, rel=0.2)
+
+
+def test_invalid_speeds_of_a_peer_are_ignored(fleet_of: FleetOf) -> None:
+    """Guards against numbers of a faulty peer that stop gossip or move estimates."""
+    fleet = fleet_of(6)
+    fleet.run(2.0)
+    faulty, member, *_ = fleet.running_members()
+    message = faulty.messages.build_request()
+    for number, value in enumerate((math.nan, math.inf, -1.0, 1e30)):
+        message.engine_speeds.add(
+            endpoint=f"engine-{number}", started=1, lasting_seconds=value
+        )
+        message.engine_speeds.add(
+            endpoint=f"engine-{number}",
+            started=2,
+            lasting_seconds=1.0,
+            lasting_log=value * 100,
+        )
+    member.messages.apply(message)
+    engines = [
+        attrs.evolve(speed_engine(number), started=started)
+        for number in range(4)
+        for started in (1, 2)
+    ]
+    speeds = member.parts.engine_speeds
+    speeds.refresh("llm", engines, fleet.clock.now())
+    assert {speeds.relative_speed(engine) for engine in engines} == {1.0}
