Use the learned speeds of engines in placement

Cause: placement estimated the wait at every engine with the same constants, so slow engines got as many requests as fast ones.

Change: prefill time, step time and the cost of a batch are divided by the engine's relative speed; the constants are those of the median engine. Selection records the pauses of its streams, and first events of requests that waited for no load. Gauge chiveslip_engine_speed; engine_estimates of the line Ended. tell the assumed speed. test_telemetry.py now expects it in the line.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -23,6 +23,7 @@
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_failures import EngineFailures
+from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.engine_view import OwnRequest
@@ -266,6 +267,7 @@
             health,
             self._times,
             failures=EngineFailures(),
+            speeds=EngineSpeeds(),
             instance_count=lambda: 1,
             generator=random.Random(SEED),
         )
--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -71,6 +71,8 @@
 from chiveslip.gateway.engine_failures import EngineStart
 from chiveslip.gateway.engine_reports import EngineReports
 from chiveslip.gateway.engine_selection import EngineTargetSelector
+from chiveslip.gateway.engine_speeds import EngineSpeeds
+from chiveslip.gateway.engine_speeds import SpeedEvidence
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.forwarding import Gateway
@@ -583,6 +585,7 @@
     states: tuple[EngineStateUpdate, ...]
     read_at: dict[str, float]
     failures: dict[EngineStart, float] = attrs.field(factory=dict)
+    speeds: dict[EngineStart, SpeedEvidence] = attrs.field(factory=dict)
 
 
 @final
@@ -611,6 +614,7 @@
         self.view = EngineView(receives_all_peers=lambda: not schedule.relays_reports)
         self.health = EndpointHealth()
         self._failures = EngineFailures()
+        self._speeds = EngineSpeeds()
         self._use_notices = UseNotices()
         control = SimulatedControl(fleet)
         load_times = LoadTimes(
@@ -657,6 +661,7 @@
                 self.health,
                 load_times,
                 failures=self._failures,
+                speeds=self._speeds,
                 instance_count=lambda: len(fleet.instance_names),
                 generator=fleet.random,
             ),
@@ -672,6 +677,7 @@
                 control=control, view=self.view, health=self.health, clock=clock
             ),
             failures=self._failures,
+            speeds=self._speeds,
             limits=limit_requests,
             newest_version=lambda adapter: 1,
             clock=clock,
@@ -787,13 +793,15 @@
         if self._rounds % self._schedule.rounds_per_heartbeat == 0:
             states = tuple(self.coordinator.engine_states())
             failures = self._failures.own_failures(now)
-            if states or failures or self.name in self.relayed:
+            speeds = self._speeds.summaries(now)
+            if states or failures or speeds or self.name in self.relayed:
                 self.relayed[self.name] = RelayedReport(
                     heartbeat=self._rounds,
                     made_at=now,
                     states=states,
                     read_at={s.engine: self._fleet.read_at(s.engine) for s in states},
                     failures=failures,
+                    speeds=speeds,
                 )
         self._rounds += 1
         others = [n for n in self._fleet.instance_names if n != self.name]
@@ -822,6 +830,7 @@
         self.relayed[sender] = report
         age_s = now - report.made_at
         self._failures.apply_peer_failures(sender, report.failures, report.made_at)
+        self._speeds.apply_peer(sender, report.speeds, report.made_at)
         for state in report.states:
             if state.engine in self.withheld_engines:
                 continue
--- a/bench/stale_placement.py
+++ b/bench/stale_placement.py
@@ -26,6 +26,7 @@
 from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_search import EngineSearch
 from chiveslip.gateway.engine_search import SearchedRequest
+from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.engine_view import OwnRequest
@@ -146,6 +147,7 @@
                     max_full_speed_fetches=48,
                 ),
                 failures=EngineFailures(),
+                speeds=EngineSpeeds(),
                 instance_count=lambda: deployment.instances,
                 generator=self._random,
             )
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -373,6 +373,7 @@
                         self._health,
                         load_times,
                         failures=engine_failures,
+                        speeds=self._engine_speeds,
                         instance_count=lambda: self._membership.size,
                         generator=self._random,
                     ),
@@ -382,6 +383,7 @@
                         control=control, view=view, health=self._health, clock=clock
                     ),
                     failures=engine_failures,
+                    speeds=self._engine_speeds,
                     limits=limit_requests,
                     newest_version=self._catalogue.newest_version,
                     clock=clock,
@@ -596,7 +598,7 @@
         metrics.brittle_services.set(len(self._rooms.brittle_services()))
         metrics.limited_endpoints.set(len(self._limits.named()))
         metrics.record_held_bytes(self._held)
-        self._update_report_ages()
+        self._update_engines()
         table = self._catalogue.table
         if table is not None:
             metrics.configuration_version.set(table.version)
@@ -608,13 +610,20 @@
         headers = HTTPHeaders({"Content-Type": "text/plain; version=0.0.4"})
         await reply.respond(200, headers, metrics.render_text())
 
-    def _update_report_ages(self) -> None:
+    def _update_engines(self) -> None:
         now = self._clock.now()
         ages = self._metrics.engine_report_age
+        speeds = self._metrics.engine_speed
         ages.clear()
-        for engine, _ in self._catalogue.ready_engines():
+        speeds.clear()
+        engines = [engine for engine, _ in self._catalogue.ready_engines()]
+        for service in {engine.service for engine in engines}:
+            own = [engine for engine in engines if engine.service == service]
+            self._engine_speeds.refresh(service, own, now)
+        for engine in engines:
             age_s = self._view.report_age_s(engine.id, now)
             ages.labels(engine.id).set(math.inf if age_s is None else age_s)
+            speeds.labels(engine.id).set(self._engine_speeds.relative_speed(engine))
 
     async def _serve_readiness(
         self, request: IngressRequest, reply: IngressReply
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -8,6 +8,7 @@
 
 from chiveslip.gateway.endpoint_statements import Incarnation
 from chiveslip.gateway.engine_view import KnownLoad
+from chiveslip.gateway.event_pauses import EventPauses
 from chiveslip.gateway.ingress import IngressRequest
 from chiveslip.gateway.protocol import RequestMetadata
 from chiveslip.gateway.reply import Reply
@@ -30,11 +31,14 @@
     progressed_at
         Local time in seconds at which the answer went on after its first part, or
         None if it did not.
+    pauses
+        Where the arrivals of the answer's events are recorded, or None.
     """
 
     chosen_at: float
     sent_at: float | None = None
     progressed_at: float | None = None
+    pauses: EventPauses | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -47,10 +51,13 @@
         Estimated time in seconds from the choice to the first event.
     known_load
         Load of the engine as it was known at the choice.
+    speed
+        Speed of the engine that was assumed; 1 is the median of its service.
     """
 
     first_event_s: float
     known_load: KnownLoad
+    speed: float = 1.0
 
 
 @attrs.define(kw_only=True)
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -21,9 +21,11 @@
 from chiveslip.gateway.engine_reports import ReadResult
 from chiveslip.gateway.engine_search import EngineSearch
 from chiveslip.gateway.engine_search import SearchedRequest
+from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.engine_view import OwnRequest
+from chiveslip.gateway.event_pauses import EventPauses
 from chiveslip.gateway.forwarding import Target
 from chiveslip.gateway.forwarding import TargetSelector
 from chiveslip.gateway.limit_requests import LimitRequests
@@ -61,6 +63,7 @@
     prompt_tokens: float
     estimate_s: float
     waited_for_load: bool
+    speed: float
     own: OwnRequest | None = None
 
 
@@ -143,6 +146,7 @@
         load_times: LoadTimes,
         reports: EngineReports,
         failures: EngineFailures,
+        speeds: EngineSpeeds,
         limits: LimitRequests,
         newest_version: Callable[[str], int],
         clock: Clock,
@@ -155,6 +159,7 @@
         self._load_times = load_times
         self._reports = reports
         self._failures = failures
+        self._speeds = speeds
         self._newest_version = newest_version
         self._clock = clock
         self._placed: dict[Call, _PlacedRequest] = {}
@@ -215,7 +220,9 @@
                 search.exclude(choice.engine.id)
                 failed_loads.record_leaving(choice.engine.id)
                 continue
-            estimate = EngineEstimate(first_event_s=estimate_s, known_load=known_load)
+            estimate = EngineEstimate(
+                first_event_s=estimate_s, known_load=known_load, speed=choice.speed
+            )
             return self._place(call, request, choice, load, estimate, started_at)
         refusal = failed_loads.build_refusal(is_any_excluded=bool(search.excluded))
         wait_s = self._directory.wait_s(call.service)
@@ -267,6 +274,7 @@
             prompt_tokens=request.prompt_tokens,
             estimate_s=choice.wait_s,
             waited_for_load=load.ready_in_s > 0,
+            speed=choice.speed,
         )
         version = adapter[1] if adapter is not None and adapter[1] else None
         return Target(
@@ -286,6 +294,16 @@
             self._clock.now(),
             placed.estimate_s,
         )
+        engine = target.endpoint
+        call.attempt_times[-1].pauses = EventPauses(
+            lambda pause_s, covered_s, now: self._speeds.record_pauses(
+                engine,
+                pause_s,
+                self._view.count_requests(engine.id, now),
+                covered_s,
+                now,
+            )
+        )
 
     def record_first_event(self, call: Call, target: Target) -> None:
         """Record that the prefill has finished."""
@@ -294,11 +312,22 @@
             placed.own.has_first_event = True
         if placed.waited_for_load:
             self._load_times.record_timely_load()
+            return
+        sent_at = call.attempt_times[-1].sent_at
+        if sent_at is None:
+            return
+        now = self._clock.now()
+        self._speeds.record_first_event(
+            target.endpoint, now - sent_at, placed.estimate_s * placed.speed, now
+        )
 
     def record_end(self, call: Call, target: Target, attempt: Attempt | None) -> None:
         """Stop counting the request, and update the view from its result."""
         placed = self._placed.pop(call)
         engine = target.endpoint.id
+        pauses = call.attempt_times[-1].pauses
+        if pauses is not None:
+            pauses.record_end()
         if placed.own is not None:
             self._view.record_request_end(placed.own)
             self._record_failure(target, placed.own, attempt)
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -140,6 +140,12 @@
             ("engine",),
             registry=registry,
         )
+        self.engine_speed = Gauge(
+            "chiveslip_engine_speed",
+            "Speed of each engine as learned; 1 is the median of its service.",
+            ("engine",),
+            registry=registry,
+        )
         self.blocked_parts = Gauge(
             "chiveslip_blocked_prompt_parts",
             "Parts of prompts whose requests are refused, as they crashed endpoints.",
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -20,20 +20,14 @@
 from chiveslip.gateway.demand import AdapterDemand
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_failures import EngineFailures
+from chiveslip.gateway.engine_speeds import PREFILL_TOKENS_PER_S
+from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.load_times import LoadTimes
 from chiveslip.gateway.routing import EngineCapacity
 from chiveslip.services.health import EndpointHealth
 
-# Prefill speed of an engine in prompt tokens per second; the users' engines process
-# 19.1 per ms.
-PREFILL_TOKENS_PER_S = 19_000.0
-# The first token waits for a decoding step. A step takes 8.87 ms for a single request
-# on the users' engines, and longer with each request of the batch; this includes the
-# prefills in between.
-_STEP_S = 0.009
-_STEP_PER_REQUEST_S = 0.0004
 # Cost per rank of an engine after the first in the adapter's ranking; a third of the
 # time of a fetch.
 _RANK_COST_S = 0.08
@@ -68,6 +62,8 @@
         Estimated time in seconds to the first event.
     is_present
         Whether the adapter is present or being loaded.
+    speed
+        Speed of the engine that was assumed; 1 is the median of its service.
     """
 
     engine: ListedEndpoint
@@ -75,6 +71,7 @@
     rank_cost_s: float
     wait_s: float
     is_present: bool
+    speed: float = 1.0
 
 
 @final
@@ -94,6 +91,7 @@
         load_times: LoadTimes,
         *,
         failures: EngineFailures,
+        speeds: EngineSpeeds,
         instance_count: Callable[[], int],
         generator: random.Random,
     ) -> None:
@@ -104,6 +102,7 @@
         self._health = health
         self._load_times = load_times
         self._failures = failures
+        self._speeds = speeds
         self._engine_count = 1
 
     def record_request(
@@ -132,6 +131,8 @@
         more often.
         """
         self._engine_count = len(engines)
+        if engines:
+            self._speeds.refresh(engines[0].service, engines, now)
         choices = self.rate_engines(
             engines, capacity, model, adapter, prompt_tokens, excluded, now
         )
@@ -214,7 +215,7 @@
         now: float,
     ) -> Choice:
         """Return the choice that an engine would be, with its cost."""
-        wait_s = self._estimate_wait_s(engine.id, capacity, prompt_tokens, now)
+        wait_s = self._estimate_wait_s(engine, capacity, prompt_tokens, now)
         is_present = True
         held_s = 0.0
         load_s = 0.0
@@ -240,7 +241,9 @@
                 engine, self._instance_count(), self._engine_count, now
             ),
         )
-        batch_cost = self._view.count_requests(engine.id, now) * _REQUEST_COST_S
+        speed = self._speeds.relative_speed(engine)
+        requests = self._view.count_requests(engine.id, now)
+        batch_cost = requests * _REQUEST_COST_S / speed
         cost_s = max(estimate_s, overdue_s) + batch_cost + no_slot_cost + failing_share
         return Choice(
             engine=engine,
@@ -248,16 +251,21 @@
             rank_cost_s=rank_cost,
             wait_s=estimate_s,
             is_present=is_present,
+            speed=speed,
         )
 
     def _estimate_wait_s(
-        self, engine: str, capacity: EngineCapacity, prompt_tokens: float, now: float
+        self,
+        engine: ListedEndpoint,
+        capacity: EngineCapacity,
+        prompt_tokens: float,
+        now: float,
     ) -> float:
         """Return the estimated time in seconds to a prompt's first token."""
-        requests = self._view.count_requests(engine, now)
-        tokens = self._view.pending_prefill_tokens(engine, now) + prompt_tokens
-        step_s = _STEP_S + _STEP_PER_REQUEST_S * requests
-        wait_s = tokens / PREFILL_TOKENS_PER_S + step_s
+        requests = self._view.count_requests(engine.id, now)
+        tokens = self._view.pending_prefill_tokens(engine.id, now) + prompt_tokens
+        prefill_s = tokens / self._speeds.prefill_tokens_per_s(engine)
+        wait_s = prefill_s + self._speeds.step_s(engine, requests)
         excess = requests / capacity.slots - _OVERLOAD_SHARE if capacity.slots else 0.0
         return wait_s + (_OVERLOAD_COST_S * (1 + excess * 10) if excess > 0 else 0.0)
 
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -54,6 +54,8 @@
 # An endpoint that gives up at the deadline it was sent still answers; its answer may
 # take this long to arrive.
 _DEADLINE_GRACE_S = 0.12
+# Events that end otherwise count as one for each chunk.
+_EVENT_END = b"\n\n"
 _EVENT_STREAM = "text/event-stream"
 _MIN_FAILURE_STATUS = 500
 
@@ -401,9 +403,13 @@
         splits_events = is_event_stream(head.headers)
         is_resumed = stream.has_head
         remaining_callbacks = list(reversed(on_parts))
+        pauses = call.attempt_times[-1].pauses
         try:
             async for chunk in exchange.chunks():
                 on_chunk()
+                if pauses is not None:
+                    events = chunk.count(_EVENT_END) if splits_events else 1
+                    pauses.record_events(max(events, 1), self._clock.now())
                 if remaining_callbacks:
                     remaining_callbacks.pop()()
                 part = stream.splitter.feed(chunk) if splits_events else chunk
--- a/src/chiveslip/gateway/telemetry.py
+++ b/src/chiveslip/gateway/telemetry.py
@@ -229,6 +229,7 @@
         "waiting": load.waiting,
         "own": load.own_requests,
         "own_unanswered": load.own_unanswered,
+        "speed": round(estimate.speed, 2),
     }
 
 
--- a/testing/gateway/test_engine_search.py
+++ b/testing/gateway/test_engine_search.py
@@ -17,6 +17,7 @@
 from chiveslip.gateway.engine_search import MAX_UNANSWERED
 from chiveslip.gateway.engine_search import EngineSearch
 from chiveslip.gateway.engine_search import SearchedRequest
+from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.load_times import LoadTimes
 from chiveslip.gateway.placement import Placement
@@ -108,6 +109,7 @@
         EndpointHealth(),
         LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=8),
         failures=EngineFailures(),
+        speeds=EngineSpeeds(),
         instance_count=lambda: 91,
         generator=random.Random(seed),
     )
@@ -161,6 +163,7 @@
         EndpointHealth(),
         LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=8),
         failures=EngineFailures(),
+        speeds=EngineSpeeds(),
         instance_count=lambda: 91,
         generator=random.Random(3),
     )
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -29,6 +29,7 @@
 from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_reports import EngineReports
 from chiveslip.gateway.engine_selection import EngineTargetSelector
+from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.engine_view import KnownLoad
@@ -178,6 +179,7 @@
             health,
             times,
             failures=EngineFailures(),
+            speeds=EngineSpeeds(),
             instance_count=lambda: 6,
             generator=random.Random(1),
         ),
@@ -187,6 +189,7 @@
             control=AnsweringEngines(), view=view, health=health, clock=clock
         ),
         failures=EngineFailures(),
+        speeds=EngineSpeeds(),
         limits=make_limit_requests(EndpointLimits(clock), clock),
         newest_version=lambda _: 1,
         clock=clock,
--- a/testing/gateway/test_telemetry.py
+++ b/testing/gateway/test_telemetry.py
@@ -77,7 +77,9 @@
         own_requests=3,
         own_unanswered=1,
     )
-    call.engine_estimates.append(EngineEstimate(first_event_s=0.25, known_load=load))
+    call.engine_estimates.append(
+        EngineEstimate(first_event_s=0.25, known_load=load, speed=0.617)
+    )
     call.load_waits.append(
         LoadWait(
             engine="e1",
@@ -106,6 +108,7 @@
             "waiting": 2,
             "own": 3,
             "own_unanswered": 1,
+            "speed": 0.62,
         }
     ]
 
