--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -47,6 +47,7 @@
 from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_reports import EngineReports
 from chiveslip.gateway.engine_selection import EngineTargetSelector
+from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.evacuations import Evacuations
 from chiveslip.gateway.forwarded import ForwardedRequests
@@ -201,6 +202,7 @@
         self._path_prober = PathProber(connector, directory, paths, self._random)
         self._directory = directory
         engine_failures = EngineFailures()
+        self._engine_speeds = EngineSpeeds()
         self._view = view
         self._report_log = ReportLog(view)
         load_times = LoadTimes(
@@ -264,6 +266,7 @@
             allowances=allowances,
             engine_view=view,
             engine_failures=engine_failures,
+            engine_speeds=self._engine_speeds,
             coordinator=self._coordinator,
             suspects=suspects,
             part_suspects=part_suspects,
@@ -374,6 +377,7 @@
                         self._health,
                         load_times,
                         failures=engine_failures,
+                        speeds=self._engine_speeds,
                         instance_count=lambda: self._membership.size,
                         generator=self._random,
                     ),
@@ -383,6 +387,7 @@
                         control=control, view=view, health=self._health, clock=clock
                     ),
                     failures=engine_failures,
+                    speeds=self._engine_speeds,
                     limits=limit_requests,
                     newest_version=self._catalogue.newest_version,
                     clock=clock,
@@ -612,7 +617,7 @@
         metrics.evacuated_requests.set(sum(evacuated.values()))
         metrics.limited_endpoints.set(len(self._limits.named()))
         metrics.record_held_bytes(self._held)
-        self._update_report_ages()
+        self._update_engines()
         table = self._catalogue.table
         if table is not None:
             metrics.configuration_version.set(table.version)
@@ -624,13 +629,20 @@
         headers = HTTPHeaders({"Content-Type": "text/plain; version=0.0.4"})
         await reply.respond(200, headers, metrics.render_text())
 
-    def _update_report_ages(self) -> None:
+    def _update_engines(self) -> None:
         now = self._clock.now()
         ages = self._metrics.engine_report_age
+        speeds = self._metrics.engine_speed
         ages.clear()
-        for engine, _ in self._catalogue.ready_engines():
+        speeds.clear()
+        engines = [engine for engine, _ in self._catalogue.ready_engines()]
+        for service in {engine.service for engine in engines}:
+            own = [engine for engine in engines if engine.service == service]
+            self._engine_speeds.refresh(service, own, now)
+        for engine in engines:
             age_s = self._view.report_age_s(engine.id, now)
             ages.labels(engine.id).set(math.inf if age_s is None else age_s)
+            speeds.labels(engine.id).set(self._engine_speeds.relative_speed(engine))
 
     async def _serve_readiness(
         self, request: IngressRequest, reply: IngressReply
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -21,9 +21,11 @@
 from chiveslip.gateway.engine_reports import ReadResult
 from chiveslip.gateway.engine_search import EngineSearch
 from chiveslip.gateway.engine_search import SearchedRequest
+from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.engine_view import OwnRequest
+from chiveslip.gateway.event_pauses import EventPauses
 from chiveslip.gateway.forwarding import Target
 from chiveslip.gateway.forwarding import TargetSelector
 from chiveslip.gateway.limit_requests import LimitRequests
@@ -63,6 +65,7 @@
     prompt_tokens: float
     estimate_s: float
     waited_for_load: bool
+    speed: float
     prompt: Prompt | None = None
     cached_tokens: float = 0.0
     own: OwnRequest | None = None
@@ -153,6 +156,7 @@
         load_times: LoadTimes,
         reports: EngineReports,
         failures: EngineFailures,
+        speeds: EngineSpeeds,
         limits: LimitRequests,
         newest_version: Callable[[str], int],
         clock: Clock,
@@ -167,6 +171,7 @@
         self._load_times = load_times
         self._reports = reports
         self._failures = failures
+        self._speeds = speeds
         self._newest_version = newest_version
         self._clock = clock
         self._placed: dict[Call, _PlacedRequest] = {}
@@ -230,7 +235,9 @@
                 search.exclude(choice.engine.id)
                 failed_loads.record_leaving(choice.engine.id)
                 continue
-            estimate = EngineEstimate(first_event_s=estimate_s, known_load=known_load)
+            estimate = EngineEstimate(
+                first_event_s=estimate_s, known_load=known_load, speed=choice.speed
+            )
             return self._place(call, request, choice, load, estimate, started_at)
         refusal = failed_loads.build_refusal(is_any_excluded=bool(search.excluded))
         wait_s = self._directory.wait_s(call.service)
@@ -292,6 +299,7 @@
             waited_for_load=load.ready_in_s > 0,
             prompt=request.prompt,
             cached_tokens=min(choice.cached_tokens, request.prompt_tokens),
+            speed=choice.speed,
         )
         version = adapter[1] if adapter is not None and adapter[1] else None
         return Target(
@@ -315,6 +323,16 @@
         if placed.prompt is not None:
             parts = self._placement.prompt_parts
             parts.record_sent(target.endpoint, placed.prompt, now)
+        engine = target.endpoint
+        call.attempt_times[-1].pauses = EventPauses(
+            lambda pause_s, covered_s, now: self._speeds.record_pauses(
+                engine,
+                pause_s,
+                self._view.count_requests(engine.id, now),
+                covered_s,
+                now,
+            )
+        )
 
     def record_first_event(self, call: Call, target: Target) -> None:
         """Record that the prefill has finished."""
@@ -323,11 +341,22 @@
             placed.own.has_first_event = True
         if placed.waited_for_load:
             self._load_times.record_timely_load()
+            return
+        sent_at = call.attempt_times[-1].sent_at
+        if sent_at is None:
+            return
+        now = self._clock.now()
+        self._speeds.record_first_event(
+            target.endpoint, now - sent_at, placed.estimate_s * placed.speed, now
+        )
 
     def record_end(self, call: Call, target: Target, attempt: Attempt | None) -> None:
         """Stop counting the request, and update the view from its result."""
         placed = self._placed.pop(call)
         engine = target.endpoint.id
+        pauses = call.attempt_times[-1].pauses
+        if pauses is not None:
+            pauses.record_end()
         if placed.own is not None:
             self._view.record_request_end(placed.own)
             self._record_failure(target, placed.own, attempt)
--- a/testing/gateway/test_prompt_parts.py
+++ b/testing/gateway/test_prompt_parts.py
@@ -12,6 +12,7 @@
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_control import EngineReport
 from chiveslip.gateway.engine_failures import EngineFailures
+from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.load_times import LoadTimes
@@ -156,6 +157,7 @@
         EndpointHealth(),
         LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=8),
         failures=EngineFailures(),
+        speeds=EngineSpeeds(),
         instance_count=lambda: 81,
         generator=random.Random(seed),
     )
