Bound what callers hold by one budget of the process

Cause: requests and unread answers of callers were bounded each for itself, connections and the time of the event loop not at all. A crowd of bodies that stop short, unread answers or silent connections used up memory or descriptors, and chunks of two bytes from many connections held up the event loop.

Change: dispatch/held_bytes.py counts callers' connections together with endpoints' answers; what holds much or makes no progress gives way, never a request that waits for its endpoint. gateway/caller_budget.py has the pure rules for connections and times, gateway/caller_stream.py counts, gateway/ turns.py shares the event loop, gateway/lingering.py lets refused callers read their refusal. Refusals are 408, 413, 431 and 503 with Retry-After. New settings: limits.descriptors (rendered from limits.file_descriptors), limits.head_time, limits.body_stall, limits.body_rate; limits.idle_connection and limits.slow_reader now hold for gateways too. Large blocks go back to the system at once (allocator.py). Readiness and metrics have bounds of their own.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -6,6 +6,7 @@
 import asyncio
 import math
 import random
+import resource
 import time
 from typing import final
 
@@ -34,6 +35,9 @@
 from chiveslip.fleet.store_pulls import StorePulls
 from chiveslip.gateway.allowance_requests import AllowanceRequests
 from chiveslip.gateway.allowances import SharedAllowances
+from chiveslip.gateway.caller_budget import CallerLimits
+from chiveslip.gateway.caller_budget import count_connections
+from chiveslip.gateway.caller_budget import served_size
 from chiveslip.gateway.catalogue import Catalogue
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
 from chiveslip.gateway.crash_detection import CrashDetector
@@ -97,6 +101,9 @@
 _STARTUP_S = 1.0
 _STARTUP_INTERVAL_FACTOR = 0.4
 _MAX_HEAD_BYTES = 64 << 10
+# For the readiness and the metrics each, and for what both hold.
+_MAX_OPERATORS_CONNECTIONS = 32
+_MAX_OPERATORS_BYTES = 4 << 20
 # A round that begins this much late is logged: reads of the store and answers of peers
 # were processed as late.
 _LATE_ROUND_S = 0.5
@@ -153,7 +160,12 @@
             max_watch_s=settings.store.watch,
         )
         self._current_schedule = schedule_for(1, self._schedule_settings)
-        self._held = HeldBytes.for_memory(settings.limits.memory)
+        caller_limits = self._caller_limits()
+        self._held = HeldBytes.for_memory(
+            settings.limits.memory,
+            served_size(caller_limits.head_bytes, caller_limits.body_bytes),
+            clock,
+        )
         pool = ConnectionPool(clock, settings.services.connect, self._held)
         protocol = interfaces.make_protocol()
         self._membership = Membership(
@@ -426,18 +438,17 @@
             self._forwarded,
         )
         self._peer_server = Server([service])
-        self._ingress = Ingress(
-            gateway.handle,
-            max_body_bytes=settings.limits.body,
-            max_head_bytes=_MAX_HEAD_BYTES,
-        )
-        self._metrics_server = Ingress(
-            self._serve_metrics, max_body_bytes=1 << 10, max_head_bytes=_MAX_HEAD_BYTES
-        )
+        self._ingress = Ingress(gateway.handle, caller_limits, self._held, clock)
+        # Reachable also when callers have used up their budget.
+        own_limits = CallerLimits(
+            body_bytes=1 << 10,
+            head_bytes=_MAX_HEAD_BYTES,
+            connections=_MAX_OPERATORS_CONNECTIONS,
+        )
+        own_held = HeldBytes(_MAX_OPERATORS_BYTES, clock)
+        self._metrics_server = Ingress(self._serve_metrics, own_limits, own_held, clock)
         self._readiness_server = Ingress(
-            self._serve_readiness,
-            max_body_bytes=1 << 10,
-            max_head_bytes=_MAX_HEAD_BYTES,
+            self._serve_readiness, own_limits, own_held, clock
         )
 
     async def start(self) -> None:
@@ -492,6 +503,22 @@
         self._peer_server.close()
         self._peers.close()
 
+    def _caller_limits(self) -> CallerLimits:
+        limits = self._settings.limits
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if limits.descriptors:
+            descriptors = min(descriptors, limits.descriptors)
+        return CallerLimits(
+            body_bytes=limits.body,
+            head_bytes=_MAX_HEAD_BYTES,
+            connections=count_connections(descriptors),
+            idle_s=limits.idle_connection,
+            head_s=limits.head_time,
+            stall_s=limits.body_stall,
+            body_bytes_per_s=limits.body_rate,
+            unread_s=limits.slow_reader,
+        )
+
     @property
     def _running_requests(self) -> int:
         return self._ingress.running_requests + self._forwarded.running
@@ -593,6 +620,9 @@
         metrics.brittle_services.set(len(self._rooms.brittle_services()))
         metrics.limited_endpoints.set(len(self._limits.named()))
         metrics.record_held_bytes(self._held)
+        metrics.record_callers(
+            self._ingress.count_connections(), self._ingress.take_given_up()
+        )
         self._update_report_ages()
         table = self._catalogue.table
         if table is not None:
--- a/src/chiveslip/gateway/ingress.py
+++ b/src/chiveslip/gateway/ingress.py
@@ -1,20 +1,25 @@
 """Serves callers' connections: reads whole requests and writes answers.
 
-Uses Tornado's HTTP server without its web handlers, so that a streamed event costs
-one write and any path is accepted unchanged.
+Uses Tornado's HTTP connections without its web handlers, so that a streamed event costs
+one write and any path is accepted unchanged, and without its server, so that what each
+connection holds is counted (docs/design/caller-budget.md).
 """
 
 from __future__ import annotations
 
 import asyncio
+import collections
 import http
+import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Any
 from typing import final
 
 import attrs
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
+from tornado.http1connection import HTTP1ConnectionParameters
+from tornado.http1connection import HTTP1ServerConnection
 from tornado.httputil import HTTPConnection
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPMessageDelegate
@@ -22,11 +27,33 @@
 from tornado.httputil import RequestStartLine
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
-
+from tornado.netutil import add_accept_handler
+from tornado.netutil import bind_sockets
+
+from chiveslip.clock import Clock
+from chiveslip.clock import SystemClock
+from chiveslip.dispatch.held_bytes import HeldBytes
+from chiveslip.gateway.caller_budget import CallerLimits
+from chiveslip.gateway.caller_budget import Stage
+from chiveslip.gateway.caller_budget import choose_closed
+from chiveslip.gateway.caller_budget import find_overdue
+from chiveslip.gateway.caller_log import CallerLog
+from chiveslip.gateway.caller_stream import READ_BYTES
+from chiveslip.gateway.caller_stream import CallerStream
+from chiveslip.gateway.lingering import LingeringSockets
 from chiveslip.gateway.reply import CallerDisconnectedError
 from chiveslip.gateway.reply import Reply
+from chiveslip.gateway.turns import Turns
 from chiveslip.tasks import TaskSet
 
+_BACKLOG = 1024
+# Interval of the checks for connections that are overdue.
+_CHECK_S = 0.25
+# Closed together when there are too many, as finding them takes a look at each.
+_CLOSED_TOGETHER = 16
+# The budget refuses larger ones, with a status that says so.
+_UNBOUNDED_BYTES = 1 << 62
+
 
 @attrs.frozen(kw_only=True)
 class IngressRequest:
@@ -123,7 +150,10 @@
     def end(self) -> None:
         """Finish the answer, so that the caller sees it as complete."""
         self._has_ended = True
+        stream = self._connection.stream
         self._connection.finish()
+        if isinstance(stream, CallerStream):
+            stream.end_answer()
 
     def abort(self) -> None:
         """Close the connection, so that a truncated answer does not look complete."""
@@ -158,12 +188,14 @@
 class _RequestReader(HTTPMessageDelegate):
     """Reads one request and cancels its handler when the caller disconnects."""
 
-    def __init__(self, ingress: Ingress, connection: HTTP1Connection) -> None:
+    def __init__(
+        self, ingress: Ingress, connection: HTTP1Connection, stream: CallerStream
+    ) -> None:
         self._ingress = ingress
         self._connection = connection
+        self._stream = stream
         self._start_line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
-        self._chunks: list[bytes] = []
 
     def headers_received(
         self,
@@ -173,18 +205,23 @@
         if isinstance(start_line, RequestStartLine):
             self._start_line = start_line
         self._headers = headers
+        length = headers.get("Content-Length", "")
+        # An invalid length is refused by Tornado after this.
+        is_valid = length.isascii() and length.isdigit()
+        self._stream.end_head(int(length) if is_valid else 0)
 
     def data_received(self, chunk: bytes) -> None:
-        self._chunks.append(chunk)
+        self._stream.add_body(chunk)
 
     def finish(self) -> None:
-        if self._start_line is None:
+        body = self._stream.end_body()
+        if self._start_line is None or body is None:
             return
         request = IngressRequest(
             method=self._start_line.method,
             target=self._start_line.path,
             headers=self._headers,
-            body=b"".join(self._chunks),
+            body=body,
         )
         task = self._ingress.start_handler(request, self._connection)
         self._connection.set_close_callback(lambda: _cancel(task))
@@ -202,8 +239,10 @@
     ----------
     handler
         Answers one request; cancelled when its caller disconnects.
-    max_body_bytes, max_head_bytes
-        Maximum size of a request's body and of its headers, in bytes.
+    limits
+        Limits of callers' connections.
+    held
+        Bounds the bytes that connections hold, together with others of the process.
 
     Attributes
     ----------
@@ -212,16 +251,29 @@
     """
 
     def __init__(
-        self, handler: Handler, *, max_body_bytes: int, max_head_bytes: int
+        self,
+        handler: Handler,
+        limits: CallerLimits,
+        held: HeldBytes,
+        clock: Clock | None = None,
     ) -> None:
         self._handler = handler
+        self._limits = limits
+        self._held = held
+        self._clock = clock or SystemClock()
+        self._log = CallerLog(self._clock)
         self._tasks = TaskSet("ingress")
+        self._lingering = LingeringSockets(self._clock)
+        self._turns = Turns(self._tasks)
         self._running_requests = 0
         self.closes_connections = False
-        self._server = HTTPServer(
-            self,
-            max_body_size=max_body_bytes,
-            max_header_size=max_head_bytes,
+        self._sockets: list[socket.socket] = []
+        self._stop_accepting: list[Callable[[], None]] = []
+        self._connections: dict[HTTP1ServerConnection, CallerStream] = {}
+        self._parameters = HTTP1ConnectionParameters(
+            chunk_size=READ_BYTES,
+            max_header_size=limits.head_bytes,
+            max_body_size=_UNBOUNDED_BYTES,
         )
 
     @property
@@ -229,16 +281,39 @@
         """Number of requests that are being answered."""
         return self._running_requests
 
+    def count_connections(self) -> dict[Stage, int]:
+        """Return the number of connections by what they are doing."""
+        return collections.Counter(
+            stream.state.stage for stream in self._connections.values()
+        )
+
+    def take_given_up(self) -> dict[str, int]:
+        """Return how many callers were given up since the last call, by kind."""
+        return self._log.take_given_up()
+
     def listen(self, host: str, port: int) -> None:
         """Start to accept connections."""
-        self._server.listen(port, host, backlog=1024)
+        for bound in bind_sockets(port, host, backlog=_BACKLOG):
+            self._sockets.append(bound)
+            self._stop_accepting.append(add_accept_handler(bound, self._accept))
+        self._tasks.start_lasting("checks of callers' connections", self._check)
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the reader of the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
-        return _RequestReader(self, request_conn)
+        stream = request_conn.stream
+        assert isinstance(stream, CallerStream)
+        stream.begin_request()
+        return _RequestReader(self, request_conn, stream)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection that has ended."""
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        stream = self._connections.pop(server_conn, None)
+        if stream is not None:
+            stream.close()
 
     def start_handler(
         self, request: IngressRequest, connection: HTTP1Connection
@@ -251,9 +326,62 @@
 
     async def close(self) -> None:
         """Close the listening socket and all connections."""
-        self._server.stop()
+        for stop in self._stop_accepting:
+            stop()
+        for bound in self._sockets:
+            bound.close()
+        self._stop_accepting.clear()
+        self._sockets.clear()
         await self._tasks.close()
-        await self._server.close_all_connections()
+        while self._connections:
+            await next(iter(self._connections)).close()
+        self._lingering.close()
+
+    def _accept(self, connection: socket.socket, address: Any) -> None:
+        """Serve a connection, in place of others if there are too many."""
+        if len(self._connections) >= self._limits.connections:
+            self._close_some()
+        if len(self._connections) >= self._limits.connections:
+            self._log.record("too many connections", address[0])
+            connection.close()
+            return
+        stream = CallerStream(
+            connection,
+            address[0],
+            self._limits,
+            self._held,
+            self._turns,
+            self._log,
+            self._lingering,
+            self._clock,
+        )
+        server_connection = HTTP1ServerConnection(stream, self._parameters, address[0])
+        self._connections[server_connection] = stream
+        server_connection.start_serving(self)
+
+    def _close_some(self) -> None:
+        states = [(key, stream.state) for key, stream in self._connections.items()]
+        for key in choose_closed(states, self._clock.now(), _CLOSED_TOGETHER):
+            # Its serving loop ends in a later iteration of the event loop.
+            self._connections.pop(key).drop("too many connections")
+
+    async def _check(self) -> None:
+        """Give up connections that are overdue."""
+        while True:
+            await asyncio.sleep(_CHECK_S)
+            now = self._clock.now()
+            for stream in list(self._connections.values()):
+                overdue = find_overdue(stream.state, self._limits, now)
+                if overdue is None:
+                    continue
+                if overdue.status is not None:
+                    stream.refuse(overdue.kind, overdue.status)
+                elif stream.state.stage is Stage.IDLE:
+                    stream.close()
+                else:
+                    stream.drop(overdue.kind)
+            self._lingering.close_old()
+            self._log.write()
 
     async def _run_handler(self, request: IngressRequest, reply: IngressReply) -> None:
         self._running_requests += 1
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -15,6 +15,7 @@
 from prometheus_client import generate_latest
 
 from chiveslip.dispatch.held_bytes import HeldBytes
+from chiveslip.gateway.caller_budget import Stage
 
 # Bucket bounds around the latency objectives of streams and of short calls.
 _LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0)
@@ -73,6 +74,18 @@
             ("kind",),
             registry=registry,
         )
+        self.caller_connections = Gauge(
+            "chiveslip_caller_connections",
+            "Callers' connections by what they are doing.",
+            ("stage",),
+            registry=registry,
+        )
+        self.given_up_callers = Counter(
+            "chiveslip_given_up_callers",
+            "Callers that were refused or whose connections were closed, by kind.",
+            ("kind",),
+            registry=registry,
+        )
         self.handovers = Counter(
             "chiveslip_handovers",
             "Requests handed over to peers for want of a path, by service and result.",
@@ -222,6 +235,15 @@
         for kind, number in held.take_given_up().items():
             self.given_up_messages.labels(kind).inc(number)
 
+    def record_callers(
+        self, connections: dict[Stage, int], given_up: dict[str, int]
+    ) -> None:
+        """Update the metrics of callers' connections."""
+        for stage in Stage:
+            self.caller_connections.labels(stage.value).set(connections.get(stage, 0))
+        for kind, number in given_up.items():
+            self.given_up_callers.labels(kind).inc(number)
+
     def render_text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/src/chiveslip/platform/main.py
+++ b/src/chiveslip/platform/main.py
@@ -12,6 +12,7 @@
 
 from returns.result import Failure
 
+from chiveslip import allocator
 from chiveslip import logs
 from chiveslip.clock import Clock
 from chiveslip.clock import SystemClock
@@ -80,6 +81,7 @@
     settings = loaded.unwrap().settings
     logs.configure(settings.logs.form, settings.logs.level, to_standard_output=True)
     logs.warn_of_replaced_settings(loaded.unwrap().warnings)
+    allocator.return_large_blocks()
     sys.exit(asyncio.run(_run(settings, path)))
 
 
--- a/testing/gateway/test_ingress.py
+++ b/testing/gateway/test_ingress.py
@@ -13,6 +13,8 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
+from chiveslip.dispatch.held_bytes import HeldBytes
+from chiveslip.gateway.caller_budget import CallerLimits
 from chiveslip.gateway.ingress import Ingress
 from chiveslip.gateway.ingress import IngressReply
 from chiveslip.gateway.ingress import IngressRequest
@@ -69,7 +71,8 @@
         del request
         await answer(reply)
 
-    ingress = Ingress(handle, max_body_bytes=1 << 10, max_head_bytes=1 << 10)
+    limits = CallerLimits(body_bytes=1 << 10, head_bytes=1 << 10)
+    ingress = Ingress(handle, limits, HeldBytes(1 << 20))
     port = reserve_port()
     ingress.listen("127.0.0.1", port)
     try:
