Take no response with an invalid status line for an answer

Cause: the HTTP library parses any three digits and any version HTTP/1.x, and nothing checked the result. A caller got status 000 of an endpoint in trouble; an order answered so counted as refused; a refusal header beside such a status had a non-idempotent request sent again.

Change: dispatch/connection.py checks the head before anything else looks at it: HTTP/1.0 or 1.1, a final status of 200 to 599, no 101, no body with 204. Anything else is no answer: the connection is closed, a request that may be repeated is sent again, others end with 502, and reports, orders and reads of the store get an error.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import contextlib
+import http
 import math
 import socket
 from collections.abc import AsyncIterator
@@ -70,6 +71,10 @@
 _MAX_CROSSED_RESPONSES = 2
 # Parts of a body that are received ahead of their reader.
 _MAX_QUEUED_CHUNKS = 2
+_VERSIONS = frozenset({"HTTP/1.0", "HTTP/1.1"})
+# Interim statuses below 200 included.
+_MIN_STATUS = 100
+_MAX_STATUS = 599
 # What the bytes of a response are counted as that is kept until it is complete.
 _HELD_KIND = "whole responses"
 
@@ -247,6 +252,8 @@
         Bytes of the body that were received.
     is_too_large
         Whether the response exceeds the limit on bytes.
+    fault
+        Why the head is none of a response, or empty.
     is_crossed
         Whether the last response on the connection belongs to another request, or on
         a reused connection does not say to which it belongs.
@@ -267,6 +274,7 @@
         self.is_crossed = False
         self.max_idle_s: float | None = _MAX_IDLE_S
         self.is_too_large = False
+        self.fault = ""
         self._request_id = request_id
         self._method = method
         self._is_reused = is_reused
@@ -278,8 +286,13 @@
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> None:
-        status = start_line.code if isinstance(start_line, ResponseStartLine) else 0
-        if 100 <= status < 200 or self.head.done():
+        assert isinstance(start_line, ResponseStartLine)
+        status = start_line.code
+        fault = _find_head_fault(start_line.version, status, headers)
+        if fault is not None:
+            self.fault = fault
+            raise HTTPInputError(fault)
+        if status < http.HTTPStatus.OK or self.head.done():
             return
         # A crossed response before this one may have been finished.
         self.is_finished = False
@@ -322,6 +335,26 @@
         return echoed == self._request_id
 
 
+def _find_head_fault(version: str, status: int, headers: HTTPHeaders) -> str | None:
+    """Return why a head is none of a response that may be believed, or None.
+
+    An endpoint in trouble has answered with statuses below 100 and from 600 on. Whether
+    it ran the request is unknown then, whatever its headers say.
+    """
+    if version not in _VERSIONS:
+        return f"invalid version {version}"
+    if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+        return "status 101, though no other protocol was asked for"
+    if not _MIN_STATUS <= status <= _MAX_STATUS:
+        return f"invalid status {status:03}"
+    has_body = "Transfer-Encoding" in headers or (
+        headers.get("Content-Length", "0") != "0"
+    )
+    if has_body and status == http.HTTPStatus.NO_CONTENT:
+        return "status 204 with a body"
+    return None
+
+
 def _parse_max_idle_s(headers: HTTPHeaders) -> float | None:
     """Return how long the connection may stay idle in seconds, or None to close it."""
     if "close" in headers.get("Connection", "").lower():
@@ -489,7 +522,7 @@
                 next_response = HTTP1Connection(self._stream, True, _PARAMETERS)
                 next_response.finish()
                 await next_response.read_response(receiver)
-            ending = self._find_ending()
+            ending, detail = self._find_ending(), receiver.fault
         except StreamClosedError:
             ending = self._find_connection_ending()
             detail = str(self._stream.error or "")
@@ -499,7 +532,9 @@
             self._record_end(ending, detail)
             if not receiver.head.done():
                 receiver.head.set_exception(
-                    ExchangeInterruptedError(f"no response was received: {self._end}")
+                    ExchangeInterruptedError(
+                        f"no response was received: {receiver.fault or self._end}"
+                    )
                 )
                 # Marks the exception as retrieved, in case nothing awaits it.
                 receiver.head.exception()
--- a/testing/raw_endpoint.py
+++ b/testing/raw_endpoint.py
@@ -48,6 +48,8 @@
         Bytes sent so far, on all connections.
     open_connections
         Connections that the other side has not closed yet.
+    requests_of_connections
+        Number of requests on each connection, in the order of opening.
     """
 
     scripts: list[list[Step]]
@@ -55,19 +57,23 @@
     requests: int = 0
     sent_bytes: int = 0
     open_connections: int = 0
+    requests_of_connections: list[int] = attrs.field(factory=list)
     address: Address = attrs.field(factory=lambda: Address("127.0.0.1", 0))
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection."""
+        number = self.connections
         self.connections += 1
+        self.requests_of_connections.append(0)
         self.open_connections += 1
         try:
             while True:
                 await _read_request(reader)
                 script = self.scripts[min(self.requests, len(self.scripts) - 1)]
                 self.requests += 1
+                self.requests_of_connections[number] += 1
                 for step in script:
                     if step is CLOSE or step == RESET:
                         _close(writer, reset=step == RESET)
