Tell coordinators at once which adapters are in use

An adapter kept its slot for 1.5 s after its last known use, and the use was told in gossip rounds of 0.5 s, so most slots of a busy large fleet held adapters that nobody used.

A new call, Uses, sends all uses of an instance to the coordinator of an engine within 0.1 s of a change, at most 2 calls in 0.1 s. Lists are numbered, so that older gossip does not undo a notice. A coordinator evicts an adapter 0.3 s after its last use if the user has sent a notice since, and after 1.5 s otherwise. Only in fleets where not all peers exchange, and at engines with fewer adapter slots than request slots. Peers without an answer are left alone for 1 s, those without the call for 30 s.

The simulated fleet sends the notices, too.

--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -47,8 +47,11 @@
 from chiveslip.fleet.gossip_schedule import GossipScheduleSettings
 from chiveslip.fleet.gossip_schedule import schedule_for
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
+from chiveslip.fleet.gossip_updates import EngineUseUpdate
 from chiveslip.fleet.use_notices import UseNotices
 from chiveslip.fleet.use_notices import Uses
+from chiveslip.fleet.use_notifier import UseNotifier
+from chiveslip.fleet.use_notifier import UsePeers
 from chiveslip.gateway.allowance_requests import AllowanceRequests
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.call import Call
@@ -550,10 +553,21 @@
 
 @final
 class SimulatedPeers:
-    """Delivers load requests to other instances."""
+    """Delivers load requests and notices of uses to other instances."""
 
-    def __init__(self, fleet: SimulatedFleet) -> None:
+    def __init__(self, fleet: SimulatedFleet, instance: str) -> None:
         self._fleet = fleet
+        self._instance = instance
+
+    async def tell_uses(
+        self, peer: str, number: tuple[int, int], uses: list[EngineUseUpdate]
+    ) -> None:
+        """Tell a peer all uses of an instance."""
+        self._fleet.use_notices += 1
+        await asyncio.sleep(_HOP_S)
+        view = self._fleet.instances[peer].view
+        view.apply_use_notice(self._instance, uses, self._fleet.now(), number)
+        await asyncio.sleep(_HOP_S)
 
     async def load(
         self, peer: str, engine: str, adapter: tuple[str, int], max_wait_s: float
@@ -563,7 +577,9 @@
         coordinator = self._fleet.instances[peer].coordinator
         try:
             async with asyncio.timeout(_LOAD_REQUEST_TIMEOUT_S):
-                return await coordinator.load_adapter(engine, adapter, max_wait_s)
+                return await coordinator.load_adapter(
+                    engine, adapter, max_wait_s, self._instance
+                )
         except TimeoutError as error:
             raise PeerError("the coordinator does not answer") from error
 
@@ -616,15 +632,27 @@
         load_times = LoadTimes(
             fetch_s=_FETCH_S, reload_s=0.025, max_full_speed_fetches=0
         )
+        peers = SimulatedPeers(fleet, name)
+        rights = CoordinatorRights(
+            instance=name,
+            lease_s=_LEASE_S,
+            propagation_s=lambda: schedule.propagation_s,
+            live_instances=lambda: self.live_instances,
+            has_quorum=lambda: self.has_quorum,
+            clock=clock,
+        )
+        self._use_notifier = UseNotifier(
+            instance=name,
+            incarnation=1,
+            view=self.view,
+            rights=rights,
+            peers=cast(UsePeers, peers),
+            reachable=lambda: fleet.instance_names,
+            clock=clock,
+            metrics=fleet.metrics,
+        )
         self.coordinator = EngineCoordinator(
-            rights=CoordinatorRights(
-                instance=name,
-                lease_s=_LEASE_S,
-                propagation_s=lambda: schedule.propagation_s,
-                live_instances=lambda: self.live_instances,
-                has_quorum=lambda: self.has_quorum,
-                clock=clock,
-            ),
+            rights=rights,
             control=control,
             view=self.view,
             load_times=load_times,
@@ -645,7 +673,7 @@
                 propagation_s=lambda: 0.0,
                 clock=clock,
             ),
-            peers=cast(LimitPeers, SimulatedPeers(fleet)),
+            peers=cast(LimitPeers, peers),
             metrics=fleet.metrics,
             clock=clock,
         )
@@ -663,7 +691,7 @@
             load_requests=LoadRequests(
                 instance=name,
                 coordinator=self.coordinator,
-                peers=cast(GatewayPeers, SimulatedPeers(fleet)),
+                peers=cast(GatewayPeers, peers),
                 view=self.view,
                 clock=clock,
             ),
@@ -692,7 +720,7 @@
                         live_instances=lambda: fleet.instance_names,
                         heard_share=lambda: 1.0,
                     ),
-                    peers=cast(GatewayPeers, SimulatedPeers(fleet)),
+                    peers=cast(GatewayPeers, peers),
                     metrics=fleet.metrics,
                     clock=clock,
                 ),
@@ -723,7 +751,7 @@
                 find_organisation=lambda _name: None,
                 handover=Handover(
                     instance=name,
-                    forwarder=cast(PeerForwarder, SimulatedPeers(fleet)),
+                    forwarder=cast(PeerForwarder, peers),
                     protocol=SimulatedProtocol(),
                     statements=EndpointStatements(clock),
                     find_peers=lambda _service, _adapter: [],
@@ -743,6 +771,7 @@
             started_at = self._fleet.clock.now()
             self._exchange_with_peers()
             self.coordinator.update_engines(self._listed_engines())
+            self._use_notifier.update_engines(self._listed_engines())
             self.health.retain_only(self.directory.by_id)
             await self.coordinator.read_reports()
             await self.coordinator.load_models()
@@ -750,6 +779,11 @@
             left_s = started_at + interval_s * jitter - self._fleet.clock.now()
             await asyncio.sleep(max(left_s, 0.0))
 
+    async def run_use_notices(self) -> None:
+        """Tell coordinators the uses of adapters, without end."""
+        await asyncio.sleep(self._fleet.random.random() * 0.1)
+        await self._use_notifier.run()
+
     def add_engine(self, process: SimulatedEngine) -> None:
         """Add an engine that the store lists."""
         listed = process.listed
@@ -852,6 +886,7 @@
         self.random = random.Random(seed)
         self.clock = LoopClock(self._loop)
         self.metrics = GatewayMetrics()
+        self.use_notices = 0
         self.capacity = EngineCapacity(
             slots=self._properties.slots,
             cache_tokens=self._properties.memory_tokens,
@@ -886,8 +921,9 @@
         """Run the traffic and the faults, and return the results."""
         requests = RequestGenerator(self._scenario.load, self.random).generate()
         rounds = [
-            self._loop.create_task(instance.run_rounds())
+            self._loop.create_task(work)
             for instance in self.instances.values()
+            for work in (instance.run_rounds(), instance.run_use_notices())
         ]
         await asyncio.sleep(_LEAD_S)
         started_at = self.now()
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -32,6 +32,7 @@
 from chiveslip.fleet.member_log import MemberLog
 from chiveslip.fleet.membership import Membership
 from chiveslip.fleet.store_pulls import StorePulls
+from chiveslip.fleet.use_notifier import UseNotifier
 from chiveslip.gateway.allowance_requests import AllowanceRequests
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.catalogue import Catalogue
@@ -275,7 +276,21 @@
         )
         messages = GossipMessages(parts, self._random)
         self._peers = GatewayPeers(
-            self._membership.address_of, settings.fleet.peer_timeout
+            self._membership.address_of,
+            settings.fleet.peer_timeout,
+            settings.instance.id,
+        )
+        self._use_notifier = UseNotifier(
+            instance=settings.instance.id,
+            incarnation=self._membership.incarnation,
+            view=view,
+            rights=rights,
+            peers=self._peers,
+            reachable=lambda: (
+                update.instance for update in self._membership.reachable(clock.now())
+            ),
+            clock=clock,
+            metrics=self._metrics,
         )
         store_pulls = StorePulls(
             mirror=self._mirror,
@@ -456,6 +471,7 @@
         self._tasks.start_lasting("reads of the store", self._reader.run)
         self._tasks.start_lasting("rounds of gossip", self._run_rounds)
         self._tasks.start_lasting("probes of paths", self._path_prober.run)
+        self._tasks.start_lasting("notices of uses", self._use_notifier.run)
         instance = self._settings.instance
         self._log.info(
             "Started.", instance=instance.id, data_centre=instance.data_centre
@@ -489,6 +505,7 @@
         await self._readiness_server.close()
         await self._metrics_server.close()
         await self._tasks.close()
+        await self._use_notifier.close()
         self._peer_server.close()
         self._peers.close()
 
@@ -571,6 +588,7 @@
             (engine.id for engine, _ in engines), self._clock.now()
         )
         self._coordinator.update_engines(engines)
+        self._use_notifier.update_engines(engines)
         self._health.retain_only(self._directory.by_id)
         self._statements.drop_expired(self._directory.by_id)
         self._rooms.retain_only(self._directory.by_id.values())
--- a/src/chiveslip/fleet/channels.py
+++ b/src/chiveslip/fleet/channels.py
@@ -19,6 +19,7 @@
 from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 from grpclib.config import Configuration
+from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import ProtocolError
 from grpclib.exceptions import StreamTerminatedError
@@ -46,6 +47,10 @@
     """A call to a peer failed; whether the peer received it is unknown."""
 
 
+class UnsupportedCallError(PeerError):
+    """The peer does not know the call: it runs an older version."""
+
+
 @attrs.frozen(kw_only=True)
 class ChannelOptions:
     """Options for keep-alive pings and for closing channels; times in seconds.
@@ -116,6 +121,11 @@
         try:
             yield channel
         except _CALL_ERRORS as error:
+            if isinstance(error, GRPCError) and error.status is Status.UNIMPLEMENTED:
+                # The channel works.
+                raise UnsupportedCallError(
+                    f"{address} does not know the call"
+                ) from error
             if self._channels.get(address) is channel:
                 del self._channels[address]
             raise PeerError(f"call to {address} failed: {error!r}") from error
--- a/src/chiveslip/fleet/gateway_peers.py
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -13,8 +13,11 @@
 from chiveslip.fleet.channels import ChannelOptions
 from chiveslip.fleet.channels import PeerChannels
 from chiveslip.fleet.channels import PeerError
+from chiveslip.fleet.engine_uses import encode_uses
 from chiveslip.fleet.forwarded_exchange import GrpcForwardedExchange
+from chiveslip.fleet.gossip_updates import EngineUseUpdate
 from chiveslip.fleet.incarnations import encode_limit
+from chiveslip.fleet.use_notifier import UsePeers
 from chiveslip.gateway.allowances import Grant
 from chiveslip.gateway.endpoint_limits import NamedLimit
 from chiveslip.gateway.engine_coordinator import LoadOutcome
@@ -54,7 +57,7 @@
 
 
 @final
-class GatewayPeers(PeerForwarder, LimitPeers):
+class GatewayPeers(PeerForwarder, LimitPeers, UsePeers):
     """Client for other gateways; channels are opened on first use.
 
     Every method raises `PeerError` if no reply comes in time.
@@ -65,11 +68,17 @@
         Returns the peer address of an instance, or None if it is unknown.
     timeout_s
         Timeout in seconds of one exchange.
+    instance
+        Name of this instance.
     """
 
     def __init__(
-        self, address_of: Callable[[str], Address | None], timeout_s: float
+        self,
+        address_of: Callable[[str], Address | None],
+        timeout_s: float,
+        instance: str = "",
     ) -> None:
+        self._instance = instance
         self._address_of = address_of
         self._timeout_s = timeout_s
         self._channels = PeerChannels(_OPTIONS)
@@ -94,6 +103,7 @@
         """
         address = self._known_address(peer)
         request = wire.LoadRequest(
+            instance=self._instance,
             endpoint=engine,
             adapter=adapter[0],
             version=adapter[1],
@@ -105,6 +115,34 @@
         outcome = _OUTCOMES_BY_WIRE_VALUE.get(reply.outcome, LoadOutcome.FAILED)
         return LoadResult(outcome=outcome, ready_in_s=reply.ready_after_seconds)
 
+    async def tell_uses(
+        self, peer: str, number: tuple[int, int], uses: list[EngineUseUpdate]
+    ) -> None:
+        """Tell a peer all uses of engines by this instance.
+
+        Parameters
+        ----------
+        number
+            Incarnation of this instance, and number of the list of uses.
+
+        Raises
+        ------
+        PeerError
+            Also if the peer does not know this instance yet.
+        """
+        address = self._known_address(peer)
+        notice = wire.UsesNotice(
+            instance=self._instance,
+            incarnation=number[0],
+            uses_number=number[1],
+            uses=encode_uses(uses),
+        )
+        reply = await self._call(
+            address, self._timeout_s, lambda stub, t: stub.Uses(notice, timeout=t)
+        )
+        if not reply.is_applied:
+            raise PeerError(f"{peer} does not know this instance yet")
+
     async def request_units(
         self, peer: str, organisation: str, units: float, ahead: float
     ) -> Grant:
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -12,6 +12,7 @@
 
 from chiveslip import logs
 from chiveslip.fleet.channels import PeerError
+from chiveslip.fleet.engine_uses import decode_uses
 from chiveslip.fleet.forwarding import answer_forwarded
 from chiveslip.fleet.forwarding import decline_forwarded
 from chiveslip.fleet.gateway_peers import WIRE_OUTCOMES
@@ -197,7 +198,10 @@
         loaded = await asyncio.shield(
             self._tasks.start(
                 self._parts.coordinator.load_adapter(
-                    request.endpoint, adapter, request.patience_seconds
+                    request.endpoint,
+                    adapter,
+                    request.patience_seconds,
+                    request.instance,
                 )
             )
         )
@@ -206,6 +210,23 @@
         )
         await stream.send_message(reply)
 
+    async def Uses(  # noqa: N802
+        self, stream: Stream[wire.UsesNotice, wire.UsesReply]
+    ) -> None:
+        """Apply the uses of engines that a peer tells at once."""
+        notice = await stream.recv_message()
+        if notice is None:
+            return
+        is_known = self._parts.membership.address_of(notice.instance) is not None
+        if is_known:
+            self._parts.engine_view.apply_use_notice(
+                notice.instance,
+                decode_uses(notice.uses),
+                self._parts.clock.now(),
+                (notice.incarnation, notice.uses_number),
+            )
+        await stream.send_message(wire.UsesReply(is_applied=is_known))
+
     async def Changes(  # noqa: N802
         self, stream: Stream[wire.ChangesRequest, wire.ChangesReply]
     ) -> None:
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -21,9 +21,12 @@
 from chiveslip.dispatch.part_suspects import PartReport
 from chiveslip.dispatch.part_suspects import PartSuspects
 from chiveslip.dispatch.suspects import CrashSuspects
+from chiveslip.fleet.engine_uses import decode_uses
+from chiveslip.fleet.engine_uses import encode_uses
+from chiveslip.fleet.engine_uses import format_adapter
+from chiveslip.fleet.engine_uses import parse_adapter
 from chiveslip.fleet.gossip_schedule import GossipSchedule
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
-from chiveslip.fleet.gossip_updates import EngineUseUpdate
 from chiveslip.fleet.incarnations import decode_incarnations
 from chiveslip.fleet.incarnations import decode_limit
 from chiveslip.fleet.incarnations import encode_incarnation
@@ -55,9 +58,6 @@
 from chiveslip.store.contact import StoreContact
 from chiveslip.store.mirror import StoreMirror
 
-# Every report of an engine repeats the names of its adapters. The cache has room for
-# all adapters that the engines of a large fleet hold.
-_MAX_CACHED_ADAPTER_NAMES = 4096
 # Every report repeats the address of its instance.
 _MAX_CACHED_ADDRESSES = 1024
 # Suspected parts of prompts in one message; those with the most crashes come first.
@@ -241,13 +241,8 @@
 
     def _add_engines(self, message: wire.Gossip) -> None:
         parts = self._parts
-        for use in parts.engine_view.own_uses():
-            message.engine_uses.add(
-                endpoint=use.engine,
-                requests=use.requests,
-                unread_tokens=use.pending_prefill_tokens,
-                adapters=[_format_adapter(adapter) for adapter in use.adapters],
-            )
+        message.engine_uses.extend(encode_uses(parts.engine_view.own_uses()))
+        message.uses_number = parts.engine_view.own_uses_number
         for state in parts.coordinator.engine_states():
             message.engine_states.append(_build_engine_state(state))
         for engine, age_s, fence in parts.coordinator.rights.recent_own_orders():
@@ -285,16 +280,14 @@
         )
 
     def _apply_uses(self, message: wire.Gossip, now: float) -> None:
-        uses = [
-            EngineUseUpdate(
-                engine=use.endpoint,
-                requests=use.requests,
-                pending_prefill_tokens=use.unread_tokens,
-                adapters=frozenset(map(_parse_adapter, use.adapters)),
-            )
-            for use in message.engine_uses
-        ]
-        self._parts.engine_view.apply_peer_uses(message.sender.instance, uses, now)
+        sender = message.sender
+        number = (sender.incarnation, message.uses_number)
+        self._parts.engine_view.apply_peer_uses(
+            sender.instance,
+            decode_uses(message.engine_uses),
+            now,
+            number if message.uses_number else None,
+        )
 
     def _apply_reports(self, message: wire.Gossip, now: float) -> None:
         try:
@@ -443,7 +436,7 @@
         endpoint=state.engine,
         started=state.started,
         models=sorted(state.models),
-        adapters=[_format_adapter(adapter) for adapter in state.adapters],
+        adapters=[format_adapter(adapter) for adapter in state.adapters],
         running=state.running,
         waiting=state.waiting,
         cache_used=state.cache_used,
@@ -456,7 +449,7 @@
         engine=state.endpoint,
         started=state.started,
         models=frozenset(state.models),
-        adapters=frozenset(map(_parse_adapter, state.adapters)),
+        adapters=frozenset(map(parse_adapter, state.adapters)),
         running=state.running,
         waiting=state.waiting,
         cache_used=state.cache_used,
@@ -465,17 +458,6 @@
     )
 
 
-def _format_adapter(adapter: tuple[str, int]) -> str:
-    return f"{adapter[0]}@{adapter[1]}"
-
-
-@functools.lru_cache(maxsize=_MAX_CACHED_ADAPTER_NAMES)
-def _parse_adapter(text: str) -> tuple[str, int]:
-    name, _, version = text.rpartition("@")
-    is_version = version.isascii() and version.isdigit()
-    return (name, int(version)) if is_version else (text, 0)
-
-
 def read_revision(message: wire.Gossip) -> StoreRevision:
     """Return the sender's revision of the store; builds without eras send era 0."""
     return StoreRevision(message.store_era, message.store_revision)
--- a/src/chiveslip/fleet/use_notices.py
+++ b/src/chiveslip/fleet/use_notices.py
@@ -31,7 +31,11 @@
         self._round = 0
 
     def select(
-        self, uses: Mapping[str, Uses], reachable: Collection[str], limit: int
+        self,
+        uses: Mapping[str, Uses],
+        reachable: Collection[str],
+        limit: int,
+        busy: Collection[str] = (),
     ) -> list[str]:
         """Return the coordinators to tell in this round, and take them for told.
 
@@ -41,6 +45,8 @@
             Uses of this instance, by the coordinator of their engine.
         limit
             Most coordinators to return.
+        busy
+            Coordinators that cannot be told now, but later.
         """
         self._round += 1
         self._told = {n: told for n, told in self._told.items() if n in reachable}
@@ -48,6 +54,7 @@
             name
             for name in sorted(uses.keys() | self._told.keys())
             if name in reachable
+            and name not in busy
             and uses.get(name, _NO_USES) != self._told.get(name, _NO_USES)
         ]
         # Those told longest ago come first, so that each is told in turn.
--- a/src/chiveslip/gateway/adapter_slots.py
+++ b/src/chiveslip/gateway/adapter_slots.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import final
 
 import attrs
@@ -17,6 +18,9 @@
 # A report shows the state of up to half a second ago; every report requested this
 # long after an order includes the order.
 REPORT_LAG_S = 1.0
+# An adapter is kept for this time after its last use if its user tells uses at once:
+# twice the time until a coordinator has heard that a use began.
+PROMPT_IDLE_S = 0.3
 # Adapters that one engine may be fetching at the same time.
 MAX_CONCURRENT_FETCHES = 4
 
@@ -26,6 +30,7 @@
     ordered_at: float
     ready_at: float
     used_at: float
+    user: str | None = None
     is_unloading: bool = False
 
 
@@ -81,10 +86,18 @@
             if requested_at > unloaded_at + REPORT_LAG_S:
                 del self._unloaded_at[adapter]
 
-    def record_load(self, adapter: Adapter, now: float, ready_at: float) -> None:
-        """Occupy a slot for an order to load."""
+    def record_load(
+        self, adapter: Adapter, now: float, ready_at: float, user: str | None = None
+    ) -> None:
+        """Occupy a slot for an order to load.
+
+        Parameters
+        ----------
+        user
+            Instance that is going to use the adapter, or None if it is unknown.
+        """
         self._unloaded_at.pop(adapter, None)
-        self._slots[adapter] = _Slot(now, ready_at, max(now, ready_at))
+        self._slots[adapter] = _Slot(now, ready_at, max(now, ready_at), user)
 
     def record_unloaded(self, adapter: Adapter, now: float) -> None:
         """Free the slot of an adapter that the engine has dropped."""
@@ -109,11 +122,29 @@
         """Record that `adapters` have requests in progress."""
         for adapter in adapters:
             slot = self._slots.get(adapter)
-            if slot is not None:
-                slot.used_at = max(slot.used_at, now)
+            if slot is not None and now > slot.used_at:
+                slot.used_at, slot.user = now, None
+
+    def record_last_use(
+        self, adapter: Adapter, used_at: float, user: str | None
+    ) -> None:
+        """Record when an instance used an adapter last, unless that is outdated.
+
+        Parameters
+        ----------
+        user
+            The instance, or None if it is unknown.
+        """
+        slot = self._slots.get(adapter)
+        if slot is not None and used_at >= slot.used_at:
+            slot.used_at, slot.user = used_at, user
 
     def select_victim(
-        self, in_use: set[Adapter], now: float, min_idle_s: float
+        self,
+        in_use: set[Adapter],
+        now: float,
+        min_idle_s: float,
+        is_told_at_once: Callable[[str, float], bool] = lambda user, since: False,
     ) -> Adapter | None:
         """Return the least recently used adapter that may be unloaded, or None.
 
@@ -122,12 +153,22 @@
         min_idle_s
             An adapter that was in use this recently is not unloaded: the next request
             for it may be in transit, or its use may not have been told yet.
+        is_told_at_once
+            Returns whether an instance has told its uses at once after a local time.
         """
+
+        def evictable_at(slot: _Slot) -> float:
+            is_prompt = slot.user is not None and is_told_at_once(
+                slot.user, slot.used_at
+            )
+            idle_s = min(min_idle_s, PROMPT_IDLE_S) if is_prompt else min_idle_s
+            return slot.used_at + idle_s
+
         idle = [
             (slot.used_at, adapter)
             for adapter, slot in self._slots.items()
             if adapter not in in_use
             and not slot.is_unloading
-            and slot.used_at + min_idle_s <= now
+            and evictable_at(slot) <= now
         ]
         return min(idle)[1] if idle else None
--- a/src/chiveslip/gateway/engine_coordinator.py
+++ b/src/chiveslip/gateway/engine_coordinator.py
@@ -36,6 +36,7 @@
 from chiveslip.gateway.model_loads import ModelLoadLimiter
 from chiveslip.gateway.model_loads import select_missing_model
 from chiveslip.gateway.routing import EngineCapacity
+from chiveslip.gateway.routing import has_scarce_adapter_slots
 
 _REPORT_INTERVAL_S = 1.0
 # From the request of a load to its order; below the time for which peers wait.
@@ -229,17 +230,27 @@
         ]
 
     async def load_adapter(
-        self, engine: str, adapter: Adapter, max_wait_s: float
+        self,
+        engine: str,
+        adapter: Adapter,
+        max_wait_s: float,
+        asker: str = "",
     ) -> LoadResult:
         """Load an adapter at an engine unless it takes longer than `max_wait_s`.
 
         Returns without waiting for the load itself: the result says in how many
         seconds the adapter is expected to be usable.
+
+        Parameters
+        ----------
+        asker
+            Instance that is going to use the adapter; empty if it does not tell.
         """
         coordinated = self._engines.get(engine)
         if coordinated is None or not self._rights.is_coordinator_of(engine):
             return LoadResult(outcome=LoadOutcome.NOT_COORDINATOR)
-        known = self._known_result(coordinated, adapter)
+        user = asker or None
+        known = self._known_result(coordinated, adapter, user)
         if known is not None:
             return known
         held_s = coordinated.orders_allowed_from - self._clock.now()
@@ -256,10 +267,10 @@
         coordinated.queued_loads += 1
         try:
             async with coordinated.lock:
-                known = self._known_result(coordinated, adapter)
+                known = self._known_result(coordinated, adapter, user)
                 if known is not None:
                     return known
-                return await self._order_load(coordinated, adapter, order_by)
+                return await self._order_load(coordinated, adapter, order_by, user)
         finally:
             coordinated.queued_loads -= 1
 
@@ -287,7 +298,7 @@
         return load_s * (1 + queued / self._max_own_fetches())
 
     def _known_result(
-        self, engine: _CoordinatedEngine, adapter: Adapter
+        self, engine: _CoordinatedEngine, adapter: Adapter, user: str | None
     ) -> LoadResult | None:
         if engine.slots.is_unloading(adapter):
             return LoadResult(outcome=LoadOutcome.NO_ROOM)
@@ -295,12 +306,17 @@
         if ready_at is None:
             return None
         # The asker is about to send a request for it.
-        engine.slots.record_use({adapter}, self._clock.now())
+        used_at = max(ready_at, self._clock.now())
+        engine.slots.record_last_use(adapter, used_at, user)
         ready_in_s = max(ready_at - self._clock.now(), 0.0)
         return LoadResult(outcome=LoadOutcome.USABLE, ready_in_s=ready_in_s)
 
     async def _order_load(
-        self, engine: _CoordinatedEngine, adapter: Adapter, order_by: float
+        self,
+        engine: _CoordinatedEngine,
+        adapter: Adapter,
+        order_by: float,
+        user: str | None,
     ) -> LoadResult:
         if self._clock.now() > order_by:
             return LoadResult(outcome=LoadOutcome.FAILED)
@@ -316,7 +332,7 @@
                 return LoadResult(outcome=LoadOutcome.NO_ROOM)
         now = self._clock.now()
         ready_at = self._load_times.record_load(engine.listed.id, adapter, now)
-        engine.slots.record_load(adapter, now, ready_at)
+        engine.slots.record_load(adapter, now, ready_at, user)
         answer = await self._send_load_with_retries(engine, adapter)
         if answer in (OrderAnswer.IN_PROGRESS, OrderAnswer.ALREADY_DONE):
             self._view.expect_adapter(engine.listed.id, adapter, ready_at)
@@ -385,9 +401,13 @@
         now = self._clock.now()
         if now < engine.unloads_allowed_from:
             return False
-        in_use = self._view.adapters_in_use(engine.listed.id, now)
-        engine.slots.record_use(in_use, now)
-        victim = engine.slots.select_victim(in_use, now, self._view.use_notice_s)
+        in_use = self._record_uses(engine, now)
+        is_prompt_user = self._is_prompt_user
+        if not self._frees_slots_early(engine):
+            is_prompt_user = _is_no_prompt_user
+        victim = engine.slots.select_victim(
+            in_use, now, self._view.use_notice_s, is_prompt_user
+        )
         if victim is None:
             return False
         answer = await self._send_order(engine, Operation.UNLOAD, victim[0])
@@ -406,6 +426,27 @@
         self._view.record_missing_adapter(engine.listed.id, victim, self._clock.now())
         return True
 
+    def _record_uses(self, engine: _CoordinatedEngine, now: float) -> set[Adapter]:
+        """Record the uses of an engine's adapters; return those in use."""
+        in_use = self._view.adapters_in_use(engine.listed.id, now)
+        engine.slots.record_use(in_use, now)
+        if self._frees_slots_early(engine):
+            for adapter, end in self._view.last_use_ends(engine.listed.id).items():
+                user = end.instance or self._rights.instance
+                engine.slots.record_last_use(adapter, end.at, user)
+        return in_use
+
+    def _frees_slots_early(self, engine: _CoordinatedEngine) -> bool:
+        """Return whether uses of an engine are told at once, beside the gossip."""
+        if self._view.receives_all_peers:
+            return False
+        return has_scarce_adapter_slots(engine.capacity)
+
+    def _is_prompt_user(self, user: str, since: float) -> bool:
+        """Return whether it is certain that a user's last use has ended."""
+        is_own = user == self._rights.instance
+        return is_own or self._view.is_told_at_once(user, since)
+
     async def _send_order(
         self,
         engine: _CoordinatedEngine,
@@ -514,8 +555,7 @@
         engine.running = report.running
         engine.waiting = report.waiting
         engine.cache_used = report.cache_used
-        in_use = self._view.adapters_in_use(engine.listed.id, requested_at)
-        engine.slots.record_use(in_use, requested_at)
+        self._record_uses(engine, requested_at)
         for adapter in report.adapters:
             self._load_times.record_copy(engine.listed.id, adapter)
         state = _describe_state(engine.listed.id, engine, self._clock.now())
@@ -524,6 +564,10 @@
         )
 
 
+def _is_no_prompt_user(user: str, since: float) -> bool:
+    return False
+
+
 def _describe_state(
     name: str, engine: _CoordinatedEngine, now: float
 ) -> EngineStateUpdate:
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -300,7 +300,7 @@
         placed = self._placed.pop(call)
         engine = target.endpoint.id
         if placed.own is not None:
-            self._view.record_request_end(placed.own)
+            self._view.record_request_end(placed.own, self._clock.now())
             self._record_failure(target, placed.own, attempt)
         if placed.adapter is None:
             return
--- a/src/chiveslip/gateway/engine_view.py
+++ b/src/chiveslip/gateway/engine_view.py
@@ -18,6 +18,8 @@
 
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
 from chiveslip.fleet.gossip_updates import EngineUseUpdate
+from chiveslip.gateway.adapter_uses import AdapterUses
+from chiveslip.gateway.adapter_uses import UseEnd
 from chiveslip.gateway.engine_control import EngineReport
 from chiveslip.gateway.engine_load import EngineLoad
 from chiveslip.gateway.engine_load import EngineLoads
@@ -127,6 +129,8 @@
         self._own_requests: dict[str, set[OwnRequest]] = {}
         self._peer_engines: dict[str, frozenset[str]] = {}
         self._peer_uses: dict[str, dict[str, tuple[float, EngineUseUpdate]]] = {}
+        self._uses = AdapterUses()
+        self._own_uses_number = 1
         self._loads = EngineLoads()
         self._contents_told_at: dict[str, float] = {}
         self._loads_held_until: dict[str, float] = {}
@@ -141,6 +145,11 @@
         """Time in seconds until a coordinator has heard that an adapter is in use."""
         return _USE_NOTICE_S if self._receives_all_peers() else _USE_NOTICE_IN_TURN_S
 
+    @property
+    def own_uses_number(self) -> int:
+        """Number of the list of own uses; it increases with each change."""
+        return self._own_uses_number
+
     def update_engine(
         self,
         engine: str,
@@ -213,20 +222,59 @@
                 self.record_missing_adapter(engine, adapter, now)
 
     def apply_peer_uses(
-        self, peer: str, uses: list[EngineUseUpdate], now: float
-    ) -> None:
-        """Replace the requests that a peer has in progress by those it reports."""
+        self,
+        peer: str,
+        uses: list[EngineUseUpdate],
+        now: float,
+        number: tuple[int, int] | None = None,
+    ) -> bool:
+        """Replace the requests that a peer has in progress by those it reports.
+
+        Parameters
+        ----------
+        number
+            Incarnation of the peer and number of its list, or None if it does not tell.
+
+        Returns
+        -------
+        bool
+            Whether the list is not older than the last one of the peer.
+        """
+        if not self._uses.accept_number(peer, number):
+            return False
         engines = frozenset(use.engine for use in uses)
         for engine in self._peer_engines.get(peer, frozenset()) - engines:
-            self._peer_uses[engine].pop(peer, None)
+            self._end_peer_use(engine, peer, frozenset(), now)
         self._peer_engines[peer] = engines
         for use in uses:
+            self._end_peer_use(use.engine, peer, use.adapters, now)
             self._peer_uses.setdefault(use.engine, {})[peer] = (now, use)
+        return True
+
+    def apply_use_notice(
+        self,
+        peer: str,
+        uses: list[EngineUseUpdate],
+        now: float,
+        number: tuple[int, int],
+    ) -> None:
+        """Apply a list of requests in progress that a peer sends at each change."""
+        if self.apply_peer_uses(peer, uses, now, number):
+            self._uses.record_told_at_once(peer, now)
+
+    def last_use_ends(self, engine: str) -> dict[Adapter, UseEnd]:
+        """Return the last known end of the use of each adapter at an engine."""
+        return self._uses.last_ends(engine)
+
+    def is_told_at_once(self, peer: str, since: float) -> bool:
+        """Return whether a peer has told its uses at once after a local time."""
+        return self._uses.is_told_at_once(peer, since)
 
     def forget_peer(self, peer: str) -> None:
         """Forget the requests that a peer had in progress."""
         for engine in self._peer_engines.pop(peer, frozenset()):
             self._peer_uses[engine].pop(peer, None)
+        self._uses.forget_instance(peer)
 
     def forget_engine(self, engine: str) -> None:
         """Forget the models, adapters and report of an engine that is gone."""
@@ -234,6 +282,7 @@
         self._contents_told_at.pop(engine, None)
         self._loads_held_until.pop(engine, None)
         self._loads.forget(engine)
+        self._uses.forget_engine(engine)
 
     def has_model(self, engine: str, model: str) -> bool:
         """Return whether a base model is present at an engine."""
@@ -300,14 +349,25 @@
         """
         request = OwnRequest(engine, adapter, prompt_tokens, now, expected_s)
         self._own_requests.setdefault(engine, set()).add(request)
+        self._own_uses_number += 1
         return request
 
-    def record_request_end(self, request: OwnRequest) -> None:
-        """Stop counting a request of this instance."""
+    def record_request_end(self, request: OwnRequest, now: float | None = None) -> None:
+        """Stop counting a request of this instance.
+
+        Parameters
+        ----------
+        now
+            Local time in seconds, to record the end of the adapter's use.
+        """
+        self._own_uses_number += 1
         requests = self._own_requests.get(request.engine, set())
         requests.discard(request)
         if not requests:
             self._own_requests.pop(request.engine, None)
+        if request.adapter is not None and now is not None:
+            ended = {request.adapter} - _used_adapters(requests)
+            self._uses.record_ends(request.engine, ended, None, now)
 
     def own_uses(self) -> list[EngineUseUpdate]:
         """Return the requests of this instance in progress, to send to peers."""
@@ -408,6 +468,13 @@
         contents = self._contents[engine] = _EngineContents(started=started)
         return contents
 
+    def _end_peer_use(
+        self, engine: str, peer: str, still_used: frozenset[Adapter], now: float
+    ) -> None:
+        known = self._peer_uses.get(engine, {}).pop(peer, None)
+        if known is not None:
+            self._uses.record_ends(engine, known[1].adapters - still_used, peer, now)
+
     def _recent_peer_uses(
         self, engine: str, now: float, max_age_s: float
     ) -> list[EngineUseUpdate]:
--- a/src/chiveslip/gateway/load_requests.py
+++ b/src/chiveslip/gateway/load_requests.py
@@ -79,7 +79,9 @@
     ) -> LoadResult:
         coordinator = self._coordinator.rights.coordinator_of(engine)
         if coordinator == self._instance:
-            load = await self._coordinator.load_adapter(engine, adapter, max_wait_s)
+            load = await self._coordinator.load_adapter(
+                engine, adapter, max_wait_s, self._instance
+            )
         elif self._clock.now() < self._paused_until.get(coordinator, float("-inf")):
             return LoadResult(outcome=LoadOutcome.NOT_ASKED)
         else:
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -100,6 +100,12 @@
             ("source", "result"),
             registry=registry,
         )
+        self.use_notices = Counter(
+            "chiveslip_use_notices",
+            "Notices of the adapters in use to coordinators of engines, by result.",
+            ("result",),
+            registry=registry,
+        )
         self.limit_decisions = Counter(
             "chiveslip_limit_decisions",
             "Decisions on requests to endpoints that have named a limit, by result.",
--- a/src/chiveslip/gateway/routing.py
+++ b/src/chiveslip/gateway/routing.py
@@ -96,6 +96,11 @@
     model_loads_per_s: float
 
 
+def has_scarce_adapter_slots(capacity: EngineCapacity) -> bool:
+    """Return whether an engine runs more requests than it can hold adapters."""
+    return capacity.adapter_slots < capacity.slots
+
+
 @attrs.frozen(kw_only=True)
 class Service:
     """A plain service, or a service that engines run.
--- a/testing/gateway/test_adapter_slots.py
+++ b/testing/gateway/test_adapter_slots.py
@@ -86,3 +86,26 @@
     slots.apply_report(report(A), 1.0)
     slots.record_use({A}, 2.0)
     assert slots.select_victim(set(), 5.0, min_idle_s) == victim
+
+
+@pytest.mark.parametrize(
+    ("told_at", "idle_s", "victim"),
+    [
+        pytest.param(2.0, 0.35, A, id="end-told-at-once"),
+        pytest.param(2.0, 0.25, None, id="next-request-may-be-in-transit"),
+        pytest.param(1.9, 0.35, None, id="end-told-by-gossip-only"),
+        pytest.param(1.9, 1.6, A, id="end-told-by-gossip-only-long-ago"),
+        pytest.param(2.1, 0.35, A, id="gossip-was-faster-than-the-call"),
+    ],
+)
+def test_adapter_is_kept_as_long_as_its_user_may_not_have_told_a_use(
+    told_at: float, idle_s: float, victim: object
+) -> None:
+    """A user whose calls get lost may use the adapter again without being heard."""
+    slots = AdapterSlots()
+    slots.record_load(A, 0.0, 0.3)
+    slots.record_last_use(A, 2.0, "user")
+    chosen = slots.select_victim(
+        set(), 2.0 + idle_s, 1.5, lambda user, since: told_at >= since
+    )
+    assert chosen == victim
--- a/testing/gateway/test_engine_coordinator.py
+++ b/testing/gateway/test_engine_coordinator.py
@@ -10,6 +10,7 @@
 
 from chiveslip import hashing
 from chiveslip.clock import ManualClock
+from chiveslip.fleet.gossip_updates import EngineUseUpdate
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
@@ -135,20 +136,27 @@
     def use_adapter(self, name: str) -> None:
         self.view.record_request_start("engine", (name, 1), 0.0, self.clock.now())
 
-    def load(self, name: str = "m/a", max_wait_s: float = 5.0) -> LoadOutcome:
+    def load(
+        self, name: str = "m/a", max_wait_s: float = 5.0, asker: str = ""
+    ) -> LoadOutcome:
         result = asyncio.run(
-            self.coordinator.load_adapter("engine", (name, 1), max_wait_s)
+            self.coordinator.load_adapter("engine", (name, 1), max_wait_s, asker)
         )
         return result.outcome
 
 
 @pytest.fixture
 def make_harness() -> Callable[..., CoordinatorHarness]:
-    def build(instance: str, engine: FakeEngine | None = None) -> CoordinatorHarness:
+    def build(
+        instance: str,
+        engine: FakeEngine | None = None,
+        *,
+        receives_all_peers: bool = True,
+    ) -> CoordinatorHarness:
         clock = ManualClock()
         engine = engine or FakeEngine()
         live_instances, has_quorum, propagation_s = list(INSTANCES), [True], [0.0]
-        view = EngineView()
+        view = EngineView(lambda: receives_all_peers)
         cut_services: set[str] = set()
         rights = CoordinatorRights(
             instance=instance,
@@ -289,6 +297,57 @@
     assert harness.engine.adapters == {("m/a", 1), ("m/c", 1), ("m/d", 1)}
 
 
+@pytest.mark.parametrize(
+    ("receives_all_peers", "is_prompt", "waits_s"),
+    [
+        pytest.param(False, True, 0.3, id="ends-are-told-at-once"),
+        pytest.param(False, False, 1.5, id="ends-are-told-by-gossip-only"),
+        pytest.param(True, True, 0.6, id="small-fleet-is-as-before"),
+    ],
+)
+def test_slot_is_free_soon_after_the_told_end_of_the_last_use(
+    make_harness: MakeHarness,
+    receives_all_peers: bool,
+    is_prompt: bool,
+    waits_s: float,
+) -> None:
+    """Requests are refused for want of slots that hold adapters nobody uses."""
+    harness = make_harness(FIRST, receives_all_peers=receives_all_peers)
+    harness.run(2.0)
+    names = ("m/a", "m/b", "m/c")
+    for name in names:
+        assert harness.load(name, asker="peer") is LoadOutcome.USABLE
+    number = 0
+
+    def tell(*adapters: str) -> None:
+        nonlocal number
+        number += 1
+        uses = [
+            EngineUseUpdate(
+                engine="engine",
+                requests=len(adapters),
+                pending_prefill_tokens=0.0,
+                adapters=frozenset((name, 1) for name in adapters),
+            )
+        ]
+        now = harness.clock.now()
+        if is_prompt:
+            harness.view.apply_use_notice("peer", uses, now, (1, number))
+        else:
+            harness.view.apply_peer_uses("peer", uses, now)
+
+    tell(*names)
+    harness.run(3.0)
+    assert harness.load("m/d") is LoadOutcome.NO_ROOM
+    tell("m/a", "m/b")
+    assert harness.load("m/d") is LoadOutcome.NO_ROOM
+    harness.clock.advance(waits_s - 0.02)
+    assert harness.load("m/d") is LoadOutcome.NO_ROOM
+    harness.clock.advance(0.04)
+    assert harness.load("m/d") is LoadOutcome.USABLE
+    assert harness.engine.adapters == {("m/a", 1), ("m/b", 1), ("m/d", 1)}
+
+
 def test_engine_with_all_slots_in_use_has_no_room(make_harness: MakeHarness) -> None:
     harness = make_harness(FIRST)
     harness.run(2.0)
