--- a/bench/fleet_load.py
+++ b/bench/fleet_load.py
@@ -273,6 +273,8 @@
     organisations: int = 16
     bursts: tuple[Burst, ...] = ()
     hot_organisations: HotOrganisations | None = None
+    data_centres: tuple[DataCentre, ...] = DATA_CENTRES
+    stream_classes: tuple[StreamClass, ...] = STREAM_CLASSES
 
 
 @attrs.frozen(kw_only=True, eq=False)
@@ -318,8 +320,8 @@
         """Return all requests, in order of time."""
         times = [
             (at, data_centre, stream_class)
-            for data_centre in DATA_CENTRES
-            for stream_class in STREAM_CLASSES
+            for data_centre in self._load.data_centres
+            for stream_class in self._load.stream_classes
             for at in self._draw_times(data_centre, stream_class)
         ]
         times.sort(key=lambda entry: entry[0])
@@ -329,7 +331,7 @@
         self, data_centre: DataCentre, stream_class: StreamClass
     ) -> list[float]:
         load = self._load
-        all_shares = sum(other.share for other in STREAM_CLASSES)
+        all_shares = sum(other.share for other in load.stream_classes)
         usual_rate = (
             data_centre.streams_per_s * load.factor * stream_class.share / all_shares
         )
--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -13,6 +13,7 @@
 import itertools
 import random
 from collections.abc import Callable
+from collections.abc import Coroutine
 from typing import cast
 from typing import final
 
@@ -21,11 +22,10 @@
 from tornado.httputil import HTTPHeaders
 
 from bench.fleet_faults import Fault
-from bench.fleet_load import DATA_CENTRES
 from bench.fleet_load import MAX_PAUSE_S
-from bench.fleet_load import STREAM_CLASSES
 from bench.fleet_load import Load
 from bench.fleet_load import RequestGenerator
+from bench.fleet_load import StreamClass
 from bench.fleet_load import StreamRequest
 from bench.simulated_endpoints import MODEL
 from bench.simulated_endpoints import SERVICE
@@ -106,7 +106,6 @@
 from chiveslip.gateway.telemetry import RequestTelemetry
 from chiveslip.services.health import EndpointHealth
 
-_ENGINES = 30
 _HOST = "entry"
 _GOSSIP = GossipScheduleSettings(
     interval_s=0.25,
@@ -121,8 +120,6 @@
 _RETRY_WINDOW_S = 10.0
 # Instances run for this time before the traffic begins.
 _LEAD_S = 4.5
-_FETCH_S = 0.25
-_MAX_FULL_SPEED_FETCHES = 40
 _MODEL_LOADS_PER_S = 19.0
 _MODEL_MB = 72_700.0
 _ENGINE_MB = 75_300.0
@@ -144,6 +141,22 @@
 _MAX_CALLER_ATTEMPTS = 2
 
 
+@attrs.frozen(kw_only=True)
+class EngineFleet:
+    """The engines of a deployment and its weight store.
+
+    Attributes
+    ----------
+    fetch_s
+        Time in seconds of a fetch from the weight store at full speed.
+    """
+
+    engines: int = 30
+    properties: EngineProperties = EngineProperties()
+    fetch_s: float = 0.25
+    max_full_speed_fetches: int = 40
+
+
 @attrs.frozen(kw_only=True)
 class Scenario:
     """A load, the faults that occur under it, and what has to be earned.
@@ -152,13 +165,18 @@
     ----------
     data_centre_floor, class_floor
         Share of the worth owed that each data centre and each class has to earn.
+    tells_uses_at_once
+        Whether instances tell coordinators the adapters in use in calls of their own,
+        or by gossip only, as older ones do.
     """
 
     name: str
     load: Load
     faults: tuple[Fault, ...] = ()
-    data_centre_floor: float
-    class_floor: float
+    data_centre_floor: float = 0.0
+    class_floor: float = 0.0
+    engine_fleet: EngineFleet = EngineFleet()
+    tells_uses_at_once: bool = True
 
 
 class Outcome(enum.Enum):
@@ -209,6 +227,10 @@
         Times from the reading of a report to its arrival at an instance, sorted.
     engine_refusals
         Arrivals at engines that were not run, by result.
+    use_notices_per_s
+        Notices of uses per second and instance.
+    crashes
+        Engines that crashed, as they were ordered to hold too many adapters.
     """
 
     requests: list[RequestResult]
@@ -216,6 +238,8 @@
     report_ages_s: list[float]
     fetches: int
     engine_refusals: dict[AttemptResult, int]
+    use_notices_per_s: float = 0.0
+    crashes: int = 0
 
     @property
     def earned_share(self) -> float:
@@ -230,6 +254,14 @@
         """Return the earned share by class of requests."""
         return self._earned_by(lambda result: result.request.stream_class.name)
 
+    def served_by_class(self) -> dict[str, float]:
+        """Return the share of the requests of each class that were served."""
+        groups: dict[str, list[bool]] = collections.defaultdict(list)
+        for result in self.requests:
+            is_served = result.outcome in (Outcome.IN_TIME, Outcome.LATE)
+            groups[result.request.stream_class.name].append(is_served)
+        return {name: sum(groups[name]) / len(groups[name]) for name in sorted(groups)}
+
     def share_with(self, outcome: Outcome) -> float:
         """Return the share of the worth owed to requests with an outcome."""
         owed = sum(result.request.worth for result in self.requests)
@@ -630,7 +662,9 @@
         self._use_notices = UseNotices()
         control = SimulatedControl(fleet)
         load_times = LoadTimes(
-            fetch_s=_FETCH_S, reload_s=0.025, max_full_speed_fetches=0
+            fetch_s=fleet.engine_fleet.fetch_s,
+            reload_s=fleet.engine_fleet.properties.reload_s,
+            max_full_speed_fetches=0,
         )
         peers = SimulatedPeers(fleet, name)
         rights = CoordinatorRights(
@@ -871,9 +905,11 @@
     def __init__(self, scenario: Scenario, seed: int) -> None:
         self._scenario = scenario
         self._loop = asyncio.get_running_loop()
-        self._properties = EngineProperties()
+        self.engine_fleet = scenario.engine_fleet
+        self._properties = scenario.engine_fleet.properties
         self._store = WeightStore(
-            fetch_s=_FETCH_S, max_full_speed_fetches=_MAX_FULL_SPEED_FETCHES
+            fetch_s=scenario.engine_fleet.fetch_s,
+            max_full_speed_fetches=scenario.engine_fleet.max_full_speed_fetches,
         )
         self._report_ages_s: list[float] = []
         self._engine_refusals: collections.Counter[AttemptResult] = (
@@ -895,10 +931,11 @@
             memory_mb=_ENGINE_MB,
             model_loads_per_s=_MODEL_LOADS_PER_S,
         )
-        self.table = _build_table(self.capacity)
+        load = scenario.load
+        self.table = _build_table(self.capacity, load.stream_classes)
         names = [
             (f"{centre.name}-{number}", centre.name)
-            for centre in DATA_CENTRES
+            for centre in load.data_centres
             for number in range(centre.instances)
         ]
         self.instance_names = sorted(name for name, _ in names)
@@ -907,14 +944,14 @@
             name: SimulatedInstance(name, centre, self, schedule)
             for name, centre in names
         }
-        for number in range(_ENGINES):
+        for number in range(self.engine_fleet.engines):
             self._start_engine(f"engine-{number:02}", has_model=True)
         for process in self._current.values():
             for instance in self.instances.values():
                 instance.add_engine(process)
         self._instances_of_clients = {
             centre.name: self._assign_clients(centre.name, centre.clients)
-            for centre in DATA_CENTRES
+            for centre in load.data_centres
         }
 
     async def run(self) -> FleetResult:
@@ -923,7 +960,7 @@
         rounds = [
             self._loop.create_task(work)
             for instance in self.instances.values()
-            for work in (instance.run_rounds(), instance.run_use_notices())
+            for work in self._start_instance(instance)
         ]
         await asyncio.sleep(_LEAD_S)
         started_at = self.now()
@@ -945,8 +982,20 @@
             report_ages_s=sorted(self._report_ages_s),
             fetches=self._store.fetches,
             engine_refusals=dict(self._engine_refusals),
+            use_notices_per_s=self.use_notices
+            / len(self.instances)
+            / self._scenario.load.duration_s,
+            crashes=sum(p.state is EngineState.DOWN for p in self._processes.values()),
         )
 
+    def _start_instance(
+        self, instance: SimulatedInstance
+    ) -> list[Coroutine[None, None, None]]:
+        work = [instance.run_rounds()]
+        if self._scenario.tells_uses_at_once:
+            work.append(instance.run_use_notices())
+        return work
+
     def now(self) -> float:
         """Return the current time in seconds."""
         return self._loop.time()
@@ -1036,7 +1085,7 @@
 
     async def _inject(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at_s)
-        count = max(round(fault.share * _ENGINES), 1)
+        count = max(round(fault.share * self.engine_fleet.engines), 1)
         up = [
             name
             for name, process in self._current.items()
@@ -1148,7 +1197,9 @@
     )
 
 
-def _build_table(capacity: EngineCapacity) -> RoutingTable:
+def _build_table(
+    capacity: EngineCapacity, stream_classes: tuple[StreamClass, ...]
+) -> RoutingTable:
     routes = [
         Route(
             name=stream_class.name,
@@ -1164,7 +1215,7 @@
             max_runs=stream_class.max_runs,
             is_public=True,
         )
-        for stream_class in STREAM_CLASSES
+        for stream_class in stream_classes
     ]
     return RoutingTable(
         version=1,
