Ask engines with free adapter slots first for a load

An instance of a large fleet did not know which engines could take another adapter, so many of the three engines that it asks for a load had no room.

EngineState tells how many adapter slots are free or hold an adapter that may be evicted. Placement's cost of an engine without the adapter falls with that number and with the age of the news; the requests that the engine itself reports bound the slots in use, and an answer of no room counts as news. Fleets in which all peers exchange are as before.

--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -152,7 +152,7 @@
     """
 
     engines: int = 30
-    properties: EngineProperties = EngineProperties()
+    properties: EngineProperties = attrs.field(factory=EngineProperties)
     fetch_s: float = 0.25
     max_full_speed_fetches: int = 40
 
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -441,6 +441,7 @@
         waiting=state.waiting,
         cache_used=state.cache_used,
         age_seconds=state.age_s,
+        free_adapter_slots=state.free_adapter_slots,
     )
 
 
@@ -455,6 +456,9 @@
         cache_used=state.cache_used,
         age_s=state.age_seconds + age_s,
         told_s=age_s,
+        free_adapter_slots=(
+            state.free_adapter_slots if state.HasField("free_adapter_slots") else None
+        ),
     )
 
 
--- a/src/chiveslip/fleet/gossip_updates.py
+++ b/src/chiveslip/fleet/gossip_updates.py
@@ -34,6 +34,9 @@
     told_s
         Time in seconds since the coordinator told the models and adapters, which it
         knows from its orders, too.
+    free_adapter_slots
+        Adapter slots that were free then or could be freed at once; None if the
+        coordinator does not tell.
     """
 
     engine: str
@@ -45,3 +48,4 @@
     cache_used: int
     age_s: float
     told_s: float = 0.0
+    free_adapter_slots: int | None = None
--- a/src/chiveslip/gateway/adapter_slots.py
+++ b/src/chiveslip/gateway/adapter_slots.py
@@ -148,6 +148,20 @@
     ) -> Adapter | None:
         """Return the least recently used adapter that may be unloaded, or None.
 
+        The parameters are those of `find_idle`.
+        """
+        idle = self.find_idle(in_use, now, min_idle_s, is_told_at_once)
+        return idle[0] if idle else None
+
+    def find_idle(
+        self,
+        in_use: set[Adapter],
+        now: float,
+        min_idle_s: float,
+        is_told_at_once: Callable[[str, float], bool] = lambda user, since: False,
+    ) -> list[Adapter]:
+        """Return the adapters that may be unloaded, the least recently used first.
+
         Parameters
         ----------
         min_idle_s
@@ -171,4 +185,4 @@
             and not slot.is_unloading
             and evictable_at(slot) <= now
         ]
-        return min(idle)[1] if idle else None
+        return [adapter for _, adapter in sorted(idle)]
--- a/src/chiveslip/gateway/engine_coordinator.py
+++ b/src/chiveslip/gateway/engine_coordinator.py
@@ -224,8 +224,8 @@
         """Return the state of the coordinated engines, to send to peers."""
         now = self._clock.now()
         return [
-            _describe_state(name, engine, now)
-            for name, engine in self._engines.items()
+            self._describe_state(engine)
+            for engine in self._engines.values()
             if engine.last_report_at > now - 5 * _REPORT_INTERVAL_S
         ]
 
@@ -401,15 +401,10 @@
         now = self._clock.now()
         if now < engine.unloads_allowed_from:
             return False
-        in_use = self._record_uses(engine, now)
-        is_prompt_user = self._is_prompt_user
-        if not self._frees_slots_early(engine):
-            is_prompt_user = _is_no_prompt_user
-        victim = engine.slots.select_victim(
-            in_use, now, self._view.use_notice_s, is_prompt_user
-        )
-        if victim is None:
+        idle = self._find_idle_adapters(engine, now)
+        if not idle:
             return False
+        victim = idle[0]
         answer = await self._send_order(engine, Operation.UNLOAD, victim[0])
         if answer in (OrderAnswer.IN_PROGRESS, OrderAnswer.CONFLICT):
             engine.unloads_allowed_from = self._clock.now() + _UNLOAD_RETRY_S
@@ -436,6 +431,39 @@
                 engine.slots.record_last_use(adapter, end.at, user)
         return in_use
 
+    def _find_idle_adapters(
+        self, engine: _CoordinatedEngine, now: float
+    ) -> list[Adapter]:
+        """Return the adapters that may be unloaded, the least recently used first."""
+        in_use = self._record_uses(engine, now)
+        is_prompt_user = self._is_prompt_user
+        if not self._frees_slots_early(engine):
+            is_prompt_user = _is_no_prompt_user
+        return engine.slots.find_idle(
+            in_use, now, self._view.use_notice_s, is_prompt_user
+        )
+
+    def _count_free_slots(self, engine: _CoordinatedEngine) -> int | None:
+        """Return how many adapters an engine can take now, or None if not counted."""
+        if not self._frees_slots_early(engine):
+            return None
+        unused = engine.capacity.adapter_slots - len(engine.slots)
+        idle = self._find_idle_adapters(engine, self._clock.now())
+        return max(unused + len(idle), 0)
+
+    def _describe_state(self, engine: _CoordinatedEngine) -> EngineStateUpdate:
+        return EngineStateUpdate(
+            engine=engine.listed.id,
+            started=engine.started,
+            models=engine.models,
+            adapters=engine.slots.adapters,
+            running=engine.running,
+            waiting=engine.waiting,
+            cache_used=engine.cache_used,
+            age_s=self._clock.now() - engine.last_report_at,
+            free_adapter_slots=self._count_free_slots(engine),
+        )
+
     def _frees_slots_early(self, engine: _CoordinatedEngine) -> bool:
         """Return whether uses of an engine are told at once, beside the gossip."""
         if self._view.receives_all_peers:
@@ -558,7 +586,7 @@
         self._record_uses(engine, requested_at)
         for adapter in report.adapters:
             self._load_times.record_copy(engine.listed.id, adapter)
-        state = _describe_state(engine.listed.id, engine, self._clock.now())
+        state = self._describe_state(engine)
         self._view.apply_coordinator_report(
             self._rights.instance, state, self._clock.now()
         )
@@ -566,18 +594,3 @@
 
 def _is_no_prompt_user(user: str, since: float) -> bool:
     return False
-
-
-def _describe_state(
-    name: str, engine: _CoordinatedEngine, now: float
-) -> EngineStateUpdate:
-    return EngineStateUpdate(
-        engine=name,
-        started=engine.started,
-        models=engine.models,
-        adapters=engine.slots.adapters,
-        running=engine.running,
-        waiting=engine.waiting,
-        cache_used=engine.cache_used,
-        age_s=now - engine.last_report_at,
-    )
--- a/src/chiveslip/gateway/engine_view.py
+++ b/src/chiveslip/gateway/engine_view.py
@@ -23,6 +23,7 @@
 from chiveslip.gateway.engine_control import EngineReport
 from chiveslip.gateway.engine_load import EngineLoad
 from chiveslip.gateway.engine_load import EngineLoads
+from chiveslip.gateway.free_slots import FreeSlots
 
 Adapter = tuple[str, int]
 """MODEL/NAME and version."""
@@ -130,6 +131,7 @@
         self._peer_engines: dict[str, frozenset[str]] = {}
         self._peer_uses: dict[str, dict[str, tuple[float, EngineUseUpdate]]] = {}
         self._uses = AdapterUses()
+        self._free_slots = FreeSlots()
         self._own_uses_number = 1
         self._loads = EngineLoads()
         self._contents_told_at: dict[str, float] = {}
@@ -195,6 +197,7 @@
         if told_at < self._contents_told_at.get(report.engine, float("-inf")):
             return
         self._contents_told_at[report.engine] = told_at
+        self._free_slots.record_told(report.engine, report.free_adapter_slots, told_at)
         self.update_engine(
             report.engine, report.started, report.models, report.adapters, told_at
         )
@@ -209,6 +212,8 @@
         """
         load = EngineLoad(running=report.running, waiting=report.waiting)
         self._loads.record_report(engine, load, now)
+        requests = report.running + report.waiting
+        self._free_slots.record_requests(engine, requests, now)
         known = self._contents.get(engine)
         if known is None or known.started != report.started:
             self.update_engine(
@@ -283,6 +288,7 @@
         self._loads_held_until.pop(engine, None)
         self._loads.forget(engine)
         self._uses.forget_engine(engine)
+        self._free_slots.forget(engine)
 
     def has_model(self, engine: str, model: str) -> bool:
         """Return whether a base model is present at an engine."""
@@ -315,6 +321,22 @@
         contents.ready_at[adapter] = ready_at
         contents.missing_at.pop(adapter, None)
 
+    def record_load(self, engine: str) -> None:
+        """Record that a load that this instance asked for takes an adapter slot."""
+        self._free_slots.record_taken(engine)
+
+    def record_no_room(self, engine: str, now: float) -> None:
+        """Record that an engine has no adapter slot for another load."""
+        if not self._receives_all_peers():
+            self._free_slots.record_told(engine, 0, now)
+
+    def slot_shortage(self, engine: str, adapter_slots: int, now: float) -> float:
+        """Return how likely an engine cannot load another adapter, from 0 to 1."""
+        in_use = self.adapters_in_use(engine, now)
+        if len(in_use) >= adapter_slots:
+            return 1.0
+        return self._free_slots.shortage(engine, adapter_slots, now)
+
     def hold_loads(self, engine: str, until: float) -> None:
         """Record that no adapter can be ordered at an engine before a local time."""
         self._loads_held_until[engine] = until
--- a/src/chiveslip/gateway/load_requests.py
+++ b/src/chiveslip/gateway/load_requests.py
@@ -97,6 +97,9 @@
         if load.outcome is LoadOutcome.USABLE:
             ready_at = self._clock.now() + load.ready_in_s
             self._view.expect_adapter(engine, adapter, ready_at)
+            self._view.record_load(engine)
+        if load.outcome is LoadOutcome.NO_ROOM:
+            self._view.record_no_room(engine, self._clock.now())
         return load
 
     def _record_no_answer(self, coordinator: str) -> None:
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -41,7 +41,8 @@
 # the batch, so a stream of several hundred tokens takes this much longer to end for
 # each request at the engine.
 _REQUEST_COST_S = 0.012
-# An engine whose adapter slots are all in use cannot load another adapter.
+# An engine whose adapter slots are all in use cannot load another adapter. The cost is
+# lower if that is uncertain, or if few slots are free that others may take.
 _NO_SLOT_COST_S = 3.0
 # When requests are spread over several engines, an engine that costs this much more is
 # chosen e times less often.
@@ -225,9 +226,9 @@
             if ready_at is None:
                 held_s = self._view.loads_held_s(engine.id, now)
                 load_s = self._load_times.expected_load_s(engine.id, adapter, now)
-                in_use = self._view.adapters_in_use(engine.id, now)
-                if len(in_use) >= capacity.adapter_slots:
-                    no_slot_cost = _NO_SLOT_COST_S
+                no_slot_cost = _NO_SLOT_COST_S * self._view.slot_shortage(
+                    engine.id, capacity.adapter_slots, now
+                )
             else:
                 load_s = max(ready_at - now, 0.0)
         estimate_s = max(wait_s, held_s + load_s) + load_s / 10
