Let loads wait for adapter slots, the most urgent first

A load that found no slot was refused at once and came back in the order of arrival, so the least urgent requests took slots as often as the others.

A request asks up to three engines as before. If all say that they have no slot, its load waits at the one that expects a slot first, for as long as the request can meet its objective, at most 0.6 s. The coordinator's list holds 32 loads: the most urgent comes first, then the organisation with the fewest tokens served lately; 0.2 s of waiting count as a rank. The engine's lock is not held while loads wait, and a lost right, another coordinator or a restart of the engine answers them.

--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -52,6 +52,7 @@
 from chiveslip.fleet.use_notices import Uses
 from chiveslip.fleet.use_notifier import UseNotifier
 from chiveslip.fleet.use_notifier import UsePeers
+from chiveslip.gateway.adapter_waits import SlotNeed
 from chiveslip.gateway.allowance_requests import AllowanceRequests
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.call import Call
@@ -602,7 +603,12 @@
         await asyncio.sleep(_HOP_S)
 
     async def load(
-        self, peer: str, engine: str, adapter: tuple[str, int], max_wait_s: float
+        self,
+        peer: str,
+        engine: str,
+        adapter: tuple[str, int],
+        max_wait_s: float,
+        need: SlotNeed,
     ) -> LoadResult:
         """Ask the coordinator of an engine to load an adapter."""
         await asyncio.sleep(2 * _HOP_S)
@@ -610,7 +616,7 @@
         try:
             async with asyncio.timeout(_LOAD_REQUEST_TIMEOUT_S):
                 return await coordinator.load_adapter(
-                    engine, adapter, max_wait_s, self._instance
+                    engine, adapter, max_wait_s, self._instance, need
                 )
         except TimeoutError as error:
             raise PeerError("the coordinator does not answer") from error
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -506,6 +506,7 @@
         await self._metrics_server.close()
         await self._tasks.close()
         await self._use_notifier.close()
+        await self._coordinator.close()
         self._peer_server.close()
         self._peers.close()
 
@@ -602,6 +603,7 @@
         metrics = self._metrics
         metrics.live_members.set(len(self._membership.live_members(self._clock.now())))
         metrics.coordinated_engines.set(self._coordinator.engine_count)
+        self._coordinator.record_metrics()
         metrics.store_outage.set(self._store_contact.outage_s)
         metrics.store_era.set(self._mirror.revision.era)
         metrics.blocked_parts.set(self._crash_guard.count_blocked())
--- a/src/chiveslip/fleet/gateway_peers.py
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -18,6 +18,7 @@
 from chiveslip.fleet.gossip_updates import EngineUseUpdate
 from chiveslip.fleet.incarnations import encode_limit
 from chiveslip.fleet.use_notifier import UsePeers
+from chiveslip.gateway.adapter_waits import SlotNeed
 from chiveslip.gateway.allowances import Grant
 from chiveslip.gateway.endpoint_limits import NamedLimit
 from chiveslip.gateway.engine_coordinator import LoadOutcome
@@ -90,7 +91,12 @@
         )
 
     async def load(
-        self, peer: str, engine: str, adapter: tuple[str, int], max_wait_s: float
+        self,
+        peer: str,
+        engine: str,
+        adapter: tuple[str, int],
+        max_wait_s: float,
+        need: SlotNeed,
     ) -> LoadResult:
         """Ask the coordinator of an engine to load an adapter.
 
@@ -100,6 +106,8 @@
             Name and version.
         max_wait_s
             How long in seconds the request can wait for the adapter.
+        need
+            What it needs a slot for.
         """
         address = self._known_address(peer)
         request = wire.LoadRequest(
@@ -108,6 +116,10 @@
             adapter=adapter[0],
             version=adapter[1],
             patience_seconds=max_wait_s,
+            priority=max(need.priority, 0),
+            organisation=need.organisation,
+            tokens=need.tokens,
+            slot_wait_seconds=need.max_wait_s,
         )
         reply = await self._call(
             address, _LOAD_TIMEOUT_S, lambda stub, t: stub.Load(request, timeout=t)
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -25,6 +25,7 @@
 from chiveslip.fleet.store_pulls import StorePulls
 from chiveslip.fleet.use_notices import UseNotices
 from chiveslip.fleet.use_notices import Uses
+from chiveslip.gateway.adapter_waits import SlotNeed
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.forwarded import ForwardedRequests
 from chiveslip.gateway.routing import Organisation
@@ -202,6 +203,7 @@
                     adapter,
                     request.patience_seconds,
                     request.instance,
+                    _parse_need(request),
                 )
             )
         )
@@ -299,3 +301,14 @@
             await decline_forwarded(stream)
             return
         await answer_forwarded(stream, self._forwarded)
+
+
+def _parse_need(request: wire.LoadRequest) -> SlotNeed:
+    """Return what a load request needs a slot for; a malformed one does not wait."""
+    is_valid = 0 <= request.tokens < math.inf and request.slot_wait_seconds >= 0
+    return SlotNeed(
+        priority=request.priority,
+        organisation=request.organisation,
+        tokens=request.tokens if is_valid else 0.0,
+        max_wait_s=request.slot_wait_seconds if is_valid else 0.0,
+    )
--- a/src/chiveslip/gateway/engine_coordinator.py
+++ b/src/chiveslip/gateway/engine_coordinator.py
@@ -9,8 +9,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
 import math
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from typing import final
 
@@ -22,6 +24,10 @@
 from chiveslip.gateway.adapter_slots import MAX_CONCURRENT_FETCHES
 from chiveslip.gateway.adapter_slots import REPORT_LAG_S
 from chiveslip.gateway.adapter_slots import AdapterSlots
+from chiveslip.gateway.adapter_waits import MAX_SLOT_WAIT_S
+from chiveslip.gateway.adapter_waits import AdapterWaits
+from chiveslip.gateway.adapter_waits import SlotNeed
+from chiveslip.gateway.adapter_waits import SlotWait
 from chiveslip.gateway.coordinator_rights import CoordinatorRights
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_control import EngineControl
@@ -37,6 +43,7 @@
 from chiveslip.gateway.model_loads import select_missing_model
 from chiveslip.gateway.routing import EngineCapacity
 from chiveslip.gateway.routing import has_scarce_adapter_slots
+from chiveslip.tasks import TaskSet
 
 _REPORT_INTERVAL_S = 1.0
 # From the request of a load to its order; below the time for which peers wait.
@@ -54,6 +61,11 @@
 _UNLOAD_RETRY_S = 0.25
 # Without paths to the engines, the coordinator is asked again after this time.
 _LOST_PATHS_PAUSE_S = 0.5
+# Interval of the checks for a slot while loads wait for one.
+_SLOT_POLL_S = 0.03
+_NO_NEED = SlotNeed()
+# A load that waits is answered after this time at the latest, as peers wait no longer.
+_MAX_ANSWER_S = 1.2
 
 
 class LoadOutcome(enum.Enum):
@@ -107,6 +119,9 @@
     queued_loads: int = 0
     last_order_at: float = float("-inf")
     unloads_allowed_from: float = float("-inf")
+    waits: AdapterWaits = attrs.field(factory=AdapterWaits)
+    answers: dict[SlotWait, asyncio.Future[LoadResult]] = attrs.field(factory=dict)
+    serving: asyncio.Task[None] | None = None
 
 
 @final
@@ -139,6 +154,7 @@
         self._metrics = metrics
         self._engines: dict[str, _CoordinatedEngine] = {}
         self._model_load_limiter = ModelLoadLimiter()
+        self._tasks = TaskSet("orders")
         self._log = logs.get_logger("orders")
 
     @property
@@ -220,6 +236,21 @@
             async with engine.lock:
                 await self._send_order(engine, Operation.LOAD, model)
 
+    def record_metrics(self) -> None:
+        """Update the gauges of free adapter slots and of waiting loads."""
+        self._metrics.free_adapter_slots.clear()
+        self._metrics.waiting_loads.clear()
+        for engine in self._engines.values():
+            free = self._count_free_slots(engine)
+            if free is not None:
+                self._metrics.free_adapter_slots.labels(engine.listed.id).set(free)
+            for wait in engine.waits.waits:
+                self._metrics.waiting_loads.labels(str(wait.need.priority)).inc()
+
+    async def close(self) -> None:
+        """Stop giving slots to the loads that wait for them."""
+        await self._tasks.close()
+
     def engine_states(self) -> list[EngineStateUpdate]:
         """Return the state of the coordinated engines, to send to peers."""
         now = self._clock.now()
@@ -235,6 +266,7 @@
         adapter: Adapter,
         max_wait_s: float,
         asker: str = "",
+        need: SlotNeed = _NO_NEED,
     ) -> LoadResult:
         """Load an adapter at an engine unless it takes longer than `max_wait_s`.
 
@@ -245,6 +277,8 @@
         ----------
         asker
             Instance that is going to use the adapter; empty if it does not tell.
+        need
+            What needs the adapter, and how long it can wait for a slot.
         """
         coordinated = self._engines.get(engine)
         if coordinated is None or not self._rights.is_coordinator_of(engine):
@@ -264,15 +298,140 @@
         expected_s = self._expected_load_s(coordinated, adapter)
         if expected_s > max_wait_s:
             return LoadResult(outcome=LoadOutcome.TOO_LATE, ready_in_s=expected_s)
-        coordinated.queued_loads += 1
-        try:
-            async with coordinated.lock:
+        if not coordinated.waits:
+            async with self._order_turn(coordinated):
                 known = self._known_result(coordinated, adapter, user)
                 if known is not None:
                     return known
-                return await self._order_load(coordinated, adapter, order_by, user)
+                load = await self._order_load(
+                    coordinated, adapter, order_by, user, need
+                )
+            if load.outcome is not LoadOutcome.NO_ROOM:
+                return load
+        now = self._clock.now()
+        wait = SlotWait(
+            adapter=adapter,
+            need=need,
+            user=user,
+            since=now,
+            until=min(now + min(need.max_wait_s, MAX_SLOT_WAIT_S), order_by),
+            order_by=order_by,
+        )
+        return await self._wait_for_slot(coordinated, wait)
+
+    @contextlib.asynccontextmanager
+    async def _order_turn(self, engine: _CoordinatedEngine) -> AsyncIterator[None]:
+        """Wait until no other order for an engine is under way."""
+        engine.queued_loads += 1
+        try:
+            async with engine.lock:
+                yield
         finally:
-            coordinated.queued_loads -= 1
+            engine.queued_loads -= 1
+
+    async def _wait_for_slot(
+        self, engine: _CoordinatedEngine, wait: SlotWait
+    ) -> LoadResult:
+        """Wait until a load gets a slot, for as long as its request can use it."""
+        now = self._clock.now()
+        if wait.until - now < _SLOT_POLL_S or not self._frees_slots_early(engine):
+            return self._no_room(engine)
+        answer: asyncio.Future[LoadResult] = asyncio.get_running_loop().create_future()
+        engine.answers[wait] = answer
+        displaced = engine.waits.add(wait, now)
+        if displaced is not None:
+            self._answer_wait(engine, displaced, self._no_room(engine))
+        if engine.serving is None or engine.serving.done():
+            engine.serving = self._tasks.start(self._serve_waits(engine))
+        try:
+            async with asyncio.timeout(_MAX_ANSWER_S):
+                return await answer
+        except TimeoutError:
+            return LoadResult(outcome=LoadOutcome.FAILED)
+        finally:
+            engine.waits.remove(wait)
+            engine.answers.pop(wait, None)
+
+    async def _serve_waits(self, engine: _CoordinatedEngine) -> None:
+        """Give slots that become free to the loads that wait for them."""
+        started_at = self._clock.now()
+        served = 0
+        while engine.waits:
+            self._answer_finished_waits(engine)
+            wait = engine.waits.first(self._clock.now())
+            if wait is not None and await self._serve_wait(engine, wait):
+                served += 1
+                continue
+            await asyncio.sleep(_SLOT_POLL_S)
+        self._log.info(
+            "Loads have waited for adapter slots.",
+            engine=engine.listed.id,
+            ordered=served,
+            lasted_s=round(self._clock.now() - started_at, 3),
+        )
+
+    async def _serve_wait(self, engine: _CoordinatedEngine, wait: SlotWait) -> bool:
+        """Return whether a waiting load was ordered or has failed."""
+        if not self._has_room(engine):
+            return False
+        async with self._order_turn(engine):
+            if wait not in engine.waits.waits:
+                return True
+            load = await self._order_load(
+                engine, wait.adapter, wait.order_by, wait.user, wait.need
+            )
+        if load.outcome is LoadOutcome.NO_ROOM:
+            return False
+        self._answer_wait(engine, wait, load)
+        return True
+
+    def _answer_finished_waits(self, engine: _CoordinatedEngine) -> None:
+        """Answer the waiting loads that need no slot any more, or cannot get one."""
+        now = self._clock.now()
+        lost = self._find_lost_right(engine)
+        for wait in engine.waits.waits:
+            load = lost or self._known_result(engine, wait.adapter, wait.user)
+            if load is None and now >= wait.until:
+                load = self._no_room(engine)
+            if load is not None:
+                self._answer_wait(engine, wait, load)
+
+    def _find_lost_right(self, engine: _CoordinatedEngine) -> LoadResult | None:
+        """Return why this instance may not order at an engine now, or None."""
+        name = engine.listed.id
+        is_coordinated = self._engines.get(name) is engine
+        if not is_coordinated or not self._rights.is_coordinator_of(name):
+            return LoadResult(outcome=LoadOutcome.NOT_COORDINATOR)
+        held_s = engine.orders_allowed_from - self._clock.now()
+        if held_s > 0:
+            return LoadResult(outcome=LoadOutcome.HELD_OFF, ready_in_s=held_s)
+        return None
+
+    def _answer_wait(
+        self, engine: _CoordinatedEngine, wait: SlotWait, load: LoadResult
+    ) -> None:
+        engine.waits.remove(wait)
+        answer = engine.answers.pop(wait, None)
+        if answer is None or answer.done():
+            return
+        answer.set_result(load)
+        waited_s = max(self._clock.now() - wait.since, 0.0)
+        self._metrics.slot_wait.labels(load.outcome.value).observe(waited_s)
+
+    def _no_room(self, engine: _CoordinatedEngine) -> LoadResult:
+        wait_s = 0.0
+        if self._frees_slots_early(engine):
+            wait_s = engine.waits.expected_wait_s(self._clock.now())
+        return LoadResult(outcome=LoadOutcome.NO_ROOM, ready_in_s=wait_s)
+
+    def _has_room(self, engine: _CoordinatedEngine) -> bool:
+        """Return whether an engine has a slot, or an adapter that may be unloaded."""
+        if len(engine.slots) < engine.capacity.adapter_slots:
+            return True
+        now = self._clock.now()
+        if now < engine.unloads_allowed_from:
+            return False
+        return bool(self._find_idle_adapters(engine, now))
 
     def _can_order(self, engine: _CoordinatedEngine) -> bool:
         """Return whether this instance may send orders to an engine right now."""
@@ -317,6 +476,7 @@
         adapter: Adapter,
         order_by: float,
         user: str | None,
+        need: SlotNeed,
     ) -> LoadResult:
         if self._clock.now() > order_by:
             return LoadResult(outcome=LoadOutcome.FAILED)
@@ -329,10 +489,11 @@
         if len(engine.slots) >= engine.capacity.adapter_slots:
             is_freed = await self._free_slot(engine)
             if not is_freed:
-                return LoadResult(outcome=LoadOutcome.NO_ROOM)
+                return self._no_room(engine)
         now = self._clock.now()
         ready_at = self._load_times.record_load(engine.listed.id, adapter, now)
         engine.slots.record_load(adapter, now, ready_at, user)
+        engine.waits.record_load(need, now)
         answer = await self._send_load_with_retries(engine, adapter)
         if answer in (OrderAnswer.IN_PROGRESS, OrderAnswer.ALREADY_DONE):
             self._view.expect_adapter(engine.listed.id, adapter, ready_at)
@@ -417,6 +578,7 @@
             return False
         if answer is not OrderAnswer.ALREADY_DONE:
             return False
+        self._metrics.evictions.inc()
         engine.slots.record_unloaded(victim, self._clock.now())
         self._view.record_missing_adapter(engine.listed.id, victim, self._clock.now())
         return True
@@ -571,6 +733,10 @@
             engine.started = report.started
             engine.accepted_orders = None
             engine.slots = AdapterSlots()
+            for wait in engine.waits.waits:
+                # The engine has to load its base model first.
+                failed = LoadResult(outcome=LoadOutcome.FAILED)
+                self._answer_wait(engine, wait, failed)
             self._load_times.forget_copies(engine.listed.id)
         engine.last_report_at = requested_at
         engine.models = report.models
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -9,6 +9,7 @@
 import attrs
 
 from chiveslip.clock import Clock
+from chiveslip.gateway.adapter_waits import SlotNeed
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.call import EngineEstimate
 from chiveslip.gateway.call import LoadWait
@@ -76,12 +77,19 @@
         Answers of coordinators that they hold off.
     over_limit
         Engines that get as many requests as they take.
+    without_room
+        Engines without an adapter slot, with the time in seconds until one is likely
+        to be free.
+    has_waited
+        Whether the request has waited for a slot.
     """
 
     asked: int = 0
     held_off: int = 0
     over_limit: int = 0
     min_load_s: float | None = None
+    without_room: dict[str, tuple[float, Choice]] = attrs.field(factory=dict)
+    has_waited: bool = False
     outcomes: list[str] = attrs.field(factory=list)
 
     @property
@@ -103,14 +111,24 @@
         self.held_off += 1
         self.outcomes.append(f"{engine} {LoadOutcome.HELD_OFF.value}")
 
-    def record_load(self, engine: str, load: LoadResult) -> None:
+    def record_load(self, choice: Choice, load: LoadResult) -> None:
         """Record an engine that cannot have the adapter in time."""
+        engine = choice.engine.id
+        if load.outcome is LoadOutcome.NO_ROOM and load.ready_in_s > 0:
+            self.without_room[engine] = (load.ready_in_s, choice)
         if load.outcome is not LoadOutcome.NOT_ASKED:
             self.asked += 1
         self.outcomes.append(f"{engine} {load.outcome.value}")
         if load.outcome is LoadOutcome.TOO_LATE:
             self.min_load_s = min(self.min_load_s or load.ready_in_s, load.ready_in_s)
 
+    def take_engine_to_wait_for(self) -> Choice | None:
+        """Return the engine that is likely to have a slot first; once, else None."""
+        if self.has_waited or not self.without_room:
+            return None
+        self.has_waited = True
+        return min(self.without_room.values(), key=lambda told: told[0])[1]
+
     def record_leaving(self, engine: str) -> None:
         """Record an engine that began to leave or disappeared during the search."""
         self.asked += 1
@@ -173,8 +191,8 @@
             self._placement.record_request(
                 request.adapter, request.prompt_tokens, self._clock.now()
             )
-        while failed_loads.may_ask:
-            choice = await self._choose_engine(call, search)
+        while True:
+            choice = await self._choose_next(call, search, failed_loads)
             if choice is None:
                 break
             started_at = self._clock.now()
@@ -192,8 +210,9 @@
                     call.load_wait_s += self._clock.now() - started_at
                     continue
             known_load = self._view.known_load(choice.engine.id, started_at)
+            need = self._describe_need(call, choice, failed_loads)
             load = await self._ensure_adapter(
-                call, choice.engine.id, request.adapter, left_s
+                call, choice.engine.id, request.adapter, left_s, need
             )
             if load.outcome is LoadOutcome.HELD_OFF:
                 search.reconsider(choice.engine.id)
@@ -201,7 +220,7 @@
                 continue
             if load.outcome is not LoadOutcome.USABLE:
                 search.exclude(choice.engine.id)
-                failed_loads.record_load(choice.engine.id, load)
+                failed_loads.record_load(choice, load)
                 continue
             if load.ready_in_s > left_s:
                 return _too_late(load.ready_in_s)
@@ -223,6 +242,41 @@
             return refusal
         return attrs.evolve(refusal, retry_after_s=max(wait_s, _MIN_RETRY_AFTER_S))
 
+    async def _choose_next(
+        self, call: Call, search: EngineSearch, failed_loads: _FailedLoads
+    ) -> Choice | None:
+        """Return the engine to ask next, or None if there is none.
+
+        If the engines that were asked have no adapter slot, the request waits for one
+        at the engine that is likely to have one first.
+        """
+        if failed_loads.may_ask and not failed_loads.has_waited:
+            choice = await self._choose_engine(call, search)
+            if choice is not None:
+                return choice
+        waited_for = failed_loads.without_room
+        choice = failed_loads.take_engine_to_wait_for()
+        if choice is None or not self._directory.accepts_work(choice.engine):
+            return None
+        del waited_for[choice.engine.id]
+        return choice
+
+    def _describe_need(
+        self, call: Call, choice: Choice, failed_loads: _FailedLoads
+    ) -> SlotNeed:
+        """Return what a load is for, and how long it can wait for a slot.
+
+        A request waits only once all engines that it may ask have no slot.
+        """
+        objective_at = call.arrived_at + call.route.target_latency_s
+        useful_s = objective_at - self._clock.now() - choice.wait_s
+        return SlotNeed(
+            priority=call.priority,
+            organisation=call.organisation.name if call.organisation else "",
+            tokens=call.units,
+            max_wait_s=max(useful_s, 0.0) if failed_loads.has_waited else 0.0,
+        )
+
     async def _choose_engine(self, call: Call, search: EngineSearch) -> Choice | None:
         """Return an engine that has answered recently, or None if there is none."""
         silent: list[tuple[ListedEndpoint, float]] = []
@@ -346,7 +400,12 @@
         return (call.adapter, self._newest_version(call.adapter))
 
     async def _ensure_adapter(
-        self, call: Call, engine: str, adapter: Adapter | None, max_wait_s: float
+        self,
+        call: Call,
+        engine: str,
+        adapter: Adapter | None,
+        max_wait_s: float,
+        need: SlotNeed,
     ) -> LoadResult:
         """Return when the adapter is usable at the engine; load it if it is absent."""
         if adapter is None:
@@ -356,7 +415,7 @@
             wait = LoadWait(engine=engine, started_at=self._clock.now())
             call.load_waits.append(wait)
             load = await self._load_requests.request_adapter(
-                engine, adapter, max_wait_s
+                engine, adapter, max_wait_s, need
             )
             wait.ended_at = self._clock.now()
             wait.outcome = load.outcome.value
--- a/src/chiveslip/gateway/load_requests.py
+++ b/src/chiveslip/gateway/load_requests.py
@@ -14,6 +14,7 @@
 from chiveslip.clock import Clock
 from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.gateway_peers import GatewayPeers
+from chiveslip.gateway.adapter_waits import SlotNeed
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
 from chiveslip.gateway.engine_coordinator import LoadOutcome
 from chiveslip.gateway.engine_coordinator import LoadResult
@@ -27,6 +28,9 @@
 _MAX_UNANSWERED = 2
 # Bound of a time that a coordinator tells. After it, the coordinator is asked again.
 _MAX_TOLD_WAIT_S = 8.0
+# While a load waits for a slot, gossip may tell that its adapter is there.
+_VIEW_POLL_S = 0.05
+_NO_NEED = SlotNeed()
 
 
 @final
@@ -53,40 +57,59 @@
         self._pending: dict[tuple[str, Adapter], asyncio.Task[LoadResult]] = {}
 
     async def request_adapter(
-        self, engine: str, adapter: Adapter, max_wait_s: float
+        self,
+        engine: str,
+        adapter: Adapter,
+        max_wait_s: float,
+        need: SlotNeed = _NO_NEED,
     ) -> LoadResult:
         """Request an adapter load, or wait for the pending request of the same load.
 
-        A pending request keeps its own maximum wait in seconds.
+        A pending request keeps its own maximum wait in seconds. A load that waits for
+        a slot is not waited for once the adapter is known to be there.
         """
         key = (engine, adapter)
         task = self._pending.get(key)
         if task is None:
             task = self._tasks.start(
-                self._request_from_coordinator(engine, adapter, max_wait_s)
+                self._request_from_coordinator(engine, adapter, max_wait_s, need)
             )
             self._pending[key] = task
             task.add_done_callback(lambda _: self._pending.pop(key, None))
-        load = await asyncio.shield(task)
+        if need.max_wait_s > 0:
+            await self._await_slot(engine, adapter, task)
+        if not task.done() and self._view.ready_at(engine, adapter) is not None:
+            load = LoadResult(outcome=LoadOutcome.USABLE)
+        else:
+            load = await asyncio.shield(task)
         if load.outcome is not LoadOutcome.USABLE:
             return load
         ready_at = self._view.ready_at(engine, adapter)
         ready_in_s = 0.0 if ready_at is None else ready_at - self._clock.now()
         return LoadResult(outcome=LoadOutcome.USABLE, ready_in_s=max(ready_in_s, 0.0))
 
+    async def _await_slot(
+        self, engine: str, adapter: Adapter, task: asyncio.Task[LoadResult]
+    ) -> None:
+        """Wait for a load, or until the adapter is known to be there."""
+        while not task.done() and self._view.ready_at(engine, adapter) is None:
+            await asyncio.wait({task}, timeout=_VIEW_POLL_S)
+
     async def _request_from_coordinator(
-        self, engine: str, adapter: Adapter, max_wait_s: float
+        self, engine: str, adapter: Adapter, max_wait_s: float, need: SlotNeed
     ) -> LoadResult:
         coordinator = self._coordinator.rights.coordinator_of(engine)
         if coordinator == self._instance:
             load = await self._coordinator.load_adapter(
-                engine, adapter, max_wait_s, self._instance
+                engine, adapter, max_wait_s, self._instance, need
             )
         elif self._clock.now() < self._paused_until.get(coordinator, float("-inf")):
             return LoadResult(outcome=LoadOutcome.NOT_ASKED)
         else:
             try:
-                load = await self._peers.load(coordinator, engine, adapter, max_wait_s)
+                load = await self._peers.load(
+                    coordinator, engine, adapter, max_wait_s, need
+                )
             except PeerError:
                 self._record_no_answer(coordinator)
                 return LoadResult(outcome=LoadOutcome.NO_ANSWER)
--- a/src/chiveslip/gateway/metrics.py
+++ b/src/chiveslip/gateway/metrics.py
@@ -106,6 +106,30 @@
             ("result",),
             registry=registry,
         )
+        self.slot_wait = Histogram(
+            "chiveslip_adapter_slot_wait_seconds",
+            "Time that loads waited for an adapter slot, by outcome.",
+            ("outcome",),
+            buckets=_SHORT_BUCKETS_S,
+            registry=registry,
+        )
+        self.waiting_loads = Gauge(
+            "chiveslip_waiting_loads",
+            "Loads that wait here for an adapter slot, by priority.",
+            ("priority",),
+            registry=registry,
+        )
+        self.free_adapter_slots = Gauge(
+            "chiveslip_free_adapter_slots",
+            "Adapter slots that are free or could be freed, by coordinated engine.",
+            ("engine",),
+            registry=registry,
+        )
+        self.evictions = Counter(
+            "chiveslip_adapter_evictions",
+            "Adapters that were unloaded to make room for others.",
+            registry=registry,
+        )
         self.limit_decisions = Counter(
             "chiveslip_limit_decisions",
             "Decisions on requests to endpoints that have named a limit, by result.",
--- a/testing/gateway/test_engine_coordinator.py
+++ b/testing/gateway/test_engine_coordinator.py
@@ -59,6 +59,7 @@
         self.models = models
         self.adapters: set[tuple[str, int]] = set()
         self.accepted_orders = 0
+        self.started = 1
         self.fence = 0
         self.received: list[EngineOrder] = []
         self.answers: list[OrderAnswer | None] = []
@@ -69,7 +70,7 @@
         if self.report_fails:
             raise EngineControlError("no report")
         return EngineReport(
-            started=1,
+            started=self.started,
             accepted_orders=self.accepted_orders,
             models=self.models,
             adapters=frozenset(self.adapters),
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -12,6 +12,7 @@
 from chiveslip import hashing
 from chiveslip.clock import ManualClock
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
+from chiveslip.gateway.adapter_waits import SlotNeed
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.call import CrashTraits
 from chiveslip.gateway.endpoint_limits import EndpointLimits
@@ -120,14 +121,16 @@
     view: EngineView
     clock: ManualClock
     requested: list[str] = attrs.field(factory=list)
+    needs: list[SlotNeed] = attrs.field(factory=list)
     answer: Callable[[str], LoadResult] = lambda _: LoadResult(
         outcome=LoadOutcome.USABLE
     )
 
     async def request_adapter(
-        self, name: str, adapter: Adapter, max_wait_s: float
+        self, name: str, adapter: Adapter, max_wait_s: float, need: SlotNeed
     ) -> LoadResult:
         self.requested.append(name)
+        self.needs.append(need)
         return self.answer(name)
 
     def choose(self) -> Target | Refusal:
@@ -279,6 +282,21 @@
     assert refusal.advised_retry_after_s == pytest.approx(retry_after_s)
 
 
+def test_request_waits_for_a_slot_only_once_no_engine_has_one(
+    harness: SelectorHarness,
+) -> None:
+    """A wait at the first engine costs the time to be served at another one."""
+    add_engines(harness, ["e1", "e2", "e3"])
+    told_s = {"e1": 0.9, "e2": 0.2, "e3": 0.5}
+    harness.answer = lambda name: LoadResult(
+        outcome=LoadOutcome.NO_ROOM, ready_in_s=told_s[name]
+    )
+    assert isinstance(harness.choose(), Refusal)
+    assert sorted(harness.requested[:3]) == ["e1", "e2", "e3"]
+    assert harness.requested[3:] == ["e2"]
+    assert [need.max_wait_s > 0 for need in harness.needs] == [False] * 3 + [True]
+
+
 def hold_off_at(harness: SelectorHarness, held_s: dict[str, float]) -> None:
     """Let the coordinators of these engines hold off their loads for a time."""
     until = {name: harness.clock.now() + s for name, s in held_s.items()}
--- a/testing/gateway/test_load_requests.py
+++ b/testing/gateway/test_load_requests.py
@@ -10,6 +10,7 @@
 
 from chiveslip.clock import ManualClock
 from chiveslip.fleet.gateway_peers import GatewayPeers
+from chiveslip.gateway.adapter_waits import SlotNeed
 from chiveslip.gateway.engine_coordinator import EngineCoordinator
 from chiveslip.gateway.engine_coordinator import LoadOutcome
 from chiveslip.gateway.engine_coordinator import LoadResult
@@ -32,7 +33,12 @@
         return "other"
 
     async def load(
-        self, peer: str, engine: str, adapter: Adapter, max_wait_s: float
+        self,
+        peer: str,
+        engine: str,
+        adapter: Adapter,
+        max_wait_s: float,
+        need: SlotNeed,
     ) -> LoadResult:
         return LoadResult(outcome=LoadOutcome.HELD_OFF, ready_in_s=self._held_s)
 
