--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -13,6 +13,7 @@
 import itertools
 import random
 from collections.abc import Callable
+from collections.abc import Coroutine
 from typing import cast
 from typing import final
 
@@ -21,11 +22,10 @@
 from tornado.httputil import HTTPHeaders
 
 from bench.fleet_faults import Fault
-from bench.fleet_load import DATA_CENTRES
 from bench.fleet_load import MAX_PAUSE_S
-from bench.fleet_load import STREAM_CLASSES
 from bench.fleet_load import Load
 from bench.fleet_load import RequestGenerator
+from bench.fleet_load import StreamClass
 from bench.fleet_load import StreamRequest
 from bench.simulated_endpoints import MODEL
 from bench.simulated_endpoints import SERVICE
@@ -47,8 +47,12 @@
 from chiveslip.fleet.gossip_schedule import GossipScheduleSettings
 from chiveslip.fleet.gossip_schedule import schedule_for
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
+from chiveslip.fleet.gossip_updates import EngineUseUpdate
 from chiveslip.fleet.use_notices import UseNotices
 from chiveslip.fleet.use_notices import Uses
+from chiveslip.fleet.use_notifier import UseNotifier
+from chiveslip.fleet.use_notifier import UsePeers
+from chiveslip.gateway.adapter_waits import SlotNeed
 from chiveslip.gateway.allowance_requests import AllowanceRequests
 from chiveslip.gateway.allowances import SharedAllowances
 from chiveslip.gateway.call import Call
@@ -105,7 +109,6 @@
 from chiveslip.gateway.telemetry import RequestTelemetry
 from chiveslip.services.health import EndpointHealth
 
-_ENGINES = 30
 _HOST = "entry"
 _GOSSIP = GossipScheduleSettings(
     interval_s=0.25,
@@ -120,8 +123,6 @@
 _RETRY_WINDOW_S = 10.0
 # Instances run for this time before the traffic begins.
 _LEAD_S = 4.5
-_FETCH_S = 0.25
-_MAX_FULL_SPEED_FETCHES = 40
 _MODEL_LOADS_PER_S = 19.0
 _MODEL_MB = 72_700.0
 _ENGINE_MB = 75_300.0
@@ -143,6 +144,22 @@
 _MAX_CALLER_ATTEMPTS = 2
 
 
+@attrs.frozen(kw_only=True)
+class EngineFleet:
+    """The engines of a deployment and its weight store.
+
+    Attributes
+    ----------
+    fetch_s
+        Time in seconds of a fetch from the weight store at full speed.
+    """
+
+    engines: int = 30
+    properties: EngineProperties = attrs.field(factory=EngineProperties)
+    fetch_s: float = 0.25
+    max_full_speed_fetches: int = 40
+
+
 @attrs.frozen(kw_only=True)
 class Scenario:
     """A load, the faults that occur under it, and what has to be earned.
@@ -151,13 +168,18 @@
     ----------
     data_centre_floor, class_floor
         Share of the worth owed that each data centre and each class has to earn.
+    tells_uses_at_once
+        Whether instances tell coordinators the adapters in use in calls of their own,
+        or by gossip only, as older ones do.
     """
 
     name: str
     load: Load
     faults: tuple[Fault, ...] = ()
-    data_centre_floor: float
-    class_floor: float
+    data_centre_floor: float = 0.0
+    class_floor: float = 0.0
+    engine_fleet: EngineFleet = EngineFleet()
+    tells_uses_at_once: bool = True
 
 
 class Outcome(enum.Enum):
@@ -208,6 +230,10 @@
         Times from the reading of a report to its arrival at an instance, sorted.
     engine_refusals
         Arrivals at engines that were not run, by result.
+    use_notices_per_s
+        Notices of uses per second and instance.
+    crashes
+        Engines that crashed, as they were ordered to hold too many adapters.
     """
 
     requests: list[RequestResult]
@@ -215,6 +241,8 @@
     report_ages_s: list[float]
     fetches: int
     engine_refusals: dict[AttemptResult, int]
+    use_notices_per_s: float = 0.0
+    crashes: int = 0
 
     @property
     def earned_share(self) -> float:
@@ -229,6 +257,14 @@
         """Return the earned share by class of requests."""
         return self._earned_by(lambda result: result.request.stream_class.name)
 
+    def served_by_class(self) -> dict[str, float]:
+        """Return the share of the requests of each class that were served."""
+        groups: dict[str, list[bool]] = collections.defaultdict(list)
+        for result in self.requests:
+            is_served = result.outcome in (Outcome.IN_TIME, Outcome.LATE)
+            groups[result.request.stream_class.name].append(is_served)
+        return {name: sum(groups[name]) / len(groups[name]) for name in sorted(groups)}
+
     def share_with(self, outcome: Outcome) -> float:
         """Return the share of the worth owed to requests with an outcome."""
         owed = sum(result.request.worth for result in self.requests)
@@ -552,20 +588,38 @@
 
 @final
 class SimulatedPeers:
-    """Delivers load requests to other instances."""
+    """Delivers load requests and notices of uses to other instances."""
 
-    def __init__(self, fleet: SimulatedFleet) -> None:
+    def __init__(self, fleet: SimulatedFleet, instance: str) -> None:
         self._fleet = fleet
+        self._instance = instance
+
+    async def tell_uses(
+        self, peer: str, number: tuple[int, int], uses: list[EngineUseUpdate]
+    ) -> None:
+        """Tell a peer all uses of an instance."""
+        self._fleet.use_notices += 1
+        await asyncio.sleep(_HOP_S)
+        view = self._fleet.instances[peer].view
+        view.apply_use_notice(self._instance, uses, self._fleet.now(), number)
+        await asyncio.sleep(_HOP_S)
 
     async def load(
-        self, peer: str, engine: str, adapter: tuple[str, int], max_wait_s: float
+        self,
+        peer: str,
+        engine: str,
+        adapter: tuple[str, int],
+        max_wait_s: float,
+        need: SlotNeed,
     ) -> LoadResult:
         """Ask the coordinator of an engine to load an adapter."""
         await asyncio.sleep(2 * _HOP_S)
         coordinator = self._fleet.instances[peer].coordinator
         try:
             async with asyncio.timeout(_LOAD_REQUEST_TIMEOUT_S):
-                return await coordinator.load_adapter(engine, adapter, max_wait_s)
+                return await coordinator.load_adapter(
+                    engine, adapter, max_wait_s, self._instance, need
+                )
         except TimeoutError as error:
             raise PeerError("the coordinator does not answer") from error
 
@@ -618,17 +672,31 @@
         self._use_notices = UseNotices()
         control = SimulatedControl(fleet)
         load_times = LoadTimes(
-            fetch_s=_FETCH_S, reload_s=0.025, max_full_speed_fetches=0
+            fetch_s=fleet.engine_fleet.fetch_s,
+            reload_s=fleet.engine_fleet.properties.reload_s,
+            max_full_speed_fetches=0,
+        )
+        peers = SimulatedPeers(fleet, name)
+        rights = CoordinatorRights(
+            instance=name,
+            lease_s=_LEASE_S,
+            propagation_s=lambda: schedule.propagation_s,
+            live_instances=lambda: self.live_instances,
+            has_quorum=lambda: self.has_quorum,
+            clock=clock,
+        )
+        self._use_notifier = UseNotifier(
+            instance=name,
+            incarnation=1,
+            view=self.view,
+            rights=rights,
+            peers=cast(UsePeers, peers),
+            reachable=lambda: fleet.instance_names,
+            clock=clock,
+            metrics=fleet.metrics,
         )
         self.coordinator = EngineCoordinator(
-            rights=CoordinatorRights(
-                instance=name,
-                lease_s=_LEASE_S,
-                propagation_s=lambda: schedule.propagation_s,
-                live_instances=lambda: self.live_instances,
-                has_quorum=lambda: self.has_quorum,
-                clock=clock,
-            ),
+            rights=rights,
             control=control,
             view=self.view,
             load_times=load_times,
@@ -649,7 +717,7 @@
                 propagation_s=lambda: 0.0,
                 clock=clock,
             ),
-            peers=cast(LimitPeers, SimulatedPeers(fleet)),
+            peers=cast(LimitPeers, peers),
             metrics=fleet.metrics,
             clock=clock,
         )
@@ -668,7 +736,7 @@
             load_requests=LoadRequests(
                 instance=name,
                 coordinator=self.coordinator,
-                peers=cast(GatewayPeers, SimulatedPeers(fleet)),
+                peers=cast(GatewayPeers, peers),
                 view=self.view,
                 clock=clock,
             ),
@@ -698,7 +766,7 @@
                         live_instances=lambda: fleet.instance_names,
                         heard_share=lambda: 1.0,
                     ),
-                    peers=cast(GatewayPeers, SimulatedPeers(fleet)),
+                    peers=cast(GatewayPeers, peers),
                     metrics=fleet.metrics,
                     clock=clock,
                 ),
@@ -729,7 +797,7 @@
                 find_organisation=lambda _name: None,
                 handover=Handover(
                     instance=name,
-                    forwarder=cast(PeerForwarder, SimulatedPeers(fleet)),
+                    forwarder=cast(PeerForwarder, peers),
                     protocol=SimulatedProtocol(),
                     statements=EndpointStatements(clock),
                     find_peers=lambda _service, _adapter: [],
@@ -749,6 +817,7 @@
             started_at = self._fleet.clock.now()
             self._exchange_with_peers()
             self.coordinator.update_engines(self._listed_engines())
+            self._use_notifier.update_engines(self._listed_engines())
             self.health.retain_only(self.directory.by_id)
             await self.coordinator.read_reports()
             await self.coordinator.load_models()
@@ -756,6 +825,11 @@
             left_s = started_at + interval_s * jitter - self._fleet.clock.now()
             await asyncio.sleep(max(left_s, 0.0))
 
+    async def run_use_notices(self) -> None:
+        """Tell coordinators the uses of adapters, without end."""
+        await asyncio.sleep(self._fleet.random.random() * 0.1)
+        await self._use_notifier.run()
+
     def add_engine(self, process: SimulatedEngine) -> None:
         """Add an engine that the store lists."""
         listed = process.listed
@@ -846,9 +920,11 @@
     def __init__(self, scenario: Scenario, seed: int) -> None:
         self._scenario = scenario
         self._loop = asyncio.get_running_loop()
-        self._properties = EngineProperties()
+        self.engine_fleet = scenario.engine_fleet
+        self._properties = scenario.engine_fleet.properties
         self._store = WeightStore(
-            fetch_s=_FETCH_S, max_full_speed_fetches=_MAX_FULL_SPEED_FETCHES
+            fetch_s=scenario.engine_fleet.fetch_s,
+            max_full_speed_fetches=scenario.engine_fleet.max_full_speed_fetches,
         )
         self._report_ages_s: list[float] = []
         self._engine_refusals: collections.Counter[AttemptResult] = (
@@ -861,6 +937,7 @@
         self.random = random.Random(seed)
         self.clock = LoopClock(self._loop)
         self.metrics = GatewayMetrics()
+        self.use_notices = 0
         self.capacity = EngineCapacity(
             slots=self._properties.slots,
             cache_tokens=self._properties.memory_tokens,
@@ -869,10 +946,11 @@
             memory_mb=_ENGINE_MB,
             model_loads_per_s=_MODEL_LOADS_PER_S,
         )
-        self.table = _build_table(self.capacity)
+        load = scenario.load
+        self.table = _build_table(self.capacity, load.stream_classes)
         names = [
             (f"{centre.name}-{number}", centre.name)
-            for centre in DATA_CENTRES
+            for centre in load.data_centres
             for number in range(centre.instances)
         ]
         self.instance_names = sorted(name for name, _ in names)
@@ -881,22 +959,23 @@
             name: SimulatedInstance(name, centre, self, schedule)
             for name, centre in names
         }
-        for number in range(_ENGINES):
+        for number in range(self.engine_fleet.engines):
             self._start_engine(f"engine-{number:02}", has_model=True)
         for process in self._current.values():
             for instance in self.instances.values():
                 instance.add_engine(process)
         self._instances_of_clients = {
             centre.name: self._assign_clients(centre.name, centre.clients)
-            for centre in DATA_CENTRES
+            for centre in load.data_centres
         }
 
     async def run(self) -> FleetResult:
         """Run the traffic and the faults, and return the results."""
         requests = RequestGenerator(self._scenario.load, self.random).generate()
         rounds = [
-            self._loop.create_task(instance.run_rounds())
+            self._loop.create_task(work)
             for instance in self.instances.values()
+            for work in self._start_instance(instance)
         ]
         await asyncio.sleep(_LEAD_S)
         started_at = self.now()
@@ -918,8 +997,20 @@
             report_ages_s=sorted(self._report_ages_s),
             fetches=self._store.fetches,
             engine_refusals=dict(self._engine_refusals),
+            use_notices_per_s=self.use_notices
+            / len(self.instances)
+            / self._scenario.load.duration_s,
+            crashes=sum(p.state is EngineState.DOWN for p in self._processes.values()),
         )
 
+    def _start_instance(
+        self, instance: SimulatedInstance
+    ) -> list[Coroutine[None, None, None]]:
+        work = [instance.run_rounds()]
+        if self._scenario.tells_uses_at_once:
+            work.append(instance.run_use_notices())
+        return work
+
     def now(self) -> float:
         """Return the current time in seconds."""
         return self._loop.time()
@@ -1009,7 +1100,7 @@
 
     async def _inject(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at_s)
-        count = max(round(fault.share * _ENGINES), 1)
+        count = max(round(fault.share * self.engine_fleet.engines), 1)
         up = [
             name
             for name, process in self._current.items()
@@ -1121,7 +1212,9 @@
     )
 
 
-def _build_table(capacity: EngineCapacity) -> RoutingTable:
+def _build_table(
+    capacity: EngineCapacity, stream_classes: tuple[StreamClass, ...]
+) -> RoutingTable:
     routes = [
         Route(
             name=stream_class.name,
@@ -1137,7 +1230,7 @@
             max_runs=stream_class.max_runs,
             is_public=True,
         )
-        for stream_class in STREAM_CLASSES
+        for stream_class in stream_classes
     ]
     return RoutingTable(
         version=1,
--- a/src/chiveslip/fleet/gateway_peers.py
+++ b/src/chiveslip/fleet/gateway_peers.py
@@ -13,8 +13,12 @@
 from chiveslip.fleet.channels import ChannelOptions
 from chiveslip.fleet.channels import PeerChannels
 from chiveslip.fleet.channels import PeerError
+from chiveslip.fleet.engine_uses import encode_uses
 from chiveslip.fleet.forwarded_exchange import GrpcForwardedExchange
+from chiveslip.fleet.gossip_updates import EngineUseUpdate
 from chiveslip.fleet.incarnations import encode_limit
+from chiveslip.fleet.use_notifier import UsePeers
+from chiveslip.gateway.adapter_waits import SlotNeed
 from chiveslip.gateway.allowances import Grant
 from chiveslip.gateway.endpoint_limits import NamedLimit
 from chiveslip.gateway.engine_coordinator import LoadOutcome
@@ -54,7 +58,7 @@
 
 
 @final
-class GatewayPeers(PeerForwarder, LimitPeers):
+class GatewayPeers(PeerForwarder, LimitPeers, UsePeers):
     """Client for other gateways; channels are opened on first use.
 
     Every method raises `PeerError` if no reply comes in time.
@@ -65,11 +69,17 @@
         Returns the peer address of an instance, or None if it is unknown.
     timeout_s
         Timeout in seconds of one exchange.
+    instance
+        Name of this instance.
     """
 
     def __init__(
-        self, address_of: Callable[[str], Address | None], timeout_s: float
+        self,
+        address_of: Callable[[str], Address | None],
+        timeout_s: float,
+        instance: str = "",
     ) -> None:
+        self._instance = instance
         self._address_of = address_of
         self._timeout_s = timeout_s
         self._channels = PeerChannels(_OPTIONS)
@@ -81,7 +91,12 @@
         )
 
     async def load(
-        self, peer: str, engine: str, adapter: tuple[str, int], max_wait_s: float
+        self,
+        peer: str,
+        engine: str,
+        adapter: tuple[str, int],
+        max_wait_s: float,
+        need: SlotNeed,
     ) -> LoadResult:
         """Ask the coordinator of an engine to load an adapter.
 
@@ -91,13 +106,20 @@
             Name and version.
         max_wait_s
             How long in seconds the request can wait for the adapter.
+        need
+            What it needs a slot for.
         """
         address = self._known_address(peer)
         request = wire.LoadRequest(
+            instance=self._instance,
             endpoint=engine,
             adapter=adapter[0],
             version=adapter[1],
             patience_seconds=max_wait_s,
+            priority=max(need.priority, 0),
+            organisation=need.organisation,
+            tokens=need.tokens,
+            slot_wait_seconds=need.max_wait_s,
         )
         reply = await self._call(
             address, _LOAD_TIMEOUT_S, lambda stub, t: stub.Load(request, timeout=t)
@@ -105,6 +127,34 @@
         outcome = _OUTCOMES_BY_WIRE_VALUE.get(reply.outcome, LoadOutcome.FAILED)
         return LoadResult(outcome=outcome, ready_in_s=reply.ready_after_seconds)
 
+    async def tell_uses(
+        self, peer: str, number: tuple[int, int], uses: list[EngineUseUpdate]
+    ) -> None:
+        """Tell a peer all uses of engines by this instance.
+
+        Parameters
+        ----------
+        number
+            Incarnation of this instance, and number of the list of uses.
+
+        Raises
+        ------
+        PeerError
+            Also if the peer does not know this instance yet.
+        """
+        address = self._known_address(peer)
+        notice = wire.UsesNotice(
+            instance=self._instance,
+            incarnation=number[0],
+            uses_number=number[1],
+            uses=encode_uses(uses),
+        )
+        reply = await self._call(
+            address, self._timeout_s, lambda stub, t: stub.Uses(notice, timeout=t)
+        )
+        if not reply.is_applied:
+            raise PeerError(f"{peer} does not know this instance yet")
+
     async def request_units(
         self, peer: str, organisation: str, units: float, ahead: float
     ) -> Grant:
--- a/src/chiveslip/fleet/gossip.py
+++ b/src/chiveslip/fleet/gossip.py
@@ -12,6 +12,7 @@
 
 from chiveslip import logs
 from chiveslip.fleet.channels import PeerError
+from chiveslip.fleet.engine_uses import decode_uses
 from chiveslip.fleet.forwarding import answer_forwarded
 from chiveslip.fleet.forwarding import decline_forwarded
 from chiveslip.fleet.gateway_peers import WIRE_OUTCOMES
@@ -24,6 +25,7 @@
 from chiveslip.fleet.store_pulls import StorePulls
 from chiveslip.fleet.use_notices import UseNotices
 from chiveslip.fleet.use_notices import Uses
+from chiveslip.gateway.adapter_waits import SlotNeed
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.forwarded import ForwardedRequests
 from chiveslip.gateway.routing import Organisation
@@ -197,7 +199,11 @@
         loaded = await asyncio.shield(
             self._tasks.start(
                 self._parts.coordinator.load_adapter(
-                    request.endpoint, adapter, request.patience_seconds
+                    request.endpoint,
+                    adapter,
+                    request.patience_seconds,
+                    request.instance,
+                    _parse_need(request),
                 )
             )
         )
@@ -206,6 +212,23 @@
         )
         await stream.send_message(reply)
 
+    async def Uses(  # noqa: N802
+        self, stream: Stream[wire.UsesNotice, wire.UsesReply]
+    ) -> None:
+        """Apply the uses of engines that a peer tells at once."""
+        notice = await stream.recv_message()
+        if notice is None:
+            return
+        is_known = self._parts.membership.address_of(notice.instance) is not None
+        if is_known:
+            self._parts.engine_view.apply_use_notice(
+                notice.instance,
+                decode_uses(notice.uses),
+                self._parts.clock.now(),
+                (notice.incarnation, notice.uses_number),
+            )
+        await stream.send_message(wire.UsesReply(is_applied=is_known))
+
     async def Changes(  # noqa: N802
         self, stream: Stream[wire.ChangesRequest, wire.ChangesReply]
     ) -> None:
@@ -278,3 +301,14 @@
             await decline_forwarded(stream)
             return
         await answer_forwarded(stream, self._forwarded)
+
+
+def _parse_need(request: wire.LoadRequest) -> SlotNeed:
+    """Return what a load request needs a slot for; a malformed one does not wait."""
+    is_valid = 0 <= request.tokens < math.inf and request.slot_wait_seconds >= 0
+    return SlotNeed(
+        priority=request.priority,
+        organisation=request.organisation,
+        tokens=request.tokens if is_valid else 0.0,
+        max_wait_s=request.slot_wait_seconds if is_valid else 0.0,
+    )
