Weigh the slot and the prefill that a prompt takes, and model both

The engine of the order now replaces a sampled engine that has the adapter only if it costs no more than this one and the prefill saved, and an engine that was sampled to load the adapter stays chosen. The order is by the adapter and all shared parts, as few first parts exist.

On routes with sessions the cost of an engine is the expected first event (pending prefill, the newcomer's uncached tokens, the expected wait for a slot, which grows smoothly before all are believed taken) and the delay of the requests there.

--- a/bench/stale_placement.py
+++ b/bench/stale_placement.py
@@ -13,7 +13,6 @@
 import heapq
 import itertools
 import random
-from typing import final
 
 import attrs
 
@@ -110,7 +109,6 @@
     own: OwnRequest | None = None
 
 
-@final
 class StalePlacementSimulation:
     """One run of the load of a deployment."""
 
@@ -166,12 +164,15 @@
                 "report",
                 engine,
             )
+        self._process_events()
+        return sorted(self._first_token_s)
+
+    def _process_events(self) -> None:
         while self._events:
             now, _, kind, subject = heapq.heappop(self._events)
             if kind == "report" and now > self._deployment.duration_s:
                 continue
             getattr(self, f"_handle_{kind}")(subject, now)
-        return sorted(self._first_token_s)
 
     def _generate_requests(self) -> list[_Request]:
         deployment = self._deployment
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -23,6 +23,9 @@
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.load_times import LoadTimes
+from chiveslip.gateway.prompt_lengths import EngineState
+from chiveslip.gateway.prompt_lengths import delay_of_others_s
+from chiveslip.gateway.prompt_lengths import first_event_s
 from chiveslip.gateway.prompt_parts import Prompt
 from chiveslip.gateway.prompt_parts import PromptParts
 from chiveslip.gateway.prompt_parts import order_engines
@@ -56,9 +59,6 @@
 # Above this share of the request slots, the pauses of an engine grow.
 _OVERLOAD_SHARE = 0.9
 _OVERLOAD_COST_S = 1.0
-# An engine that should keep the parts of a prompt is chosen if it costs at most this
-# much more than the cheapest engine, beyond the prefill that it saves.
-_PARTS_TOLERANCE_S = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -231,39 +231,36 @@
         prompt: Prompt | None,
         now: float,
     ) -> Choice:
-        """Return a choice that keeps parts of the prompt if it costs little more.
+        """Return an engine that keeps parts of a prompt if it costs no more.
 
-        Among the engines that have the adapter, those that this instance knows to keep
-        more than the shared parts are preferred, then the first ones in the order for
-        the adapter and the first part: as many as the demand for the part needs.
+        It may cost as much more than the chosen engine as it saves in prefill. An
+        engine that is chosen to load the adapter stays chosen, or a popular adapter
+        would not spread. Of the others, one that is known to keep more than the shared
+        parts is preferred, then the first in the order for the adapter and the shared
+        parts; as many share them as their demand needs.
         """
-        if prompt is None or not prompt.prefixes:
+        if prompt is None or not prompt.prefixes or not chosen.is_present:
             return chosen
-        expected_tokens = ordered_tokens(prompt)
-        saved_s = prompt.shared_tokens / PREFILL_TOKENS_PER_S
-        max_cost = min(choices, key=_cost).cost_s + saved_s + _PARTS_TOLERANCE_S
-        # Any engine that has the adapter keeps the part of a session as well.
-        present = [
-            choice
-            for choice in choices
-            if choice.is_present and choice.cost_s - choice.rank_cost_s <= max_cost
-        ]
-        if not present:
-            return chosen
-        most_kept = max(present, key=lambda choice: choice.cached_tokens)
-        if most_kept.cached_tokens > prompt.shared_tokens:
+        present = {c.engine.id: c for c in choices if c.is_present}
+        most_kept = max(present.values(), key=lambda choice: choice.cached_tokens)
+        max_cost_s = _cost_without_rank(chosen)
+        # The prefill saved is part of its cost, as the parts are known to be there.
+        if (
+            most_kept.cached_tokens > prompt.shared_tokens
+            and _cost_without_rank(most_kept) <= max_cost_s
+        ):
             return most_kept
-        eligible = {c.engine.id: c for c in present if c.cost_s <= max_cost}
-        if not prompt.order_key or not eligible:
+        if not prompt.order_key:
             return chosen
         engines_needed = self._count_part_engines(prompt, capacity, now)
-        first = [
-            eligible[name] for name in order_engines(prompt, eligible)[:engines_needed]
-        ]
-        preferred = first[0] if len(first) == 1 else self._sample_choice(first)
-        if preferred.cached_tokens >= expected_tokens:
-            return preferred
-        return attrs.evolve(preferred, cached_tokens=expected_tokens)
+        first = order_engines(prompt, present)[:engines_needed]
+        preferred = min((present[name] for name in first), key=_cost_without_rank)
+        ordered = ordered_tokens(prompt)
+        saved_s = max(ordered - preferred.cached_tokens, 0.0) / PREFILL_TOKENS_PER_S
+        if _cost_without_rank(preferred) > max_cost_s + saved_s:
+            return chosen
+        cached_tokens = max(preferred.cached_tokens, ordered)
+        return attrs.evolve(preferred, cached_tokens=cached_tokens)
 
     def _count_part_engines(
         self, prompt: Prompt, capacity: EngineCapacity, now: float
@@ -300,12 +297,15 @@
     ) -> Choice:
         """Return the choice that an engine would be, with its cost."""
         cached_tokens = 0.0
-        if prompt is not None:
+        if prompt is None:
+            wait_s = self._estimate_wait_s(engine.id, capacity, prompt_tokens, now)
+            harm_s = self._view.count_requests(engine.id, now) * _REQUEST_COST_S
+        else:
             kept_tokens = self.prompt_parts.cached_tokens(engine, prompt, now)
             cached_tokens = min(kept_tokens, prompt_tokens)
-        wait_s = self._estimate_wait_s(
-            engine.id, capacity, prompt_tokens - cached_tokens, now
-        )
+            state = self._describe_engine(engine.id, capacity, now)
+            wait_s = first_event_s(state, prompt_tokens - cached_tokens)
+            harm_s = delay_of_others_s(state, prompt_tokens - cached_tokens)
         is_present = True
         held_s = 0.0
         load_s = 0.0
@@ -331,8 +331,7 @@
                 engine, self._instance_count(), self._engine_count, now
             ),
         )
-        batch_cost = self._view.count_requests(engine.id, now) * _REQUEST_COST_S
-        cost_s = max(estimate_s, overdue_s) + batch_cost + no_slot_cost + failing_share
+        cost_s = max(estimate_s, overdue_s) + harm_s + no_slot_cost + failing_share
         return Choice(
             engine=engine,
             cost_s=cost_s + rank_cost,
@@ -342,6 +341,18 @@
             cached_tokens=cached_tokens,
         )
 
+    def _describe_engine(
+        self, engine: str, capacity: EngineCapacity, now: float
+    ) -> EngineState:
+        requests = self._view.count_requests(engine, now)
+        return EngineState(
+            requests=requests,
+            pending_tokens=self._view.pending_prefill_tokens(engine, now),
+            slots=capacity.slots,
+            prefill_tokens_per_s=PREFILL_TOKENS_PER_S,
+            step_s=_STEP_S + _STEP_PER_REQUEST_S * requests,
+        )
+
     def _estimate_wait_s(
         self, engine: str, capacity: EngineCapacity, prompt_tokens: float, now: float
     ) -> float:
@@ -365,3 +376,8 @@
 
 def _cost(choice: Choice) -> float:
     return choice.cost_s
+
+
+def _cost_without_rank(choice: Choice) -> float:
+    """Return the cost of an engine that has the adapter, whatever its place."""
+    return choice.cost_s - choice.rank_cost_s
--- a/src/chiveslip/gateway/prompt_parts.py
+++ b/src/chiveslip/gateway/prompt_parts.py
@@ -3,8 +3,8 @@
 An engine does not prefill a part again that it keeps for the same adapter, if it keeps
 all parts before it. No engine tells which parts it keeps. The table has two sources:
 the requests that this instance sent, and an order of the engines for each adapter and
-first part that all instances derive alike (rendezvous hashing). In a large fleet, an
-instance sends a hundredth of the requests, so the order is the main source.
+its shared parts that all instances derive alike (rendezvous hashing). In a large fleet,
+an instance sends a hundredth of the requests, so the order is the main source.
 
 The module is pure: the local time is passed in.
 """
@@ -69,8 +69,8 @@
     shared_tokens
         Length in tokens of the parts that other requests may share.
     order_key
-        Names the order of the engines for the adapter and the first part, or empty if
-        no part is shared.
+        Names the order of the engines for the adapter and the shared parts, or empty
+        if no part is shared.
     output_hint
         The caller's estimate of the output in tokens, or None.
     """
@@ -97,10 +97,11 @@
     for key, part in zip(keys, used, strict=True):
         tokens += part.tokens
         prefixes.append(Prefix(key, tokens))
+    shared = keys[: len(listed) - 1]
     return Prompt(
         prefixes=tuple(prefixes),
         shared_tokens=float(sum(part.tokens for part in listed[:-1])),
-        order_key=f"{base}\x00{listed[0].id}" if len(listed) > 1 else "",
+        order_key=f"{base}\x00{shared[-1]}" if shared else "",
         output_hint=output_hint,
     )
 
@@ -192,7 +193,7 @@
 
 
 def order_engines(prompt: Prompt, engines: Iterable[str]) -> list[str]:
-    """Return engines in the order for the adapter and the first part of a prompt.
+    """Return engines in the order for the adapter and the shared parts of a prompt.
 
     All instances order the same engines alike.
     """
