Model engines of different speeds and with slow spells

Cause: the model of a large fleet had equal engines only, and no events within a stream.

Change: scenarios name the speeds of the engines and whether placement uses what is learned; SlowSpells slows engines for moments; streams tell their events while they run. The scenarios with speeds are apart from those with floors, which run in the tests.

--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 from typing import TYPE_CHECKING
 from typing import final
 
@@ -196,6 +197,42 @@
             engine.slowdown = 1.0
 
 
+@final
+@attrs.frozen(kw_only=True)
+class SlowSpells(Fault):
+    """Engines take longer for each step in short spells.
+
+    Attributes
+    ----------
+    spell_s
+        Length of a spell.
+    interval_s
+        Mean time from the begin of a spell to that of the next one.
+    """
+
+    factor: float
+    spell_s: float
+    interval_s: float
+
+    async def run(self, fleet: SimulatedFleet, engines: list[str]) -> None:
+        """Let the engines have their spells, each at times of its own."""
+        async with asyncio.TaskGroup() as spells:
+            for engine in engines:
+                spells.create_task(self._repeat(fleet, engine))
+
+    async def _repeat(self, fleet: SimulatedFleet, engine: str) -> None:
+        ends_at = fleet.now() + self.duration_s
+        while fleet.now() < ends_at:
+            await fleet.sleep(2 * fleet.random.random() * self._pause_s)
+            fleet.engine(engine).slowdown = self.factor
+            await fleet.sleep(self.spell_s)
+            fleet.engine(engine).slowdown = 1.0
+
+    @property
+    def _pause_s(self) -> float:
+        return self.interval_s - self.spell_s
+
+
 @final
 @attrs.frozen(kw_only=True)
 class ResettingEngines(Fault):
--- a/bench/fleet_worth.py
+++ b/bench/fleet_worth.py
@@ -20,6 +20,7 @@
 from bench.fleet_faults import InstancesWithoutStore
 from bench.fleet_faults import ResettingEngines
 from bench.fleet_faults import SlowEngines
+from bench.fleet_faults import SlowSpells
 from bench.fleet_faults import UndeliveredReports
 from bench.fleet_faults import UnreadableReports
 from bench.fleet_faults import WithoutQuorum
@@ -102,6 +103,31 @@
     class_floor=0.36,
 )
 _ONE_ENGINE = 1 / 30
+# Speeds of the engines of franchise minutes; a part of them is slower in spells.
+_ENGINE_SPEEDS = (0.6, 1.0, 1.6)
+_SLOW_SPELLS = SlowSpells(
+    at_s=0.0, duration_s=15.0, share=0.15, factor=2.5, spell_s=0.6, interval_s=3.0
+)
+_MIXED_SPEEDS = attrs.evolve(
+    NO_FAULT, name="mixed-speeds", engine_speeds=_ENGINE_SPEEDS
+)
+_EQUAL_SPEEDS = attrs.evolve(NO_FAULT, name="equal-speeds")
+_MIXED_SPEEDS_AND_SPELLS = attrs.evolve(
+    _MIXED_SPEEDS, name="mixed-speeds-and-spells", faults=(_SLOW_SPELLS,)
+)
+_ENGINE_TURNS_SLOW = attrs.evolve(
+    NO_FAULT,
+    name="engine-turns-slow",
+    faults=(SlowEngines(at_s=3.0, duration_s=12.0, share=_ONE_ENGINE, factor=2.5),),
+)
+# Each is run with and without the use of learned speeds.
+_SPEEDS = (
+    _EQUAL_SPEEDS,
+    _MIXED_SPEEDS,
+    attrs.evolve(_MIXED_SPEEDS, name="mixed-speeds-calm", load=attrs.evolve(CALM.load)),
+    _MIXED_SPEEDS_AND_SPELLS,
+    _ENGINE_TURNS_SLOW,
+)
 _LOST_PEERS = InstancesWithoutPeers(
     at_s=1.0, duration_s=14.0, share=0.14, lost_share=0.66
 )
@@ -207,14 +233,24 @@
     ),
 )
 
+# Kept apart: no floors are set for engines of different speeds.
+SPEED_SCENARIOS = (
+    *_SPEEDS,
+    *(
+        attrs.evolve(scenario, name=f"{scenario.name}-unlearned", uses_speeds=False)
+        for scenario in _SPEEDS
+    ),
+)
+
 
 def main() -> None:
     """Run the scenarios and print a table; arguments are names of scenarios."""
     logs.configure("console", "error")
-    chosen = [s for s in SCENARIOS if not sys.argv[1:] or s.name in sys.argv[1:]]
+    known = (*SCENARIOS, *SPEED_SCENARIOS)
+    chosen = [s for s in known if not sys.argv[1:] or s.name in sys.argv[1:]]
     print(
         "scenario | seed | earned | worst data centre | worst class"
-        " | first event s p50, p95"
+        " | first event s p50, p95, p99"
         " | late before, at the engine, by pause | refused, failed, abandoned"
         " | largest queues"
         " | report age s p50, p99 | cpu s"
@@ -256,7 +292,7 @@
         math.inf if r.first_event_s is None else r.first_event_s
         for r in result.requests
     )
-    shares = (0.5, 0.95)
+    shares = (0.5, 0.95, 0.99)
     return ", ".join(
         f"{first_event_s[int(len(first_event_s) * share)]:.2f}" for share in shares
     )
--- a/bench/simulated_engine.py
+++ b/bench/simulated_engine.py
@@ -150,7 +150,13 @@
 
 @final
 class SimulatedEngine:
-    """One engine process; a restart is a new one."""
+    """One engine process; a restart is a new one.
+
+    Parameters
+    ----------
+    speed
+        Speed as a multiple of that of the properties.
+    """
 
     def __init__(
         self,
@@ -160,8 +166,10 @@
         *,
         started: int,
         has_model: bool,
+        speed: float = 1.0,
     ) -> None:
         self._properties = properties
+        self._speed = speed
         self._store = store
         self._loop = asyncio.get_running_loop()
         self._state = EngineState.UP
@@ -236,6 +244,10 @@
         run.is_over = True
         self._release(run)
 
+    def event_times(self, run: EngineRun) -> list[float]:
+        """Return the local times in seconds of the events that a run has sent."""
+        return self._list_event_times(run, len(self._step_ends) - 1)
+
     def go_dark(self) -> None:
         """Stop all work and leave the connections open."""
         self._state = EngineState.DARK
@@ -346,7 +358,9 @@
             + properties.step_per_kept_token_s * self._running_tokens
             + prefill_s
         )
-        self._loop.call_later(step_s * self.slowdown, self._end_step, read_runs)
+        self._loop.call_later(
+            step_s * self.slowdown / self._speed, self._end_step, read_runs
+        )
 
     def _admit_waiting(self) -> None:
         if not self._waiting:
@@ -431,14 +445,17 @@
 
     def _record_events(self, run: EngineRun, step: int) -> None:
         """Record how many events a run has sent until a step, and their pauses."""
-        if run.first_step is None:
-            return
-        stride = self._properties.tokens_per_event
-        times = self._step_ends[run.first_step : step + 1][stride - 1 :: stride]
+        times = self._list_event_times(run, step)
         run.events = len(times)
         pauses = (after - before for before, after in itertools.pairwise(times))
         run.max_pause_s = max(pauses, default=0.0)
 
+    def _list_event_times(self, run: EngineRun, step: int) -> list[float]:
+        if run.first_step is None:
+            return []
+        stride = self._properties.tokens_per_event
+        return self._step_ends[run.first_step : step + 1][stride - 1 :: stride]
+
     def _release(self, run: EngineRun) -> None:
         if run in self._running:
             del self._running[run]
--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -75,6 +75,7 @@
 from chiveslip.gateway.engine_speeds import SpeedEvidence
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
+from chiveslip.gateway.event_pauses import WINDOW_S
 from chiveslip.gateway.forwarding import Gateway
 from chiveslip.gateway.forwarding import GatewayDependencies
 from chiveslip.gateway.handover import Handover
@@ -151,6 +152,10 @@
     ----------
     data_centre_floor, class_floor
         Share of the worth owed that each data centre and each class has to earn.
+    engine_speeds
+        Speeds of the engines, in turn.
+    uses_speeds
+        Whether placement uses what the instances learn of the engines' speeds.
     """
 
     name: str
@@ -158,6 +163,8 @@
     faults: tuple[Fault, ...] = ()
     data_centre_floor: float
     class_floor: float
+    engine_speeds: tuple[float, ...] = (1.0,)
+    uses_speeds: bool = True
 
 
 class Outcome(enum.Enum):
@@ -403,6 +410,7 @@
         reply = cast(SimulatedReply, call.reply)
         reply.engine = context.endpoint.id
         reply.sent_at = asyncio.get_running_loop().time()
+        call.attempt_times[-1].sent_at = reply.sent_at
         reply.first_sent_at = reply.first_sent_at or reply.sent_at
         try:
             async with asyncio.timeout(context.remaining_s):
@@ -457,7 +465,7 @@
             self._fleet.record_engine_refusal(result)
             return Attempt(result=result)
         try:
-            attempt = await self._forward(run, call, stream, on_first_event)
+            attempt = await self._forward(engine, run, call, stream, on_first_event)
         finally:
             engine.cancel(run)
         if attempt.result is AttemptResult.ANSWERED:
@@ -466,6 +474,7 @@
 
     async def _forward(
         self,
+        engine: SimulatedEngine,
         run: EngineRun,
         call: Call,
         stream: StreamState,
@@ -482,7 +491,7 @@
         if not stream.has_head:
             stream.has_head = True
             call.reply.start(200, HTTPHeaders())
-        is_whole = await run.end
+        is_whole = await self._observe(engine, run, call)
         reply.max_pause_s = max(reply.max_pause_s, run.max_pause_s)
         reply.last_event_at = asyncio.get_running_loop().time()
         events = int(stream.splitter.last_event_id or 0) + run.events
@@ -492,6 +501,21 @@
         call.reply.end()
         return Attempt(result=AttemptResult.ANSWERED)
 
+    async def _observe(
+        self, engine: SimulatedEngine, run: EngineRun, call: Call
+    ) -> bool:
+        """Record the pauses of a run until its end; return whether it is whole."""
+        pauses = call.attempt_times[-1].pauses
+        assert pauses is not None
+        recorded = 0
+        while not run.end.done():
+            await asyncio.wait({run.end}, timeout=WINDOW_S)
+            times = engine.event_times(run)[recorded:]
+            recorded += len(times)
+            for at in times:
+                pauses.record_events(1, at)
+        return run.end.result()
+
 
 def _interrupted(stream: StreamState, result_before_head: AttemptResult) -> Attempt:
     result = AttemptResult.TRUNCATED if stream.has_head else result_before_head
@@ -661,7 +685,7 @@
                 self.health,
                 load_times,
                 failures=self._failures,
-                speeds=self._speeds,
+                speeds=self._speeds if fleet.uses_speeds else EngineSpeeds(),
                 instance_count=lambda: len(fleet.instance_names),
                 generator=fleet.random,
             ),
@@ -859,6 +883,7 @@
         self._current: dict[str, SimulatedEngine] = {}
         self._starts = itertools.count(1)
         self.random = random.Random(seed)
+        self.uses_speeds = scenario.uses_speeds
         self.clock = LoopClock(self._loop)
         self.metrics = GatewayMetrics()
         self.capacity = EngineCapacity(
@@ -972,12 +997,14 @@
 
     def _start_engine(self, name: str, *, has_model: bool) -> SimulatedEngine:
         started = next(self._starts)
+        speeds = self._scenario.engine_speeds
         process = SimulatedEngine(
             f"{name}.{started}",
             self._properties,
             self._store,
             started=started,
             has_model=has_model,
+            speed=speeds[int(name.rpartition("-")[2]) % len(speeds)],
         )
         self._current[name] = self._processes[process.listed.id] = process
         process.ended.add_done_callback(lambda _: self._expire(process))
