Choose plain endpoints by their relative response times

Cause: plain endpoints differ in speed too, and the selector counted only requests and failures.

Change: EndpointSelector adds to the cost of an endpoint what it takes longer than the median for its requests and one more, from this instance's own decaying averages. With equal endpoints, or little or old evidence, selection is exactly as before. The gateway records complete answers; the product's own interface records none.

Evidence: testing/services, testing/gateway/test_forwarding.py: 86 passed.

--- a/src/chiveslip/gateway/service_selection.py
+++ b/src/chiveslip/gateway/service_selection.py
@@ -11,6 +11,7 @@
 from chiveslip.gateway.forwarding import TargetSelector
 from chiveslip.gateway.limit_waits import find_available_soon
 from chiveslip.gateway.sending import Attempt
+from chiveslip.gateway.sending import AttemptResult
 from chiveslip.generated import result_codes
 from chiveslip.results import Refusal
 from chiveslip.services.endpoint_selector import EndpointSelector
@@ -59,5 +60,15 @@
         """Do nothing; answers of plain services are not streamed."""
 
     def record_end(self, call: Call, target: Target, attempt: Attempt | None) -> None:
-        """Stop counting the request as running at its endpoint."""
-        self._endpoint_selector.record_end(target.endpoint.id)
+        """Stop counting the request as running, and record how long it took."""
+        endpoint = target.endpoint.id
+        self._endpoint_selector.record_end(endpoint)
+        sent_at = call.attempt_times[-1].sent_at
+        is_answered = (
+            attempt is not None
+            and attempt.result is AttemptResult.ANSWERED
+            and not attempt.is_failure
+        )
+        if is_answered and sent_at is not None:
+            now = self._clock.now()
+            self._endpoint_selector.record_response(endpoint, now - sent_at, now)
--- a/src/chiveslip/services/endpoint_selector.py
+++ b/src/chiveslip/services/endpoint_selector.py
@@ -14,6 +14,7 @@
 from typing import final
 
 from chiveslip.services.health import EndpointHealth
+from chiveslip.services.response_times import ResponseTimes
 
 # Costs are in units of one running request. A call to another data centre takes one or
 # two milliseconds longer, less than a tenth of the duration of a call, so a remote
@@ -42,7 +43,7 @@
 
 @final
 class EndpointSelector:
-    """Selects endpoints by the running requests and failures of this instance."""
+    """Selects endpoints by requests, failures and response times of this instance."""
 
     def __init__(
         self, health: EndpointHealth, data_centre: str, generator: random.Random
@@ -51,6 +52,7 @@
         self._data_centre = data_centre
         self._random = generator
         self._running: dict[str, int] = {}
+        self._times = ResponseTimes()
 
     @property
     def health(self) -> EndpointHealth:
@@ -65,7 +67,12 @@
         available = [
             e for e in untried if self._health.is_available(e.id, now)
         ] or untried
-        return min(available, key=self._calculate_cost) if available else None
+        relative_times = self._times.compare((e.id for e in available), now)
+        return min(
+            available,
+            key=lambda e: self._calculate_cost(e, relative_times.get(e.id, 1.0)),
+            default=None,
+        )
 
     def record_start(self, endpoint: str) -> None:
         """Count a request that starts at an endpoint."""
@@ -79,8 +86,21 @@
         else:
             self._running.pop(endpoint, None)
 
-    def _calculate_cost(self, endpoint: ServiceEndpoint) -> float:
+    def record_response(self, endpoint: str, response_s: float, now: float) -> None:
+        """Record the time in seconds from sending a request to its whole answer."""
+        self._times.record(endpoint, response_s, now)
+
+    def _calculate_cost(self, endpoint: ServiceEndpoint, relative_time: float) -> float:
+        """Return the cost of one more request at an endpoint.
+
+        Parameters
+        ----------
+        relative_time
+            Time that the endpoint takes for a request; 1 is the median.
+        """
         remote = 0.0 if endpoint.data_centre == self._data_centre else _REMOTE_COST
         failing = self._health.failure_share(endpoint.id) * _FAILURE_COST
         running = self._running.get(endpoint.id, 0)
-        return running + remote + failing + self._random.random() * _RANDOM_COST
+        slowness = (running + 1) * (relative_time - 1.0)
+        chance = self._random.random() * _RANDOM_COST
+        return running + remote + failing + chance + slowness
