Test that streams are evidence of the speed of their engine

Cause: no test covered the way from the sender and the selector to the estimator.

Evidence: testing/gateway/test_engine_selection.py, test_forwarding.py, test_engine_speeds.py and test_placement_speeds.py pass.

--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -12,6 +13,7 @@
 from chiveslip import hashing
 from chiveslip.clock import ManualClock
 from chiveslip.fleet.gossip_updates import EngineStateUpdate
+from chiveslip.gateway.call import AttemptTimes
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.call import CrashTraits
 from chiveslip.gateway.endpoint_limits import EndpointLimits
@@ -120,6 +122,7 @@
     directory: EndpointDirectory
     view: EngineView
     clock: ManualClock
+    speeds: EngineSpeeds = attrs.field(factory=EngineSpeeds)
     requested: list[str] = attrs.field(factory=list)
     answer: Callable[[str], LoadResult] = lambda _: LoadResult(
         outcome=LoadOutcome.USABLE
@@ -179,7 +182,7 @@
             health,
             times,
             failures=EngineFailures(),
-            speeds=EngineSpeeds(),
+            speeds=harness.speeds,
             instance_count=lambda: 6,
             generator=random.Random(1),
         ),
@@ -189,7 +192,7 @@
             control=AnsweringEngines(), view=view, health=health, clock=clock
         ),
         failures=EngineFailures(),
-        speeds=EngineSpeeds(),
+        speeds=harness.speeds,
         limits=make_limit_requests(EndpointLimits(clock), clock),
         newest_version=lambda _: 1,
         clock=clock,
@@ -359,3 +362,61 @@
     assert isinstance(target, Target)
     assert target.endpoint.id == "e2"
     assert harness.clock.now() - started_at <= 0.5
+
+
+def send_stream(harness: SelectorHarness, pause_s: float, events: int) -> Target:
+    """Send a request whose first event comes after 50 ms, and end it."""
+    call = harness.make_call()
+    target = asyncio.run(harness.selector.select_target(call))
+    assert isinstance(target, Target)
+    now = harness.clock.now()
+    call.attempt_times.append(AttemptTimes(chosen_at=now, sent_at=now))
+    harness.selector.record_start(call, target)
+    harness.clock.advance(0.05)
+    harness.selector.record_first_event(call, target)
+    pauses = call.attempt_times[-1].pauses
+    assert pauses is not None
+    for _ in range(events):
+        pauses.record_events(1, harness.clock.now())
+        harness.clock.advance(pause_s)
+    harness.selector.record_end(call, target, None)
+    return target
+
+
+def test_pauses_and_first_event_of_a_stream_are_evidence_of_the_speed(
+    harness: SelectorHarness,
+) -> None:
+    """Guards against streams that tell the estimator nothing."""
+    target = send_stream(harness, 0.04, 12)
+    (start, evidence), *others = harness.speeds.summaries(harness.clock.now()).items()
+    assert not others
+    assert start == (target.endpoint.id, target.endpoint.started)
+    assert evidence.lasting_s == pytest.approx(11 * 0.04, rel=0.2)
+    assert evidence.first_events_s > 0
+
+
+def test_first_event_after_an_adapter_load_is_no_evidence_of_the_speed(
+    harness: SelectorHarness,
+) -> None:
+    """Guards against loads of adapters that make engines look slow."""
+    harness.answer = lambda _: LoadResult(outcome=LoadOutcome.USABLE, ready_in_s=0.01)
+    send_stream(harness, 0.04, 12)
+    ((_, evidence),) = harness.speeds.summaries(harness.clock.now()).items()
+    assert evidence.first_events_s == 0
+    assert evidence.lasting_s > 0
+
+
+def test_target_tells_the_speed_that_was_assumed(harness: SelectorHarness) -> None:
+    """Guards against a log line without the speed behind a choice."""
+    now = harness.clock.now()
+    for name, pause_s in (("e1", 0.04), ("e2", 0.1)):
+        for window in range(8):
+            at = now + window / 4
+            harness.speeds.record_pauses(engine(name), pause_s, 0.0, 0.25, at)
+    harness.clock.advance(2.0)
+    target = harness.choose()
+    assert isinstance(target, Target)
+    assert target.estimate is not None
+    # The median of two engines lies between them.
+    speed = math.sqrt(2.5 if target.endpoint.id == "e1" else 1 / 2.5)
+    assert target.estimate.speed == pytest.approx(speed, rel=0.1)
--- a/testing/gateway/test_forwarding.py
+++ b/testing/gateway/test_forwarding.py
@@ -9,6 +9,8 @@
 
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
+from chiveslip.gateway.event_pauses import EventPauses
+from chiveslip.gateway.service_selection import ServiceTargetSelector
 from chiveslip.settings.fields import Address
 from testing.gateway.conftest import DOWN
 from testing.gateway.conftest import FAILS
@@ -300,3 +302,32 @@
     assert len(harness.connector.sent) == sent
     # Later connections only check whether the endpoint of a failed attempt is up.
     assert len(set(opened[:connections])) == connections
+
+
+@pytest.mark.parametrize(
+    ("chunks", "events"),
+    [
+        pytest.param([b"data: 1\n\n"] * 3, [1, 1, 1], id="one-each"),
+        pytest.param([b"data: 1\n\n" * 3, b"data: 1\n\n"], [3, 1], id="several"),
+        pytest.param([b"data: 1\r\n\r\n", b"data: 1\r\n\r\n"], [1, 1], id="crlf"),
+    ],
+)
+def test_arrivals_of_events_are_recorded_where_the_selector_asks_for_them(
+    make_gateway: SceneOf,
+    monkeypatch: pytest.MonkeyPatch,
+    chunks: list[bytes],
+    events: list[int],
+) -> None:
+    """Guards against streams whose pauses nobody sees."""
+    recorded: list[int] = []
+    pauses = EventPauses(lambda *_: None)
+    monkeypatch.setattr(
+        EventPauses, "record_events", lambda _, count, now: recorded.append(count)
+    )
+    monkeypatch.setattr(
+        ServiceTargetSelector,
+        "record_start",
+        lambda _, call, target: setattr(call.attempt_times[-1], "pauses", pauses),
+    )
+    make_gateway(Behaviour(chunks=tuple(chunks))).send_request("/stream/x")
+    assert recorded == events
