Look at more engines before a request of a large fleet is refused

The reports that a request reads on its way bring it to three engines; if all three were too busy, it was refused although others had room, and loads were asked of three engines only.

In a fleet where not all peers exchange, a request passes over up to 6 engines that would answer too late, and asks up to 8 engines for a load.

--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -41,10 +41,15 @@
 _DEFAULT_PROMPT_TOKENS = 500
 # Engines that may be asked to load the adapter of one request before it is refused.
 _MAX_LOAD_REQUESTS = 3
+# The same in a large fleet, where news of free adapter slots is seconds old: with 3,
+# requests are refused while a third of the engines have room.
+_MAX_LOAD_REQUESTS_LARGE = 8
 # Coordinators that may answer that they hold off, in addition.
 _MAX_HELD_OFF = 16
 # Engines with a limit for which no request may be granted, in addition.
 _MAX_OVER_LIMIT = 4
+# Engines that are too busy, in addition.
+_MAX_BUSY = 6
 # A request that waits for a hold-off looks again after this time whether another engine
 # has got its adapter meanwhile, or may load it.
 _MAX_HELD_WAIT_S = 0.25
@@ -71,6 +76,8 @@
 
     Attributes
     ----------
+    max_asked
+        Engines for which a load may be requested.
     asked
         Engines for which a load was requested.
     held_off
@@ -82,21 +89,25 @@
         to be free.
     has_waited
         Whether the request has waited for a slot.
+    busy_s
+        Times in seconds by which engines were too busy to answer in time.
     """
 
+    max_asked: int = _MAX_LOAD_REQUESTS
     asked: int = 0
     held_off: int = 0
     over_limit: int = 0
     min_load_s: float | None = None
     without_room: dict[str, tuple[float, Choice]] = attrs.field(factory=dict)
     has_waited: bool = False
+    busy_s: list[float] = attrs.field(factory=list)
     outcomes: list[str] = attrs.field(factory=list)
 
     @property
     def may_ask(self) -> bool:
         """Whether another engine may be tried."""
         return (
-            self.asked < _MAX_LOAD_REQUESTS
+            self.asked < self.max_asked
             and self.held_off < _MAX_HELD_OFF
             and self.over_limit < _MAX_OVER_LIMIT
         )
@@ -106,6 +117,11 @@
         self.over_limit += 1
         self.outcomes.append(f"{engine} over limit")
 
+    def record_busy(self, engine: str, late_s: float) -> None:
+        """Record an engine that would answer too late by some seconds."""
+        self.busy_s.append(late_s)
+        self.outcomes.append(f"{engine} busy")
+
     def record_held_off(self, engine: str) -> None:
         """Record an engine whose coordinator may not order yet."""
         self.held_off += 1
@@ -138,6 +154,8 @@
         """Return the refusal for a search that found no engine."""
         if self.min_load_s is not None:
             return _too_late(self.min_load_s)
+        if self.busy_s and not self.without_room and not self.has_waited:
+            return _too_late(min(self.busy_s))
         outcomes = ", ".join(self.outcomes) or "none is left"
         code = result_codes.LOAD_FAILED if is_any_excluded else result_codes.NO_ENDPOINT
         return Refusal(
@@ -186,7 +204,11 @@
         search = EngineSearch(
             self._placement, self._view, request, self._reset_exclusions(call)
         )
-        failed_loads = _FailedLoads()
+        failed_loads = _FailedLoads(
+            max_asked=_MAX_LOAD_REQUESTS
+            if self._view.receives_all_peers
+            else _MAX_LOAD_REQUESTS_LARGE
+        )
         if call.attempts == 0:
             self._placement.record_request(
                 request.adapter, request.prompt_tokens, self._clock.now()
@@ -198,7 +220,11 @@
             started_at = self._clock.now()
             left_s = call.first_event_deadline - started_at
             if choice.wait_s > left_s:
-                return _too_late(choice.wait_s - left_s)
+                if not self._may_look_further(failed_loads):
+                    return _too_late(choice.wait_s - left_s)
+                search.exclude(choice.engine.id)
+                failed_loads.record_busy(choice.engine.id, choice.wait_s - left_s)
+                continue
             if not await self._limits.may_send(call, choice.engine):
                 # The engine is not found again until another request is granted.
                 failed_loads.record_over_limit(choice.engine.id)
@@ -242,6 +268,15 @@
             return refusal
         return attrs.evolve(refusal, retry_after_s=max(wait_s, _MIN_RETRY_AFTER_S))
 
+    def _may_look_further(self, failed_loads: _FailedLoads) -> bool:
+        """Return whether another engine is tried if one is too busy.
+
+        In a large fleet, the engines that were asked for reports may be busier than
+        others, which the request does not know.
+        """
+        is_certain = self._view.receives_all_peers
+        return not is_certain and len(failed_loads.busy_s) < _MAX_BUSY
+
     async def _choose_next(
         self, call: Call, search: EngineSearch, failed_loads: _FailedLoads
     ) -> Choice | None:
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -29,6 +29,7 @@
 from chiveslip.gateway.engine_coordinator import LoadResult
 from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_reports import EngineReports
+from chiveslip.gateway.engine_search import MAX_REPORTS_READ
 from chiveslip.gateway.engine_selection import EngineTargetSelector
 from chiveslip.gateway.engine_view import Adapter
 from chiveslip.gateway.engine_view import EngineView
@@ -92,7 +93,10 @@
 
 
 class AnsweringEngines(EngineControl):
-    """Engines that report their model and no adapters."""
+    """Engines that report their model, no adapters, and some a high load."""
+
+    def __init__(self) -> None:
+        self.busy: set[str] = set()
 
     async def read_report(self, engine: ListedEndpoint) -> EngineReport:
         return EngineReport(
@@ -101,8 +105,8 @@
             models=frozenset(engine.models),
             adapters=frozenset(),
             loading_adapters=frozenset(),
-            running=0,
-            waiting=0,
+            running=64 if engine.id in self.busy else 0,
+            waiting=64 if engine.id in self.busy else 0,
             cache_used=0,
         )
 
@@ -120,6 +124,7 @@
     directory: EndpointDirectory
     view: EngineView
     clock: ManualClock
+    control: AnsweringEngines = attrs.field(factory=AnsweringEngines)
     requested: list[str] = attrs.field(factory=list)
     needs: list[SlotNeed] = attrs.field(factory=list)
     answer: Callable[[str], LoadResult] = lambda _: LoadResult(
@@ -164,9 +169,13 @@
 
 @pytest.fixture
 def harness() -> SelectorHarness:
+    return build_harness(receives_all_peers=True)
+
+
+def build_harness(*, receives_all_peers: bool) -> SelectorHarness:
     clock = ManualClock()
     directory = EndpointDirectory(EndpointStatements(clock))
-    view = EngineView()
+    view = EngineView(lambda: receives_all_peers)
     health = EndpointHealth()
     times = LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=8)
     for name in ("e1", "e2"):
@@ -187,7 +196,7 @@
         load_requests=harness,  # type: ignore[arg-type]
         load_times=times,
         reports=EngineReports(
-            control=AnsweringEngines(), view=view, health=health, clock=clock
+            control=harness.control, view=view, health=health, clock=clock
         ),
         failures=EngineFailures(),
         limits=make_limit_requests(EndpointLimits(clock), clock),
@@ -297,6 +306,17 @@
     assert [need.max_wait_s > 0 for need in harness.needs] == [False] * 3 + [True]
 
 
+def test_request_is_not_refused_while_an_engine_that_was_not_asked_is_idle() -> None:
+    """Three engines that are busier than believed made the request be refused."""
+    harness = build_harness(receives_all_peers=False)
+    names = [f"e{number}" for number in range(1, 7)]
+    add_engines(harness, names)
+    harness.control.busy = set(hashing.rank("m/a1", names)[:MAX_REPORTS_READ])
+    target = harness.choose()
+    assert isinstance(target, Target)
+    assert target.endpoint.id not in harness.control.busy
+
+
 def hold_off_at(harness: SelectorHarness, held_s: dict[str, float]) -> None:
     """Let the coordinators of these engines hold off their loads for a time."""
     until = {name: harness.clock.now() + s for name, s in held_s.items()}
