Tell callers to return when an adapter slot is likely to be free

A request that found no adapter slot was told to return after 0.3 s, whatever the shortage, and all callers that were refused together returned together.

A coordinator that has no room tells the time until a slot is likely to be free: from the slots taken in the last 2 s, and the loads that wait or gave up in that time. The refusal takes the median of the engines asked, 0.3 to 3 s, and spreads it by up to a half.

--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -743,6 +743,7 @@
             limits=limit_requests,
             newest_version=lambda adapter: 1,
             clock=clock,
+            generator=fleet.random,
         )
         sender = cast(Sender, SimulatedSender(fleet, self.directory))
         telemetry = RequestTelemetry(fleet.metrics, clock)
--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -397,6 +397,7 @@
                     limits=limit_requests,
                     newest_version=self._catalogue.newest_version,
                     clock=clock,
+                    generator=self._random,
                 ),
                 service_selector=ServiceTargetSelector(
                     directory=directory,
--- a/src/chiveslip/gateway/adapter_waits.py
+++ b/src/chiveslip/gateway/adapter_waits.py
@@ -89,6 +89,7 @@
         self._waits: list[SlotWait] = []
         self._served: dict[str, _Served] = {}
         self._taken_at: collections.deque[float] = collections.deque(maxlen=256)
+        self._given_up_at: collections.deque[float] = collections.deque(maxlen=256)
 
     def __len__(self) -> int:
         return len(self._waits)
@@ -123,11 +124,19 @@
         tokens = self._served_tokens(need.organisation, now) + need.tokens
         self._served[need.organisation] = _Served(tokens, now)
 
+    def record_given_up(self, now: float) -> None:
+        """Record that a load got no slot in time; its request is likely to return."""
+        self._given_up_at.append(now)
+
     def expected_wait_s(self, now: float) -> float:
-        """Return the time in seconds until a further load is likely to get a slot."""
+        """Return the time in seconds until a further load is likely to get a slot.
+
+        Loads that wait, and those that gave up lately, are likely to come before it.
+        """
         taken = sum(now - at <= _TURNOVER_S for at in self._taken_at)
+        given_up = sum(now - at <= _TURNOVER_S for at in self._given_up_at)
         per_s = max(taken, _MIN_TURNOVER) / _TURNOVER_S
-        return (len(self._waits) + 1) / per_s
+        return (len(self._waits) + given_up + 1) / per_s
 
     def _rank(self, wait: SlotWait, now: float) -> tuple[int, float, float]:
         """Return the place of a load in the order; a lower one comes first."""
--- a/src/chiveslip/gateway/engine_coordinator.py
+++ b/src/chiveslip/gateway/engine_coordinator.py
@@ -415,6 +415,8 @@
         if answer is None or answer.done():
             return
         answer.set_result(load)
+        if load.outcome is LoadOutcome.NO_ROOM:
+            engine.waits.record_given_up(self._clock.now())
         waited_s = max(self._clock.now() - wait.since, 0.0)
         self._metrics.slot_wait.labels(load.outcome.value).observe(waited_s)
 
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import random
+import statistics
 from collections.abc import Callable
 from typing import final
 
@@ -54,6 +56,11 @@
 # has got its adapter meanwhile, or may load it.
 _MAX_HELD_WAIT_S = 0.25
 _RETRY_AFTER_S = 0.3
+# Longest time after which a caller is told to return when there is no adapter slot.
+# Callers follow it up to a third of their remaining time, which is up to 15 s.
+_MAX_SLOT_RETRY_S = 3.0
+# Callers that are refused together are told times that differ by up to this share.
+_RETRY_SPREAD = 0.5
 _MIN_RETRY_AFTER_S = 0.1
 # A request that its caller gave up after this time without an event counts as failed.
 _MIN_UNANSWERED_S = 1.0
@@ -91,6 +98,8 @@
         Whether the request has waited for a slot.
     busy_s
         Times in seconds by which engines were too busy to answer in time.
+    slot_s
+        Times in seconds until engines are likely to have an adapter slot.
     """
 
     max_asked: int = _MAX_LOAD_REQUESTS
@@ -101,6 +110,7 @@
     without_room: dict[str, tuple[float, Choice]] = attrs.field(factory=dict)
     has_waited: bool = False
     busy_s: list[float] = attrs.field(factory=list)
+    slot_s: list[float] = attrs.field(factory=list)
     outcomes: list[str] = attrs.field(factory=list)
 
     @property
@@ -132,6 +142,7 @@
         engine = choice.engine.id
         if load.outcome is LoadOutcome.NO_ROOM and load.ready_in_s > 0:
             self.without_room[engine] = (load.ready_in_s, choice)
+            self.slot_s.append(load.ready_in_s)
         if load.outcome is not LoadOutcome.NOT_ASKED:
             self.asked += 1
         self.outcomes.append(f"{engine} {load.outcome.value}")
@@ -150,8 +161,14 @@
         self.asked += 1
         self.outcomes.append(f"{engine} leaves")
 
-    def build_refusal(self, *, is_any_excluded: bool) -> Refusal:
-        """Return the refusal for a search that found no engine."""
+    def build_refusal(self, *, is_any_excluded: bool, spread: float) -> Refusal:
+        """Return the refusal for a search that found no engine.
+
+        Parameters
+        ----------
+        spread
+            Random number from 0 to 1, so that callers don't return together.
+        """
         if self.min_load_s is not None:
             return _too_late(self.min_load_s)
         if self.busy_s and not self.without_room and not self.has_waited:
@@ -161,9 +178,16 @@
         return Refusal(
             code=code,
             detail=f"No engine can take the request: {outcomes}.",
-            retry_after_s=_RETRY_AFTER_S,
+            retry_after_s=self._retry_after_s(spread),
         )
 
+    def _retry_after_s(self, spread: float) -> float:
+        """Return the time in seconds after which there is likely to be room."""
+        if not self.slot_s:
+            return _RETRY_AFTER_S
+        wait_s = min(statistics.median(self.slot_s), _MAX_SLOT_RETRY_S)
+        return max(wait_s, _RETRY_AFTER_S) * (1 + _RETRY_SPREAD * spread)
+
 
 @final
 class EngineTargetSelector(TargetSelector):
@@ -182,7 +206,9 @@
         limits: LimitRequests,
         newest_version: Callable[[str], int],
         clock: Clock,
+        generator: random.Random,
     ) -> None:
+        self._random = generator
         self._directory = directory
         self._limits = limits
         self._view = view
@@ -262,7 +288,9 @@
                 continue
             estimate = EngineEstimate(first_event_s=estimate_s, known_load=known_load)
             return self._place(call, request, choice, load, estimate, started_at)
-        refusal = failed_loads.build_refusal(is_any_excluded=bool(search.excluded))
+        refusal = failed_loads.build_refusal(
+            is_any_excluded=bool(search.excluded), spread=self._random.random()
+        )
         wait_s = self._directory.wait_s(call.service)
         if wait_s <= 0 or self._directory.find_available(call.service):
             return refusal
--- a/testing/gateway/test_adapter_waits.py
+++ b/testing/gateway/test_adapter_waits.py
@@ -126,6 +126,18 @@
     assert len(waits) == 2
 
 
+def test_loads_that_gave_up_lately_are_expected_to_return() -> None:
+    """The list alone is short while most requests are refused after a short wait."""
+    waits = AdapterWaits()
+    for number in range(10):
+        waits.record_load(SlotNeed(), 8.0 + number * 0.2)
+    calm_s = waits.expected_wait_s(10.0)
+    for _ in range(10):
+        waits.record_given_up(9.5)
+    assert waits.expected_wait_s(10.0) >= 5 * calm_s
+    assert waits.expected_wait_s(30.0) < 5.0
+
+
 @pytest.mark.parametrize(
     ("loads", "waiting_loads", "at_least", "at_most"),
     [
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -202,6 +202,7 @@
         limits=make_limit_requests(EndpointLimits(clock), clock),
         newest_version=lambda _: 1,
         clock=clock,
+        generator=random.Random(1),
     )
     return harness
 
@@ -291,6 +292,29 @@
     assert refusal.advised_retry_after_s == pytest.approx(retry_after_s)
 
 
+@pytest.mark.parametrize(
+    ("told_s", "at_least", "at_most"),
+    [
+        pytest.param(0.1, 0.3, 0.45, id="room-soon"),
+        pytest.param(1.2, 1.2, 1.8, id="deep-shortage"),
+        pytest.param(60.0, 3.0, 4.5, id="callers-do-not-wait-longer"),
+    ],
+)
+def test_refusal_for_want_of_slots_says_when_one_is_likely_to_be_free(
+    told_s: float, at_least: float, at_most: float
+) -> None:
+    """Callers that return too early or all together find no slot again."""
+    harness = build_harness(receives_all_peers=False)
+    harness.answer = lambda _: LoadResult(
+        outcome=LoadOutcome.NO_ROOM, ready_in_s=told_s
+    )
+    refusals = [harness.choose() for _ in range(20)]
+    times = {r.advised_retry_after_s for r in refusals if isinstance(r, Refusal)}
+    assert len(times) > 10
+    assert at_least <= min(times) <= max(times) <= at_most
+    assert max(times) - min(times) >= 0.2 * at_least
+
+
 def test_request_waits_for_a_slot_only_once_no_engine_has_one(
     harness: SelectorHarness,
 ) -> None:
