--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -429,6 +429,7 @@
                     newest_version=self._catalogue.newest_version,
                     clock=clock,
                     places_prompts=settings.gateway.prompt_placement == "on",
+                    generator=self._random,
                 ),
                 service_selector=ServiceTargetSelector(
                     directory=directory,
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import random
+import statistics
 from collections.abc import Callable
 from typing import final
 
@@ -47,14 +49,24 @@
 _DEFAULT_PROMPT_TOKENS = 500
 # Engines that may be asked to load the adapter of one request before it is refused.
 _MAX_LOAD_REQUESTS = 3
+# The same in a large fleet, where news of free adapter slots is seconds old: with 3,
+# requests are refused while a third of the engines have room.
+_MAX_LOAD_REQUESTS_LARGE = 8
 # Coordinators that may answer that they hold off, in addition.
 _MAX_HELD_OFF = 16
 # Engines with a limit for which no request may be granted, in addition.
 _MAX_OVER_LIMIT = 4
+# Engines that are too busy, in addition.
+_MAX_BUSY = 6
 # A request that waits for a hold-off looks again after this time whether another engine
 # has got its adapter meanwhile, or may load it.
 _MAX_HELD_WAIT_S = 0.25
 _RETRY_AFTER_S = 0.3
+# Longest time after which a caller is told to return when there is no adapter slot.
+# Callers follow it up to a third of their remaining time, which is up to 15 s.
+_MAX_SLOT_RETRY_S = 3.0
+# Callers that are refused together are told times that differ by up to this share.
+_RETRY_SPREAD = 0.5
 _MIN_RETRY_AFTER_S = 0.1
 # A request that its caller gave up after this time without an event counts as failed.
 _MIN_UNANSWERED_S = 1.0
@@ -80,6 +92,8 @@
 
     Attributes
     ----------
+    max_asked
+        Engines for which a load may be requested.
     asked
         Engines for which a load was requested.
     held_off
@@ -91,21 +105,28 @@
         to be free.
     has_waited
         Whether the request has waited for a slot.
+    busy_s
+        Times in seconds by which engines were too busy to answer in time.
+    slot_s
+        Times in seconds until engines are likely to have an adapter slot.
     """
 
+    max_asked: int = _MAX_LOAD_REQUESTS
     asked: int = 0
     held_off: int = 0
     over_limit: int = 0
     min_load_s: float | None = None
     without_room: dict[str, tuple[float, Choice]] = attrs.field(factory=dict)
     has_waited: bool = False
+    busy_s: list[float] = attrs.field(factory=list)
+    slot_s: list[float] = attrs.field(factory=list)
     outcomes: list[str] = attrs.field(factory=list)
 
     @property
     def may_ask(self) -> bool:
         """Whether another engine may be tried."""
         return (
-            self.asked < _MAX_LOAD_REQUESTS
+            self.asked < self.max_asked
             and self.held_off < _MAX_HELD_OFF
             and self.over_limit < _MAX_OVER_LIMIT
         )
@@ -115,6 +136,11 @@
         self.over_limit += 1
         self.outcomes.append(f"{engine} over limit")
 
+    def record_busy(self, engine: str, late_s: float) -> None:
+        """Record an engine that would answer too late by some seconds."""
+        self.busy_s.append(late_s)
+        self.outcomes.append(f"{engine} busy")
+
     def record_held_off(self, engine: str) -> None:
         """Record an engine whose coordinator may not order yet."""
         self.held_off += 1
@@ -125,6 +151,7 @@
         engine = choice.engine.id
         if load.outcome is LoadOutcome.NO_ROOM and load.ready_in_s > 0:
             self.without_room[engine] = (load.ready_in_s, choice)
+            self.slot_s.append(load.ready_in_s)
         if load.outcome is not LoadOutcome.NOT_ASKED:
             self.asked += 1
         self.outcomes.append(f"{engine} {load.outcome.value}")
@@ -143,18 +170,33 @@
         self.asked += 1
         self.outcomes.append(f"{engine} leaves")
 
-    def build_refusal(self, *, is_any_excluded: bool) -> Refusal:
-        """Return the refusal for a search that found no engine."""
+    def build_refusal(self, *, is_any_excluded: bool, spread: float) -> Refusal:
+        """Return the refusal for a search that found no engine.
+
+        Parameters
+        ----------
+        spread
+            Random number from 0 to 1, so that callers don't return together.
+        """
         if self.min_load_s is not None:
             return _too_late(self.min_load_s)
+        if self.busy_s and not self.without_room and not self.has_waited:
+            return _too_late(min(self.busy_s))
         outcomes = ", ".join(self.outcomes) or "none is left"
         code = result_codes.LOAD_FAILED if is_any_excluded else result_codes.NO_ENDPOINT
         return Refusal(
             code=code,
             detail=f"No engine can take the request: {outcomes}.",
-            retry_after_s=_RETRY_AFTER_S,
+            retry_after_s=self._retry_after_s(spread),
         )
 
+    def _retry_after_s(self, spread: float) -> float:
+        """Return the time in seconds after which there is likely to be room."""
+        if not self.slot_s:
+            return _RETRY_AFTER_S
+        wait_s = min(statistics.median(self.slot_s), _MAX_SLOT_RETRY_S)
+        return max(wait_s, _RETRY_AFTER_S) * (1 + _RETRY_SPREAD * spread)
+
 
 @final
 class EngineTargetSelector(TargetSelector):
@@ -180,8 +222,10 @@
         limits: LimitRequests,
         newest_version: Callable[[str], int],
         clock: Clock,
+        generator: random.Random,
         places_prompts: bool = True,
     ) -> None:
+        self._random = generator
         self._directory = directory
         self._places_prompts = places_prompts
         self._limits = limits
@@ -205,7 +249,11 @@
         search = EngineSearch(
             self._placement, self._view, request, self._reset_exclusions(call)
         )
-        failed_loads = _FailedLoads()
+        failed_loads = _FailedLoads(
+            max_asked=_MAX_LOAD_REQUESTS
+            if self._view.receives_all_peers
+            else _MAX_LOAD_REQUESTS_LARGE
+        )
         if call.attempts == 0:
             self._placement.record_request(
                 request.adapter,
@@ -222,7 +270,11 @@
             started_at = self._clock.now()
             left_s = call.first_event_deadline - started_at
             if choice.wait_s > left_s:
-                return _too_late(choice.wait_s - left_s)
+                if not self._may_look_further(failed_loads):
+                    return _too_late(choice.wait_s - left_s)
+                search.exclude(choice.engine.id)
+                failed_loads.record_busy(choice.engine.id, choice.wait_s - left_s)
+                continue
             if not await self._limits.may_send(call, choice.engine):
                 # The engine is not found again until another request is granted.
                 failed_loads.record_over_limit(choice.engine.id)
@@ -265,12 +317,23 @@
                 speed=choice.speed,
             )
             return self._place(call, request, choice, load, estimate, started_at)
-        refusal = failed_loads.build_refusal(is_any_excluded=bool(search.excluded))
+        refusal = failed_loads.build_refusal(
+            is_any_excluded=bool(search.excluded), spread=self._random.random()
+        )
         wait_s = self._directory.wait_s(call.service)
         if wait_s <= 0 or self._directory.find_available(call.service):
             return refusal
         return attrs.evolve(refusal, retry_after_s=max(wait_s, _MIN_RETRY_AFTER_S))
 
+    def _may_look_further(self, failed_loads: _FailedLoads) -> bool:
+        """Return whether another engine is tried if one is too busy.
+
+        In a large fleet, the engines that were asked for reports may be busier than
+        others, which the request does not know.
+        """
+        is_certain = self._view.receives_all_peers
+        return not is_certain and len(failed_loads.busy_s) < _MAX_BUSY
+
     async def _choose_next(
         self,
         call: Call,
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -32,6 +32,7 @@
 from chiveslip.gateway.engine_coordinator import LoadResult
 from chiveslip.gateway.engine_failures import EngineFailures
 from chiveslip.gateway.engine_reports import EngineReports
+from chiveslip.gateway.engine_search import MAX_REPORTS_READ
 from chiveslip.gateway.engine_selection import EngineTargetSelector
 from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import Adapter
@@ -98,7 +99,10 @@
 
 
 class AnsweringEngines(EngineControl):
-    """Engines that report their model and no adapters."""
+    """Engines that report their model, no adapters, and some a high load."""
+
+    def __init__(self) -> None:
+        self.busy: set[str] = set()
 
     async def read_report(self, engine: ListedEndpoint) -> EngineReport:
         return EngineReport(
@@ -107,8 +111,8 @@
             models=frozenset(engine.models),
             adapters=frozenset(),
             loading_adapters=frozenset(),
-            running=0,
-            waiting=0,
+            running=64 if engine.id in self.busy else 0,
+            waiting=64 if engine.id in self.busy else 0,
             cache_used=0,
         )
 
@@ -128,6 +132,7 @@
     clock: ManualClock
     limits: EndpointLimits
     speeds: EngineSpeeds = attrs.field(factory=EngineSpeeds)
+    control: AnsweringEngines = attrs.field(factory=AnsweringEngines)
     requested: list[str] = attrs.field(factory=list)
     needs: list[SlotNeed] = attrs.field(factory=list)
     answer: Callable[[str], LoadResult] = lambda _: LoadResult(
@@ -172,10 +177,14 @@
 
 @pytest.fixture
 def harness() -> SelectorHarness:
+    return build_harness(receives_all_peers=True)
+
+
+def build_harness(*, receives_all_peers: bool) -> SelectorHarness:
     clock = ManualClock()
     limits = EndpointLimits(clock, ColdEndpoints(lambda _name: TABLE.services["llm"]))
     directory = EndpointDirectory(EndpointStatements(clock), limits=limits)
-    view = EngineView()
+    view = EngineView(lambda: receives_all_peers)
     health = EndpointHealth()
     times = LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=8)
     for name in ("e1", "e2"):
@@ -197,13 +206,14 @@
         load_requests=harness,  # type: ignore[arg-type]
         load_times=times,
         reports=EngineReports(
-            control=AnsweringEngines(), view=view, health=health, clock=clock
+            control=harness.control, view=view, health=health, clock=clock
         ),
         failures=EngineFailures(),
         speeds=harness.speeds,
         limits=make_limit_requests(limits, clock),
         newest_version=lambda _: 1,
         clock=clock,
+        generator=random.Random(1),
     )
     return harness
 
@@ -323,6 +333,29 @@
     assert refusal.advised_retry_after_s == pytest.approx(retry_after_s)
 
 
+@pytest.mark.parametrize(
+    ("told_s", "at_least", "at_most"),
+    [
+        pytest.param(0.1, 0.3, 0.45, id="room-soon"),
+        pytest.param(1.2, 1.2, 1.8, id="deep-shortage"),
+        pytest.param(60.0, 3.0, 4.5, id="callers-do-not-wait-longer"),
+    ],
+)
+def test_refusal_for_want_of_slots_says_when_one_is_likely_to_be_free(
+    told_s: float, at_least: float, at_most: float
+) -> None:
+    """Callers that return too early or all together find no slot again."""
+    harness = build_harness(receives_all_peers=False)
+    harness.answer = lambda _: LoadResult(
+        outcome=LoadOutcome.NO_ROOM, ready_in_s=told_s
+    )
+    refusals = [harness.choose() for _ in range(20)]
+    times = {r.advised_retry_after_s for r in refusals if isinstance(r, Refusal)}
+    assert len(times) > 10
+    assert at_least <= min(times) <= max(times) <= at_most
+    assert max(times) - min(times) >= 0.2 * at_least
+
+
 def test_request_waits_for_a_slot_only_once_no_engine_has_one(
     harness: SelectorHarness,
 ) -> None:
@@ -338,6 +371,17 @@
     assert [need.max_wait_s > 0 for need in harness.needs] == [False] * 3 + [True]
 
 
+def test_request_is_not_refused_while_an_engine_that_was_not_asked_is_idle() -> None:
+    """Three engines that are busier than believed made the request be refused."""
+    harness = build_harness(receives_all_peers=False)
+    names = [f"e{number}" for number in range(1, 7)]
+    add_engines(harness, names)
+    harness.control.busy = set(hashing.rank("m/a1", names)[:MAX_REPORTS_READ])
+    target = harness.choose()
+    assert isinstance(target, Target)
+    assert target.endpoint.id not in harness.control.busy
+
+
 def hold_off_at(harness: SelectorHarness, held_s: dict[str, float]) -> None:
     """Let the coordinators of these engines hold off their loads for a time."""
     until = {name: harness.clock.now() + s for name, s in held_s.items()}
