Keep requests within the regions that their route and organisation allow

allowed_regions of a route and of a tenant bind together: such a request is sent to no endpoint in another region, by a filter of the candidates and in the last check before it is written, and its body to no instance that is neither in an allowed region nor in that of the instance that its caller connected to. fleet.regions maps data centres to regions; a data centre that is left out is a region by itself, so that a missing mapping refuses requests rather than lets them out. Peers announce their data centre in gossip, and the asking instance tells the regions with the request, as the peer's configuration may be older.

--- a/src/chiveslip/daemon/gateway.py
+++ b/src/chiveslip/daemon/gateway.py
@@ -67,6 +67,8 @@
 from chiveslip.gateway.paths import EndpointPaths
 from chiveslip.gateway.placement import Placement
 from chiveslip.gateway.protocol import GatewayProtocol
+from chiveslip.gateway.regions import AllowedRegions
+from chiveslip.gateway.regions import Regions
 from chiveslip.gateway.report_log import ReportLog
 from chiveslip.gateway.rooms import EndpointRooms
 from chiveslip.gateway.sending import Sender
@@ -167,7 +169,9 @@
             heartbeat_timeout_for=lambda members: (
                 schedule_for(members, self._schedule_settings).heartbeat_timeout_s
             ),
+            data_centre=settings.instance.data_centre,
         )
+        self._regions = Regions(settings.fleet.regions)
         self._member_log = MemberLog(settings.instance.id)
         view = EngineView(
             receives_all_peers=lambda: not self._schedule().relays_reports
@@ -199,7 +203,11 @@
         )
         self._evacuations = Evacuations()
         directory = EndpointDirectory(
-            self._statements, self._rooms.has_room, self._limits, self._evacuations
+            self._statements,
+            self._rooms.has_room,
+            self._limits,
+            self._evacuations,
+            self._regions,
         )
         paths = EndpointPaths(
             clock, lambda service: {e.id for e in directory.find_ready(service)}
@@ -417,6 +425,7 @@
                     find_peers=deliveries.find_peers,
                     clock=clock,
                     generator=self._random,
+                    may_receive=self._may_receive,
                 ),
                 choose_delivery=deliveries.choose,
                 stop_plan=self._stop_plan,
@@ -516,6 +525,14 @@
         table = self._catalogue.table
         return table is not None and not table.is_for_engine(service)
 
+    def _may_receive(self, peer: str, allowed: AllowedRegions) -> bool:
+        """Return whether a peer may have the body of a request."""
+        return self._regions.allows_instance(
+            self._membership.data_centre_of(peer),
+            allowed,
+            self._settings.instance.data_centre,
+        )
+
     def _is_alone(self) -> bool:
         """Return whether this instance has peers and has heard none of them yet."""
         if self._membership.known_members:
--- a/src/chiveslip/fleet/forwarded_exchange.py
+++ b/src/chiveslip/fleet/forwarded_exchange.py
@@ -75,6 +75,8 @@
         service=request.service,
         remaining_seconds=request.remaining_s,
         instance=request.instance,
+        allowed_regions=sorted(request.allowed_regions or ()),
+        is_restricted=request.allowed_regions is not None,
     )
 
 
--- a/src/chiveslip/fleet/forwarding.py
+++ b/src/chiveslip/fleet/forwarding.py
@@ -132,4 +132,7 @@
         service=request.service,
         remaining_s=request.remaining_seconds,
         instance=request.instance,
+        allowed_regions=frozenset(request.allowed_regions)
+        if request.is_restricted
+        else None,
     )
--- a/src/chiveslip/fleet/gossip_messages.py
+++ b/src/chiveslip/fleet/gossip_messages.py
@@ -414,6 +414,7 @@
         stopping=update.stopping,
         age_seconds=update.age_s,
         lost_services=update.lost_services,
+        data_centre=update.data_centre,
     )
 
 
@@ -445,6 +446,7 @@
         stopping=member.stopping,
         age_s=member.age_seconds,
         lost_services=frozenset(member.lost_services),
+        data_centre=member.data_centre,
     )
 
 
--- a/src/chiveslip/fleet/membership.py
+++ b/src/chiveslip/fleet/membership.py
@@ -40,6 +40,8 @@
         Time in seconds since the sender learned of this heartbeat.
     lost_services
         Services to whose endpoints it has lost its paths.
+    data_centre
+        Data centre in which it runs, or empty if it does not say so.
     """
 
     instance: str
@@ -49,6 +51,7 @@
     stopping: bool
     age_s: float
     lost_services: frozenset[str] = frozenset()
+    data_centre: str = ""
 
 
 @attrs.define
@@ -80,8 +83,10 @@
         address: Address,
         incarnation: int,
         heartbeat_timeout_for: Callable[[int], float],
+        data_centre: str = "",
     ) -> None:
         self._instance = instance
+        self._data_centre = data_centre
         self._address = address
         self._incarnation = incarnation
         self._heartbeat_timeout_for = heartbeat_timeout_for
@@ -176,6 +181,7 @@
             stopping=self.stopping,
             age_s=0.0,
             lost_services=self.lost_services,
+            data_centre=self._data_centre,
         )
 
     def sample_updates(
@@ -287,6 +293,11 @@
         member = self._members.get(instance)
         return None if member is None else member.update.address
 
+    def data_centre_of(self, instance: str) -> str:
+        """Return the data centre of a member, or empty if it is unknown."""
+        member = self._members.get(instance)
+        return "" if member is None else member.update.data_centre
+
     def has_member_on(self, host: str) -> bool:
         """Return whether another member, also one lost recently, runs on a host."""
         return any(
--- a/src/chiveslip/gateway/call.py
+++ b/src/chiveslip/gateway/call.py
@@ -10,6 +10,8 @@
 from chiveslip.gateway.engine_view import KnownLoad
 from chiveslip.gateway.ingress import IngressRequest
 from chiveslip.gateway.protocol import RequestMetadata
+from chiveslip.gateway.regions import AllowedRegions
+from chiveslip.gateway.regions import intersect
 from chiveslip.gateway.reply import Reply
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import Route
@@ -159,6 +161,8 @@
         Local time in seconds of the answer's first part, or None before.
     received_by
         Instance that received it from its caller, or empty if this one did.
+    regions_of_receiver
+        Regions that this instance allows it, as it knows, or None for all.
     forwarded_to
         Instance to which it was handed over last, or empty.
     is_taken_by_no_peer
@@ -197,6 +201,7 @@
     load_wait_s: float = 0.0
     first_event_at: float | None = None
     received_by: str = ""
+    regions_of_receiver: AllowedRegions = None
     forwarded_to: str = ""
     is_taken_by_no_peer: bool = False
     send_grant: SendGrant | None = None
@@ -209,6 +214,16 @@
             return ""
         return f"{self.metadata.model}/{self.metadata.adapter}"
 
+    @property
+    def allowed_regions(self) -> AllowedRegions:
+        """Regions whose endpoints it may be sent to, or None for all.
+
+        Those of its route and of its organisation both bind, and those that the
+        instance knows that received it.
+        """
+        own = None if self.organisation is None else self.organisation.allowed_regions
+        return intersect(self.route.allowed_regions, own, self.regions_of_receiver)
+
     @property
     def first_event_deadline(self) -> float:
         """Local time in seconds at which a caller without an event disconnects."""
--- a/src/chiveslip/gateway/endpoints.py
+++ b/src/chiveslip/gateway/endpoints.py
@@ -13,6 +13,8 @@
 from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoint_statements import Incarnation
 from chiveslip.gateway.evacuations import Evacuations
+from chiveslip.gateway.regions import AllowedRegions
+from chiveslip.gateway.regions import Regions
 from chiveslip.settings.fields import Address
 
 
@@ -74,6 +76,8 @@
     evacuations
         Data centres whose endpoints get nothing, or None if there are none. Their
         endpoints stay listed, so that they are known when they return.
+    regions
+        Regions of the data centres, or None if each is a region by itself.
     """
 
     def __init__(
@@ -82,7 +86,9 @@
         has_room: Callable[[ListedEndpoint], bool] = lambda _endpoint: True,
         limits: EndpointLimits | None = None,
         evacuations: Evacuations | None = None,
+        regions: Regions | None = None,
     ) -> None:
+        self._regions = regions or Regions()
         self._statements = statements
         self._has_room = has_room
         self._limits = limits
@@ -118,10 +124,17 @@
         """Return the endpoint that was listed last at an address, or None."""
         return self._by_address.get(address)
 
-    def accepts_work(self, chosen: ListedEndpoint) -> bool:
+    def accepts_work(
+        self, chosen: ListedEndpoint, allowed: AllowedRegions = None
+    ) -> bool:
         """Return whether an endpoint that was chosen earlier still takes new work.
 
         An id or an address that has been used again since belongs to another endpoint.
+
+        Parameters
+        ----------
+        allowed
+            Regions that the request may be sent to, or None for all.
         """
         listed = self._by_id.get(chosen.id)
         return (
@@ -130,6 +143,7 @@
             and listed.address == chosen.address
             and listed.service == chosen.service
             and listed.started == chosen.started
+            and self._regions.allows(listed.data_centre, allowed)
             and not self._declines_work(listed)
         )
 
@@ -148,11 +162,19 @@
             or self._statements.rest_s(incarnation) > 0
         )
 
-    def find_available(self, service: str) -> list[ListedEndpoint]:
-        """Return the ready endpoints of `service` that want requests now."""
+    def find_available(
+        self, service: str, allowed: AllowedRegions = None
+    ) -> list[ListedEndpoint]:
+        """Return the ready endpoints of `service` that want requests now.
+
+        Parameters
+        ----------
+        allowed
+            Regions that the request may be sent to, or None for all.
+        """
         return [
             endpoint
-            for endpoint in self._find_listed_ready(service)
+            for endpoint in self._find_allowed(service, allowed)
             if not self._declines_work(endpoint) and self._spent_s(endpoint) <= 0
         ]
 
@@ -161,25 +183,33 @@
             return 0.0
         return self._limits.spent_s(endpoint.incarnation)
 
-    def spent_s(self, service: str) -> float:
+    def _find_allowed(
+        self, service: str, allowed: AllowedRegions
+    ) -> list[ListedEndpoint]:
+        found = self._find_listed_ready(service)
+        if allowed is None:
+            return found
+        return [e for e in found if self._regions.allows(e.data_centre, allowed)]
+
+    def spent_s(self, service: str, allowed: AllowedRegions = None) -> float:
         """Return the time in seconds until a limited endpoint may be chosen; or 0.
 
         Only endpoints count that would be available but for their limit.
         """
         waits = (
             self._spent_s(endpoint)
-            for endpoint in self._find_listed_ready(service)
+            for endpoint in self._find_allowed(service, allowed)
             if not self._declines_work(endpoint)
         )
         return min((wait_s for wait_s in waits if wait_s > 0), default=0.0)
 
-    def wait_s(self, service: str) -> float:
+    def wait_s(self, service: str, allowed: AllowedRegions = None) -> float:
         """Return the time in seconds until an endpoint may get a request again.
 
         Endpoints that ask for rest count, and those whose limit is used up; 0 if there
         is none of them.
         """
-        waits = (self.rest_s(service), self.spent_s(service))
+        waits = (self.rest_s(service, allowed), self.spent_s(service, allowed))
         return min((wait_s for wait_s in waits if wait_s > 0), default=0.0)
 
     def is_cold(self, endpoint: ListedEndpoint) -> bool:
@@ -206,11 +236,12 @@
         )
         return [generator.choice(group) for group in (same, others) if group]
 
-    def rest_s(self, service: str) -> float:
+    def rest_s(self, service: str, allowed: AllowedRegions = None) -> float:
         """Return the time in seconds until a resting endpoint wants requests; or 0."""
         rests = (
             self._statements.rest_s(endpoint.incarnation)
             for endpoint in self.find_ready(service)
+            if self._regions.allows(endpoint.data_centre, allowed)
         )
         return min((rest_s for rest_s in rests if rest_s > 0), default=0.0)
 
--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -211,7 +211,7 @@
             if load.ready_in_s > 0:
                 await asyncio.sleep(load.ready_in_s)
             call.load_wait_s += self._clock.now() - started_at
-            if not self._directory.accepts_work(choice.engine):
+            if not self._directory.accepts_work(choice.engine, call.allowed_regions):
                 # The engine began to leave or disappeared while the request waited.
                 search.exclude(choice.engine.id)
                 failed_loads.record_leaving(choice.engine.id)
@@ -219,8 +219,9 @@
             estimate = EngineEstimate(first_event_s=estimate_s, known_load=known_load)
             return self._place(call, request, choice, load, estimate, started_at)
         refusal = failed_loads.build_refusal(is_any_excluded=bool(search.excluded))
-        wait_s = self._directory.wait_s(call.service)
-        if wait_s <= 0 or self._directory.find_available(call.service):
+        allowed = call.allowed_regions
+        wait_s = self._directory.wait_s(call.service, allowed)
+        if wait_s <= 0 or self._directory.find_available(call.service, allowed):
             return refusal
         return attrs.evolve(refusal, retry_after_s=max(wait_s, _MIN_RETRY_AFTER_S))
 
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -346,6 +346,7 @@
             ),
             traits=traits,
             received_by=forwarded.instance,
+            regions_of_receiver=forwarded.allowed_regions,
         )
 
     async def _run_attempts(
--- a/src/chiveslip/gateway/handover.py
+++ b/src/chiveslip/gateway/handover.py
@@ -26,6 +26,7 @@
 from chiveslip.gateway.endpoint_statements import EndpointStatements
 from chiveslip.gateway.endpoint_statements import Incarnation
 from chiveslip.gateway.protocol import GatewayProtocol
+from chiveslip.gateway.regions import AllowedRegions
 from chiveslip.gateway.sending import Attempt
 from chiveslip.gateway.sending import AttemptResult
 from chiveslip.gateway.sending import StreamState
@@ -65,6 +66,8 @@
         Time in seconds that remains for the answer.
     instance
         Instance that received it from the caller.
+    allowed_regions
+        Regions whose endpoints it may be sent to, or None for all.
     """
 
     method: str
@@ -75,6 +78,7 @@
     service: str
     remaining_s: float
     instance: str
+    allowed_regions: AllowedRegions = None
 
 
 @attrs.frozen(kw_only=True)
@@ -170,6 +174,8 @@
     find_peers
         Returns the names of the other live instances that may deliver a request of a
         service that needs an adapter, or none.
+    may_receive
+        Returns whether a peer may have a request that may be sent to some regions.
     """
 
     def __init__(
@@ -182,8 +188,12 @@
         find_peers: Callable[[str, str], list[str]],
         clock: Clock,
         generator: random.Random,
+        may_receive: Callable[[str, AllowedRegions], bool] = lambda _peer, _regions: (
+            True
+        ),
     ) -> None:
         self._instance = instance
+        self._may_receive = may_receive
         self._forwarder = forwarder
         self._protocol = protocol
         self._statements = statements
@@ -313,6 +323,7 @@
             service=call.service,
             remaining_s=self._remaining_s(call),
             instance=self._instance,
+            allowed_regions=call.allowed_regions,
         )
 
     def _choose_peers(self, call: Call) -> list[str]:
@@ -324,6 +335,7 @@
             peer
             for peer in self._find_peers(call.service, call.adapter)
             if (peer, call.service) not in self._skipped_until
+            and self._may_receive(peer, call.allowed_regions)
         ]
         return self._random.sample(peers, min(_MAX_PEERS, len(peers)))
 
--- a/src/chiveslip/gateway/limit_waits.py
+++ b/src/chiveslip/gateway/limit_waits.py
@@ -28,13 +28,14 @@
     list
         Empty if none becomes available soon.
     """
-    available = directory.find_available(call.service)
+    allowed = call.allowed_regions
+    available = directory.find_available(call.service, allowed)
     if available:
         return available
-    wait_s = directory.spent_s(call.service)
+    wait_s = directory.spent_s(call.service, allowed)
     left_s = call.first_event_deadline - clock.now()
     is_short = 0 < wait_s <= _MAX_WAIT_S and wait_s * _MIN_REMAINING_WAITS < left_s
     if not is_short:
         return []
     await asyncio.sleep(wait_s)
-    return directory.find_available(call.service)
+    return directory.find_available(call.service, allowed)
--- a/src/chiveslip/gateway/routing.py
+++ b/src/chiveslip/gateway/routing.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from chiveslip.gateway.regions import AllowedRegions
+
 
 class RetryPolicy(enum.Enum):
     """Whether a request may be sent again after an endpoint may have run it."""
@@ -43,6 +45,8 @@
         surely did not run it are not counted.
     is_public
         Whether a request needs no key.
+    allowed_regions
+        Regions whose endpoints its requests may be sent to, or None for all.
     """
 
     name: str
@@ -57,6 +61,7 @@
     services: tuple[tuple[str, float], ...]
     max_runs: int
     is_public: bool
+    allowed_regions: AllowedRegions = None
 
     def choose_service(self, generator: random.Random) -> str:
         """Return a service for the next request, chosen at random by weight."""
@@ -136,6 +141,8 @@
         Units of a request that declares no tokens.
     priority
         Priority of all its requests, or None to use the route's.
+    allowed_regions
+        Regions whose endpoints its requests may be sent to, or None for all.
     """
 
     name: str
@@ -144,6 +151,7 @@
     burst: float
     counts_tokens: bool
     default_units: float
+    allowed_regions: AllowedRegions = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chiveslip/gateway/sending.py
+++ b/src/chiveslip/gateway/sending.py
@@ -38,6 +38,7 @@
 from chiveslip.gateway.paths import EndpointPaths
 from chiveslip.gateway.protocol import ForwardingContext
 from chiveslip.gateway.protocol import GatewayProtocol
+from chiveslip.gateway.regions import AllowedRegions
 from chiveslip.gateway.rooms import EndpointRooms
 from chiveslip.gateway.routing import RetryPolicy
 from chiveslip.gateway.statement_recorder import StatementRecorder
@@ -154,7 +155,8 @@
     Parameters
     ----------
     accepts_work
-        Returns whether an endpoint that was chosen earlier still takes new work.
+        Returns whether an endpoint that was chosen earlier still takes new work, of a
+        request that may be sent to some regions, or to all if they are None.
     statements
         Where answers are recorded that tell something of their endpoint.
     paths
@@ -170,7 +172,7 @@
         connector: Connector,
         protocol: GatewayProtocol,
         clock: Clock,
-        accepts_work: Callable[[ListedEndpoint], bool],
+        accepts_work: Callable[[ListedEndpoint, AllowedRegions], bool],
         statements: StatementRecorder,
         paths: EndpointPaths,
         rooms: EndpointRooms,
@@ -236,7 +238,7 @@
             if not await self._limits.may_send(call, context.endpoint):
                 return Attempt(result=AttemptResult.OVER_LIMIT)
             # It may have begun to leave meanwhile, or its data centre be evacuated.
-            if not self._accepts_work(context.endpoint):
+            if not self._accepts_work(context.endpoint, call.allowed_regions):
                 self._limits.give_back(call)
                 return Attempt(result=AttemptResult.ENDPOINT_LEFT)
             if not may_send():
--- a/src/chiveslip/gateway/service_selection.py
+++ b/src/chiveslip/gateway/service_selection.py
@@ -51,7 +51,8 @@
         return Target(endpoint=endpoint, chosen_at=now)
 
     def _wait_s(self, call: Call) -> float:
-        return max(self._directory.wait_s(call.service), _RETRY_AFTER_S)
+        wait_s = self._directory.wait_s(call.service, call.allowed_regions)
+        return max(wait_s, _RETRY_AFTER_S)
 
     def record_start(self, call: Call, target: Target) -> None:
         """Count the request as running at its endpoint."""
--- a/src/chiveslip/platform/configuration.py
+++ b/src/chiveslip/platform/configuration.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from chiveslip import hashing
+from chiveslip.gateway.regions import AllowedRegions
 from chiveslip.gateway.routing import EngineCapacity
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import RetryPolicy
@@ -115,9 +116,20 @@
         # Replicas that one request may be sent to, including the first one.
         max_runs=max(fields.read_count(route, "max_attempts", 1), 1),
         is_public=bool(route.get("public")),
+        allowed_regions=_read_allowed_regions(route),
     )
 
 
+def _read_allowed_regions(document: dict[str, Any]) -> AllowedRegions:
+    """Return the allowed regions, or None for all if there is no or an empty list.
+
+    With a list that cannot be read the configuration is refused.
+    """
+    if document.get("allowed_regions") is None:
+        return None
+    return frozenset(fields.read_strings(document, "allowed_regions")) or None
+
+
 def _max_event_wait_s(target_s: float, pause_s: float) -> float:
     """Return the maximum wait in seconds for the first or next event of a stream."""
     return max(
@@ -196,6 +208,7 @@
         burst=fields.read_number(tenant, "burst", 0.0),
         counts_tokens=tenant.get("unit") == "tokens",
         default_units=fields.read_number(tenant, "plain_tokens", 0.0),
+        allowed_regions=_read_allowed_regions(tenant),
     )
 
 
--- a/src/chiveslip/settings/check.py
+++ b/src/chiveslip/settings/check.py
@@ -14,9 +14,8 @@
 from chiveslip.generated.settings import FIELDS
 from chiveslip.generated.settings import SECTIONS
 from chiveslip.generated.settings import Settings
-from chiveslip.settings.fields import Address
 from chiveslip.settings.fields import Field
-from chiveslip.settings.fields import Value
+from chiveslip.settings.fields import Parsed
 from chiveslip.settings.fields import fallback_text
 from chiveslip.settings.fields import parse_value
 
@@ -151,7 +150,7 @@
 
     def _read_value(
         self, key: str, field: Field, node: yaml.Node | None
-    ) -> Value | Address | tuple[Address, ...] | None:
+    ) -> Parsed | None:
         if node is None and field.default is None:
             self._errors.append(
                 _error_detail(self._file, 0, key, "no value", field.expected)
--- a/src/chiveslip/settings/fields.py
+++ b/src/chiveslip/settings/fields.py
@@ -12,6 +12,11 @@
 _SIZE_UNITS_B = {"B": 1, "KiB": 1024, "MiB": 1024**2}
 _QUANTITY = re.compile(r"(\d+(?:\.\d+)?(?:[eE][+-]?\d+)?)\s*([A-Za-z%]*)")
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+# A pair NAME=VALUE; also NAME: VALUE with quotation marks, as in a printed mapping.
+_PAIR = re.compile(
+    r"[\s{]*[\"']?([A-Za-z0-9][\w.-]{0,62})[\"']?\s*[=:]\s*"
+    r"[\"']?([A-Za-z0-9][\w.-]{0,62})[\"']?[\s}]*"
+)
 
 Value = str | int | float
 
@@ -27,6 +32,9 @@
         return f"{self.host}:{self.port}"
 
 
+Parsed = Value | Address | tuple[Address, ...] | tuple[tuple[str, str], ...]
+
+
 @attrs.frozen(kw_only=True)
 class Field:
     """One setting: name, type, default and allowed values, as in the schema.
@@ -72,7 +80,7 @@
         self.nearest = nearest
 
 
-def parse_value(field: Field, text: str) -> Value | Address | tuple[Address, ...]:
+def parse_value(field: Field, text: str) -> Parsed:
     """Parse `text` as a value of `field`.
 
     Raises
@@ -104,10 +112,12 @@
     """Return what stands in for the invalid `text` of a field with a fallback.
 
     A number out of range is replaced by the nearest allowed one, a list of addresses
-    by its valid ones, every other value by the default.
+    or pairs by its valid ones, every other value by the default.
     """
     if isinstance(error, OutOfRangeError):
         return error.nearest
+    if field.type == "pairs":
+        return ",".join(part for part in text.split(",") if _PAIR.fullmatch(part))
     if field.type != "addresses":
         return field.default or ""
     return ",".join(part for part in text.split(",") if _is_address(part.strip()))
@@ -204,6 +214,14 @@
     return tuple(parse_address(part) for part in parts if part)
 
 
+def _parse_pairs(text: str) -> tuple[tuple[str, str], ...]:
+    matches = [_PAIR.fullmatch(part) for part in text.split(",") if part.strip()]
+    pairs = tuple((match[1], match[2]) for match in matches if match is not None)
+    if len(pairs) < len(matches):
+        raise ValueError("not pairs of names")
+    return pairs
+
+
 def _parse_number(text: str) -> float:
     number, unit = _parse_quantity(text)
     if unit:
@@ -223,7 +241,7 @@
     return text
 
 
-_PARSERS: dict[str, Callable[[str], Value | Address | tuple[Address, ...]]] = {
+_PARSERS: dict[str, Callable[[str], Parsed]] = {
     "name": _parse_name,
     "address": parse_address,
     "path": _parse_path,
@@ -233,6 +251,7 @@
     "count": _parse_count,
     "percent": _parse_percent,
     "addresses": _parse_addresses,
+    "pairs": _parse_pairs,
     "number": _parse_number,
     "flag": _parse_flag,
 }
@@ -242,5 +261,6 @@
     "address": "an address such as 127.0.0.1:8080",
     "path": "a path",
     "addresses": "addresses separated by commas, such as 127.0.0.1:8080",
+    "pairs": "pairs separated by commas, such as glasgow=north",
     "flag": "true or false",
 }
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -57,6 +57,7 @@
 from chiveslip.gateway.metrics import GatewayMetrics
 from chiveslip.gateway.path_probing import WatchedConnector
 from chiveslip.gateway.paths import EndpointPaths
+from chiveslip.gateway.regions import Regions
 from chiveslip.gateway.reply import Reply
 from chiveslip.gateway.rooms import EndpointRooms
 from chiveslip.gateway.routing import Organisation
@@ -361,6 +362,7 @@
         address: Address | None = None,
         peers: dict[str, ScriptedPeer] | None = None,
         members: tuple[str, ...] = ("here",),
+        peer_centres: dict[str, str] | None = None,
     ) -> GatewayHarness:
         clock = clock or ManualClock()
         forwarder = ScriptedForwarder(peers or {})
@@ -455,6 +457,9 @@
                     find_peers=lambda _service, _adapter: list(forwarder.peers),
                     clock=clock,
                     generator=generator,
+                    may_receive=lambda peer, allowed: Regions().allows_instance(
+                        (peer_centres or {}).get(peer, ""), allowed, "glasgow"
+                    ),
                 ),
                 stop_plan=StopPlan(clock),
                 choose_delivery=Deliveries(
--- a/testing/platform/test_settings_template.py
+++ b/testing/platform/test_settings_template.py
@@ -111,6 +111,30 @@
     assert render_settings(FIELDS | {"bounds": bounds}).instance.id
 
 
+@pytest.mark.parametrize(
+    ("zones", "regions"),
+    [
+        ({"glasgow": "north", "cardiff": "west-1"}, 2),
+        (["glasgow=north", "cardiff=west-1"], 2),
+        ('{"glasgow": "north"}', 1),
+        ("glasgow = north", 1),
+        ({}, 0),
+        (None, 0),
+    ],
+)
+def test_regions_of_data_centres_are_read(zones: Any, regions: int) -> None:
+    settings = render_settings(FIELDS | ({} if zones is None else {"zones": zones}))
+    expected = (("glasgow", "north"), ("cardiff", "west-1"))[:regions]
+    assert settings.fleet.regions == expected
+
+
+@pytest.mark.parametrize("zones", ["north", "a=b=c", 7, ["glasgow", "x=y"], "'\""])
+def test_unreadable_regions_do_not_stop_the_instance(zones: Any) -> None:
+    loaded = check_rendered(FIELDS | {"zones": zones}).unwrap()
+    assert set(loaded.settings.fleet.regions) <= {("x", "y")}
+    assert [w.key for w in loaded.warnings] == ["fleet.regions"]
+
+
 def test_seeds_may_be_empty() -> None:
     assert render_settings(FIELDS | {"seeds": []}).fleet.seeds == ()
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -26,6 +26,7 @@
     "count": "int",
     "percent": "float",
     "addresses": "tuple[Address, ...]",
+    "pairs": "tuple[tuple[str, str], ...]",
     "number": "float",
     "flag": "bool",
 }
