--- a/src/chiveslip/gateway/routing.py
+++ b/src/chiveslip/gateway/routing.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from chiveslip.gateway.regions import AllowedRegions
+
 
 class RetryPolicy(enum.Enum):
     """Whether a request may be sent again after an endpoint may have run it."""
@@ -46,6 +48,8 @@
     has_sessions
         Whether the last part of a prompt belongs to a session, whose requests share
         it.
+    allowed_regions
+        Regions whose endpoints its requests may be sent to, or None for all.
     """
 
     name: str
@@ -61,6 +65,7 @@
     max_runs: int
     is_public: bool
     has_sessions: bool = False
+    allowed_regions: AllowedRegions = None
 
     def choose_service(self, generator: random.Random) -> str:
         """Return a service for the next request, chosen at random by weight."""
@@ -145,6 +150,8 @@
         Units of a request that declares no tokens.
     priority
         Priority of all its requests, or None to use the route's.
+    allowed_regions
+        Regions whose endpoints its requests may be sent to, or None for all.
     """
 
     name: str
@@ -153,6 +160,7 @@
     burst: float
     counts_tokens: bool
     default_units: float
+    allowed_regions: AllowedRegions = None
 
 
 @attrs.frozen(kw_only=True)
