Look for room in the allowed regions before a restricted request is handed over

At brittle endpoints room in another region counted for a request that may not be sent there, so that it was refused although a peer had room where it may be sent. The delivery looks at the endpoints of the allowed regions alone. testing/gateway/test_delivery.py has the case.

--- a/src/chiveslip/gateway/delivery.py
+++ b/src/chiveslip/gateway/delivery.py
@@ -16,6 +16,7 @@
 from chiveslip.gateway.endpoints import EndpointDirectory
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.paths import EndpointPaths
+from chiveslip.gateway.regions import AllowedRegions
 from chiveslip.gateway.rooms import EndpointRooms
 
 
@@ -72,23 +73,28 @@
         self._has_adapter = has_adapter
         self._without_paths = without_paths
 
-    def choose(self, service: str, adapter: str = "") -> Delivery:
+    def choose(
+        self, service: str, adapter: str = "", allowed: AllowedRegions = None
+    ) -> Delivery:
         """Return who may deliver a request of a service.
 
         Parameters
         ----------
         adapter
             Adapter that the request needs, or empty.
+        allowed
+            Regions that it may be sent to, or None for all.
         """
         if self._paths.is_cut(service):
-            is_possible = self._paths.may_reach(service) and self._has_room(service)
+            has_room = self._has_room(service, allowed)
+            is_possible = self._paths.may_reach(service) and has_room
             return Delivery(is_local_first=False, is_local_possible=is_possible)
         if not self._rooms.is_brittle(service):
             return LOCAL_DELIVERY
-        suitable = self._find_suitable(service, adapter)
+        suitable = self._find_suitable(service, adapter, allowed)
         return Delivery(
             is_local_first=any(map(self._rooms.has_room, suitable)),
-            is_local_possible=self._has_room(service),
+            is_local_possible=self._has_room(service, allowed),
         )
 
     def can_deliver(self, service: str) -> bool:
@@ -102,23 +108,28 @@
             and self._has_room(service)
         )
 
-    def find_peers(self, service: str, adapter: str = "") -> list[str]:
+    def find_peers(
+        self, service: str, adapter: str = "", allowed: AllowedRegions = None
+    ) -> list[str]:
         """Return the other instances that may deliver a request, sorted by name."""
         peers = set(self._live_instances())
         peers.discard(self._instance)
         if self._rooms.is_brittle(service):
-            suitable = self._find_suitable(service, adapter)
+            suitable = self._find_suitable(service, adapter, allowed)
             peers &= self._rooms.find_holders(suitable)
         # If all say so, the paths of some may be back since.
         return sorted(peers.difference(self._without_paths(service)) or peers)
 
-    def _has_room(self, service: str) -> bool:
+    def _has_room(self, service: str, allowed: AllowedRegions = None) -> bool:
         if not self._rooms.is_brittle(service):
             return True
-        return any(map(self._rooms.has_room, self._directory.find_ready(service)))
+        ready = self._directory.find_ready(service, allowed)
+        return any(map(self._rooms.has_room, ready))
 
-    def _find_suitable(self, service: str, adapter: str) -> list[ListedEndpoint]:
+    def _find_suitable(
+        self, service: str, adapter: str, allowed: AllowedRegions
+    ) -> list[ListedEndpoint]:
         """Return the endpoints that hold an adapter; all of them if none does."""
-        ready = self._directory.find_ready(service)
+        ready = self._directory.find_ready(service, allowed)
         holding = [e for e in ready if adapter and self._has_adapter(e.id, adapter)]
         return holding or ready
--- a/src/chiveslip/gateway/endpoints.py
+++ b/src/chiveslip/gateway/endpoints.py
@@ -240,8 +240,7 @@
         """Return the time in seconds until a resting endpoint wants requests; or 0."""
         rests = (
             self._statements.rest_s(endpoint.incarnation)
-            for endpoint in self.find_ready(service)
-            if self._regions.allows(endpoint.data_centre, allowed)
+            for endpoint in self.find_ready(service, allowed)
         )
         return min((rest_s for rest_s in rests if rest_s > 0), default=0.0)
 
@@ -253,17 +252,25 @@
             if self._statements.is_leaving(endpoint.incarnation)
         ]
 
-    def find_ready(self, service: str) -> list[ListedEndpoint]:
+    def find_ready(
+        self, service: str, allowed: AllowedRegions = None
+    ) -> list[ListedEndpoint]:
         """Return the endpoints of `service` that take new work, sorted by id.
 
         Those that are leaving do not, nor those in evacuated data centres.
+
+        Parameters
+        ----------
+        allowed
+            Regions that the request may be sent to, or None for all.
         """
+        found = self._find_allowed(service, allowed)
         if self._statements.is_empty and self._evacuations.is_empty:
-            return self._find_listed_ready(service)
+            return found
         is_leaving = self._statements.is_leaving
         return [
             endpoint
-            for endpoint in self._find_listed_ready(service)
+            for endpoint in found
             if not is_leaving(endpoint.incarnation) and not self.is_evacuated(endpoint)
         ]
 
--- a/src/chiveslip/gateway/forwarding.py
+++ b/src/chiveslip/gateway/forwarding.py
@@ -36,6 +36,7 @@
 from chiveslip.gateway.protocol import GatewayProtocol
 from chiveslip.gateway.protocol import RequestMetadata
 from chiveslip.gateway.refusals import RefusalWriter
+from chiveslip.gateway.regions import AllowedRegions
 from chiveslip.gateway.reply import Reply
 from chiveslip.gateway.routing import Organisation
 from chiveslip.gateway.routing import RetryPolicy
@@ -133,7 +134,8 @@
     handover
         Has peers deliver requests for which this instance has no path.
     choose_delivery
-        Returns who may deliver a request of a service that needs an adapter, or none.
+        Returns who may deliver a request of a service that needs an adapter, or none,
+        and may be sent to some regions.
     stop_plan
         Decides what may still be sent while this instance stops.
     """
@@ -154,7 +156,7 @@
     fleet_size: Callable[[], int]
     accepts_requests: Callable[[], bool]
     handover: Handover
-    choose_delivery: Callable[[str, str], Delivery]
+    choose_delivery: Callable[[str, str, AllowedRegions], Delivery]
     stop_plan: StopPlan
 
 
@@ -423,7 +425,9 @@
         return not self._choose_delivery(call).is_local_first
 
     def _choose_delivery(self, call: Call) -> Delivery:
-        return self._dependencies.choose_delivery(call.service, call.adapter)
+        return self._dependencies.choose_delivery(
+            call.service, call.adapter, call.allowed_regions
+        )
 
     async def _hand_over(self, call: Call, stream: StreamState) -> Attempt:
         attempt = await self._dependencies.handover.deliver(
--- a/src/chiveslip/gateway/handover.py
+++ b/src/chiveslip/gateway/handover.py
@@ -173,7 +173,7 @@
     ----------
     find_peers
         Returns the names of the other live instances that may deliver a request of a
-        service that needs an adapter, or none.
+        service that needs an adapter, or none, and may be sent to some regions.
     may_receive
         Returns whether a peer may have a request that may be sent to some regions.
     """
@@ -185,7 +185,7 @@
         forwarder: PeerForwarder,
         protocol: GatewayProtocol,
         statements: EndpointStatements,
-        find_peers: Callable[[str, str], list[str]],
+        find_peers: Callable[[str, str, AllowedRegions], list[str]],
         clock: Clock,
         generator: random.Random,
         may_receive: Callable[[str, AllowedRegions], bool] = lambda _peer, _regions: (
@@ -331,11 +331,12 @@
         self._skipped_until = {
             key: until for key, until in self._skipped_until.items() if until > now
         }
+        allowed = call.allowed_regions
         peers = [
             peer
-            for peer in self._find_peers(call.service, call.adapter)
+            for peer in self._find_peers(call.service, call.adapter, allowed)
             if (peer, call.service) not in self._skipped_until
-            and self._may_receive(peer, call.allowed_regions)
+            and self._may_receive(peer, allowed)
         ]
         return self._random.sample(peers, min(_MAX_PEERS, len(peers)))
 
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -454,7 +454,9 @@
                     forwarder=forwarder,
                     protocol=dialect,
                     statements=statements,
-                    find_peers=lambda _service, _adapter: list(forwarder.peers),
+                    find_peers=lambda _service, _adapter, _allowed: list(
+                        forwarder.peers
+                    ),
                     clock=clock,
                     generator=generator,
                     may_receive=lambda peer, allowed: Regions().allows_instance(
--- a/testing/gateway/test_delivery.py
+++ b/testing/gateway/test_delivery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from chiveslip.clock import ManualClock
@@ -42,6 +43,7 @@
         self.without_paths: set[str] = set()
         self.rooms = EndpointRooms(instance, lambda: INSTANCES, clock)
         directory = EndpointDirectory(EndpointStatements(clock), self.rooms.has_room)
+        self.directory = directory
         for name in ENGINES:
             directory.put(endpoint(name))
         self.paths = EndpointPaths(clock, lambda _service: set(ENGINES))
@@ -133,3 +135,23 @@
     scene = Scene(instance, holding="")
     scene.become_brittle()
     assert scene.deliveries.choose(SERVICE, ADAPTER).is_local_first
+
+
+def test_room_in_another_region_does_not_count_for_a_restricted_request() -> None:
+    """It would be refused here although a peer has room where it may be sent."""
+    instance = min(set().union(*map(holders_of, ENGINES)))
+    scene = Scene(instance)
+    scene.become_brittle()
+    elsewhere = [name for name in ENGINES if instance in holders_of(name)]
+    assert 0 < len(elsewhere) < len(ENGINES)
+    for name in elsewhere:
+        moved = attrs.evolve(endpoint(name), data_centre="york")
+        scene.directory.put(moved)
+    assert scene.deliveries.choose(SERVICE).is_local_first
+    allowed = frozenset({"glasgow"})
+    delivery = scene.deliveries.choose(SERVICE, "", allowed)
+    assert not delivery.is_local_first
+    assert not delivery.is_local_possible
+    holders: set[str] = set()
+    holders.update(*(holders_of(name) for name in ENGINES if name not in elsewhere))
+    assert set(scene.deliveries.find_peers(SERVICE, "", allowed)) == holders
--- a/testing/gateway/test_handover.py
+++ b/testing/gateway/test_handover.py
@@ -111,7 +111,7 @@
     gateway = harness.gateway
     gateway._dependencies = attrs.evolve(
         gateway._dependencies,
-        choose_delivery=lambda _service, _adapter: Delivery(
+        choose_delivery=lambda _service, _adapter, _allowed: Delivery(
             is_local_first=not harness.connector.sent, is_local_possible=False
         ),
     )
