--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -356,6 +356,9 @@
             return
         result = None if attempt is None else attempt.result
         lacks_adapter = result is AttemptResult.LACKS_ADAPTER
+        if lacks_adapter:
+            # It may have restarted, or dropped the parts with the adapter.
+            self._placement.prompt_parts.forget_engine(engine)
         if lacks_adapter and not placed.waited_for_load:
             self._view.record_missing_adapter(engine, placed.adapter, self._clock.now())
         elif placed.waited_for_load and (
--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -35,12 +35,16 @@
 from chiveslip.gateway.forwarding import Target
 from chiveslip.gateway.load_times import LoadTimes
 from chiveslip.gateway.placement import Placement
+from chiveslip.gateway.prompt_parts import PromptPart
+from chiveslip.gateway.prompt_parts import describe_prompt
 from chiveslip.gateway.protocol import RequestMetadata
 from chiveslip.gateway.routing import EngineCapacity
 from chiveslip.gateway.routing import RetryPolicy
 from chiveslip.gateway.routing import Route
 from chiveslip.gateway.routing import RoutingTable
 from chiveslip.gateway.routing import Service
+from chiveslip.gateway.sending import Attempt
+from chiveslip.gateway.sending import AttemptResult
 from chiveslip.results import Refusal
 from chiveslip.services.health import EndpointHealth
 from chiveslip.settings.fields import Address
@@ -194,6 +198,42 @@
     return harness
 
 
+@pytest.mark.parametrize(
+    ("has_sessions", "places_prompts", "is_remembered"),
+    [
+        pytest.param(True, True, True, id="sessions"),
+        pytest.param(False, True, False, id="no-sessions"),
+        pytest.param(True, False, False, id="switched-off"),
+    ],
+)
+def test_parts_count_only_on_routes_with_sessions(
+    harness: SelectorHarness,
+    *,
+    has_sessions: bool,
+    places_prompts: bool,
+    is_remembered: bool,
+) -> None:
+    """Guards against an influence that no one asked for."""
+    harness.selector._places_prompts = places_prompts
+    call = harness.make_call()
+    call.route = attrs.evolve(ROUTE, has_sessions=has_sessions)
+    parts = (PromptPart("5c1e", 60), PromptPart("91bd", 40))
+    call.metadata = attrs.evolve(call.metadata, prompt_parts=parts)
+    target = asyncio.run(harness.selector.select_target(call))
+    assert isinstance(target, Target)
+    harness.selector.record_start(call, target)
+    kept = harness.selector._placement.prompt_parts
+    prompt = describe_prompt("m", ("m/a1", 1), parts)
+    now = harness.clock.now()
+    tokens = kept.cached_tokens(target.endpoint, prompt, now)
+    assert tokens == (100 if is_remembered else 0)
+    assert target.estimate is not None
+    assert (target.estimate.prompt is not None) == is_remembered
+    lacking = Attempt(result=AttemptResult.LACKS_ADAPTER)
+    harness.selector.record_end(call, target, lacking)
+    assert kept.cached_tokens(target.endpoint, prompt, now) == 0
+
+
 def test_engine_that_leaves_during_the_wait_is_not_selected(
     harness: SelectorHarness,
 ) -> None:
