--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -29,6 +29,7 @@
 from chiveslip.gateway.prompt_lengths import delay_of_others_s
 from chiveslip.gateway.prompt_lengths import displacement_cost_s
 from chiveslip.gateway.prompt_lengths import first_event_s
+from chiveslip.gateway.prompt_lengths import weighted_first_event_s
 from chiveslip.gateway.prompt_parts import Prompt
 from chiveslip.gateway.prompt_parts import PromptParts
 from chiveslip.gateway.prompt_parts import order_engines
@@ -307,6 +308,7 @@
         speed = self._speeds.relative_speed(engine)
         if prompt is None:
             wait_s = self._estimate_wait_s(engine, capacity, prompt_tokens, now)
+            weighted_s = wait_s
             requests = self._view.count_requests(engine.id, now)
             harm_s = requests * _REQUEST_COST_S / speed
         else:
@@ -314,6 +316,7 @@
             cached_tokens = min(kept_tokens, prompt_tokens)
             state = self._describe_engine(engine, capacity, now)
             wait_s = first_event_s(state, prompt_tokens - cached_tokens)
+            weighted_s = weighted_first_event_s(state, prompt_tokens - cached_tokens)
             harm_s = delay_of_others_s(state, prompt_tokens - cached_tokens)
             displacement_s = displacement_cost_s(state)
         is_present = True
@@ -333,6 +336,7 @@
             else:
                 load_s = max(ready_at - now, 0.0)
         estimate_s = max(wait_s, held_s + load_s) + load_s / 10
+        weighted_s = max(weighted_s, held_s + load_s) + load_s / 10
         # A first event that is overdue here shows what no report has told yet. It does
         # not refuse requests: a less urgent one may wait rightly.
         overdue_s = min(self._view.overdue_s(engine.id, now), _MAX_OVERDUE_S)
@@ -342,7 +346,7 @@
                 engine, self._instance_count(), self._engine_count, now
             ),
         )
-        cost_s = max(estimate_s, overdue_s) + harm_s + no_slot_cost + failing_share
+        cost_s = max(weighted_s, overdue_s) + harm_s + no_slot_cost + failing_share
         return Choice(
             engine=engine,
             cost_s=cost_s + rank_cost,
