--- a/testing/fleet/test_use_notifier.py
+++ b/testing/fleet/test_use_notifier.py
@@ -6,9 +6,15 @@
 
 import attrs
 import pytest
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 
+from bench.large_fleet import LargeFleet
 from chiveslip import hashing
 from chiveslip.clock import ManualClock
+from chiveslip.fleet.channels import ChannelOptions
+from chiveslip.fleet.channels import PeerChannels
 from chiveslip.fleet.channels import PeerError
 from chiveslip.fleet.channels import UnsupportedCallError
 from chiveslip.fleet.gossip_updates import EngineUseUpdate
@@ -20,6 +26,7 @@
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.metrics import GatewayMetrics
 from chiveslip.gateway.routing import EngineCapacity
+from chiveslip.generated import peer_pb2 as wire
 from chiveslip.settings.fields import Address
 
 INSTANCES = [f"m{number}" for number in range(30)]
@@ -250,3 +257,59 @@
     assert view.adapters_in_use("e", 1.4) == {A}
     view.apply_peer_uses("peer", [], 1.5)
     assert view.adapters_in_use("e", 1.6) == set()
+
+
+def test_older_peer_keeps_its_channel() -> None:
+    """A call that the peer lacks would cost a new connection each time."""
+    channels = PeerChannels(
+        ChannelOptions(keepalive_s=2.0, keepalive_timeout_s=1.0, pings_idle=False)
+    )
+    used: list[Channel] = []
+
+    async def send(channel: Channel, timeout_s: float) -> None:
+        used.append(channel)
+        raise GRPCError(Status.UNIMPLEMENTED)
+
+    async def call_twice() -> None:
+        for _ in range(2):
+            with pytest.raises(UnsupportedCallError):
+                await channels.call(Address("10.0.0.1", 1), 1.0, send)
+        channels.close()
+
+    asyncio.run(call_twice())
+    assert used[0] is used[1]
+
+
+@pytest.mark.parametrize(
+    ("free", "at_least", "at_most"),
+    [
+        pytest.param(0, 0.9, 1.0, id="no-slot"),
+        pytest.param(5, 0.0, 0.01, id="many-slots"),
+        pytest.param(None, 0.0, 0.0, id="older-coordinator"),
+    ],
+)
+def test_free_slots_are_told_by_gossip(
+    free: int | None, at_least: float, at_most: float
+) -> None:
+    """An older coordinator must not be taken for one whose engines have no slot."""
+    fleet = LargeFleet(2)
+    sender, receiver = fleet.members.values()
+    message = sender.messages.build_request()
+    message.engine_states.add(
+        endpoint="e", started=1, models=["m"], free_adapter_slots=free
+    )
+    receiver.messages.apply(wire.Gossip.FromString(message.SerializeToString()))
+    shortage = receiver.parts.engine_view.slot_shortage("e", 10, fleet.clock.now())
+    assert at_least <= shortage <= at_most
+
+
+def test_uses_told_by_gossip_are_numbered() -> None:
+    """Gossip on its way must not undo a notice that was sent after it."""
+    fleet = LargeFleet(2)
+    sender, receiver = fleet.members.values()
+    older = sender.messages.build_request()
+    view = sender.parts.engine_view
+    view.record_request_start("e", A, 0.0, 0.0)
+    receiver.messages.apply(sender.messages.build_request())
+    receiver.messages.apply(older)
+    assert receiver.parts.engine_view.adapters_in_use("e", 0.0) == {A}
