Collect an endpoint's answer in one buffer

Cause: an answer that is kept whole was a list of parts of up to 64 KiB.

Change: Exchange.body collects in one bytearray, whose block returns to the system as a whole.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -186,17 +186,16 @@
         ExchangeInterruptedError
             If the body is truncated, or exceeds the limits.
         """
-        parts: list[bytes] = []
-        size = 0
+        # One buffer returns to the system as a whole; parts leave holes in the heap.
+        received = bytearray()
         async for chunk in self.chunks():
-            size += len(chunk)
-            if size > max_bytes:
+            if len(received) + len(chunk) > max_bytes:
                 detail = f"the body is larger than {max_bytes} bytes"
                 self.give_up(detail)
                 raise ExchangeInterruptedError(detail)
             self.hold(len(chunk))
-            parts.append(chunk)
-        body = b"".join(parts)
+            received += chunk
+        body = bytes(received)
         content_type = (await self.head()).headers.get("Content-Type", "")
         assert self.end is not None
         fault = find_document_fault(self.end, content_type, body)
