--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -70,6 +70,10 @@
 # Far below what the machines of the users have, far above what a gateway needs.
 MAX_MEMORY_BYTES = 150 << 20
 MEMORY_INTERVAL_S = 0.1
+# Crowds of testing.platform.crowd that send nothing that a replica may receive.
+CROWDS = ("large-chunks", "one-chunk", "announced-length")
+CROWD_S = 3.0
+MAX_CROWD_PAUSE_S = 3.0
 # Longer than the window in which requests to a limited endpoint are counted.
 LIMITED_S = 5.0
 
@@ -139,6 +143,7 @@
         faults = [asyncio.create_task(self._inject_faults()) for _ in range(2)]
         faults.append(asyncio.create_task(self._inject_response_faults()))
         faults.append(asyncio.create_task(self._inject_endpoint_faults()))
+        faults.append(asyncio.create_task(self._inject_crowds()))
         meter = asyncio.create_task(self._measure_memory())
         await asyncio.sleep(seconds)
         await _cancel(faults)
@@ -481,6 +486,24 @@
             for replica in self._replicas:
                 replica.endless_failures = 0.0
 
+    async def _inject_crowds(self) -> None:
+        """Let crowds hold bodies open that stop short of their end."""
+        while True:
+            await asyncio.sleep(self._random.random() * MAX_CROWD_PAUSE_S)
+            gateway = self._random.choice(self._gateways)
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "testing.platform.crowd"),
+                *(self._random.choice(CROWDS), str(gateway.ports.callers)),
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.DEVNULL,
+                stderr=asyncio.subprocess.DEVNULL,
+            )
+            try:
+                await asyncio.sleep(CROWD_S)
+            finally:
+                process.kill()
+                await process.wait()
+
     async def _make_brittle(self) -> None:
         replicas = [each for each in self._replicas if each.identity.startswith("k")]
         judged_from = time.monotonic() + BRITTLE_NOTICE_S
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -11,6 +11,7 @@
 
 from chiveslip.dispatch.held_bytes import HeldBytes
 from chiveslip.gateway import sending
+from chiveslip.gateway.caller_stream import CallerStream
 from chiveslip.gateway.catalogue import Catalogue
 from chiveslip.gateway.endpoint_limits import EndpointLimits
 from chiveslip.gateway.endpoint_statements import EndpointStatements
@@ -36,6 +37,7 @@
         (sending, "_MAX_FAILURE_BYTES", 64 << 20),
         (HeldBytes, "add", _returns(None)),
     ],
+    "callers": [(CallerStream, "_count", _returns(None))],
 }
 
 
