--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -825,11 +825,11 @@
                     forwarder=cast(PeerForwarder, peers),
                     protocol=SimulatedProtocol(),
                     statements=EndpointStatements(clock),
-                    find_peers=lambda _service, _adapter: [],
+                    find_peers=lambda *_: [],
                     clock=clock,
                     generator=fleet.random,
                 ),
-                choose_delivery=lambda _service, _adapter: LOCAL_DELIVERY,
+                choose_delivery=lambda *_: LOCAL_DELIVERY,
                 stop_plan=StopPlan(clock),
             )
         )
