--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -245,6 +245,7 @@
     call.metadata = attrs.evolve(call.metadata, prompt_parts=parts)
     target = asyncio.run(harness.selector.select_target(call))
     assert isinstance(target, Target)
+    call.attempt_times.append(AttemptTimes(chosen_at=target.chosen_at))
     harness.selector.record_start(call, target)
     kept = harness.selector._placement.prompt_parts
     prompt = describe_prompt("m", ("m/a1", 1), parts)
--- a/testing/gateway/test_free_slots.py
+++ b/testing/gateway/test_free_slots.py
@@ -10,6 +10,7 @@
 from chiveslip.gateway.endpoints import EndpointState
 from chiveslip.gateway.endpoints import ListedEndpoint
 from chiveslip.gateway.engine_failures import EngineFailures
+from chiveslip.gateway.engine_speeds import EngineSpeeds
 from chiveslip.gateway.engine_view import EngineView
 from chiveslip.gateway.free_slots import FreeSlots
 from chiveslip.gateway.load_times import LoadTimes
@@ -98,6 +99,7 @@
         EndpointHealth(),
         LoadTimes(fetch_s=0.25, reload_s=0.025, max_full_speed_fetches=40),
         failures=EngineFailures(),
+        speeds=EngineSpeeds(),
         instance_count=lambda: 81,
         generator=random.Random(1),
     )
