Refuse requests that would join long queues of engines in a large fleet

Change: gateway/shortage.py bounds the queue that a request may join by the shortest objective of its service, longer for more urgent ones and for callers that return, who are known by the time they have left. The refused are told distinct times. It takes effect on routes with sessions in fleets in which not all instances exchange.

--- a/src/chiveslip/gateway/engine_selection.py
+++ b/src/chiveslip/gateway/engine_selection.py
@@ -41,8 +41,11 @@
 from chiveslip.gateway.placement import Placement
 from chiveslip.gateway.prompt_parts import Prompt
 from chiveslip.gateway.prompt_parts import describe_prompt
+from chiveslip.gateway.routing import RoutingTable
 from chiveslip.gateway.sending import Attempt
 from chiveslip.gateway.sending import AttemptResult
+from chiveslip.gateway.shortage import has_returned
+from chiveslip.gateway.shortage import max_queue_s
 from chiveslip.generated import result_codes
 from chiveslip.results import Refusal
 
@@ -181,7 +184,8 @@
         if self.min_load_s is not None:
             return _too_late(self.min_load_s)
         if self.busy_s and not self.without_room and not self.has_waited:
-            return _too_late(min(self.busy_s))
+            # Callers that are refused together do not return together.
+            return _too_late(min(self.busy_s) * (1 + spread) + spread)
         outcomes = ", ".join(self.outcomes) or "none is left"
         code = result_codes.LOAD_FAILED if is_any_excluded else result_codes.NO_ENDPOINT
         return Refusal(
@@ -239,6 +243,8 @@
         self._newest_version = newest_version
         self._clock = clock
         self._placed: dict[Call, _PlacedRequest] = {}
+        self._objectives_table: RoutingTable | None = None
+        self._objectives_s: dict[str, float] = {}
 
     async def select_target(self, call: Call) -> Target | Refusal:
         """Return the engine that answers soonest, once its adapter is usable there.
@@ -269,11 +275,14 @@
                 break
             started_at = self._clock.now()
             left_s = call.first_event_deadline - started_at
-            if choice.wait_s > left_s:
+            excess_s = max(
+                choice.wait_s - left_s, self._find_excess_queue_s(call, request, choice)
+            )
+            if excess_s > 0:
                 if not self._may_look_further(failed_loads):
-                    return _too_late(choice.wait_s - left_s)
+                    return _too_late(excess_s)
                 search.exclude(choice.engine.id)
-                failed_loads.record_busy(choice.engine.id, choice.wait_s - left_s)
+                failed_loads.record_busy(choice.engine.id, excess_s)
                 continue
             if not await self._limits.may_send(call, choice.engine):
                 # The engine is not found again until another request is granted.
@@ -326,6 +335,38 @@
             return refusal
         return attrs.evolve(refusal, retry_after_s=max(wait_s, _MIN_RETRY_AFTER_S))
 
+    def _find_excess_queue_s(
+        self, call: Call, request: SearchedRequest, choice: Choice
+    ) -> float:
+        """Return by how many seconds an engine's queue is too long for a request.
+
+        Repeats of this instance and requests that a peer handed over are not judged
+        again, and routes whose prompts have no influence not at all.
+        """
+        is_judged = request.prompt is not None and not self._view.receives_all_peers
+        if not is_judged or call.attempts or call.received_by:
+            return 0.0
+        bound_s = max_queue_s(
+            self._find_objective_s(call),
+            call.priority,
+            is_return=has_returned(call.metadata.max_wait_s, call.route.timeout_s),
+        )
+        return choice.queue_s - bound_s
+
+    def _find_objective_s(self, call: Call) -> float:
+        """Return the shortest objective in seconds of the routes to a call's service.
+
+        It is looked for once in each table, which may have thousands of routes.
+        """
+        if self._objectives_table is not call.table:
+            self._objectives_table = call.table
+            self._objectives_s.clear()
+        objective_s = self._objectives_s.get(call.service)
+        if objective_s is None:
+            objective_s = call.table.find_shortest_target_s(call.service)
+            self._objectives_s[call.service] = objective_s
+        return objective_s
+
     def _may_look_further(self, failed_loads: _FailedLoads) -> bool:
         """Return whether another engine is tried if one is too busy.
 
--- a/src/chiveslip/gateway/placement.py
+++ b/src/chiveslip/gateway/placement.py
@@ -75,6 +75,8 @@
         Estimated time in seconds to the first event.
     is_present
         Whether the adapter is present or being loaded.
+    queue_s
+        Part of that wait in seconds that is due to other requests.
     cached_tokens
         Tokens of the prompt that the engine is expected to keep.
     speed
@@ -86,6 +88,7 @@
     rank_cost_s: float
     wait_s: float
     is_present: bool
+    queue_s: float = 0.0
     cached_tokens: float = 0.0
     speed: float = 1.0
 
@@ -304,7 +307,7 @@
         prompt: Prompt | None = None,
     ) -> Choice:
         """Return the choice that an engine would be, with its cost."""
-        cached_tokens = displacement_s = 0.0
+        cached_tokens = displacement_s = queue_s = 0.0
         speed = self._speeds.relative_speed(engine)
         if prompt is None:
             wait_s = self._estimate_wait_s(engine, capacity, prompt_tokens, now)
@@ -316,6 +319,7 @@
             cached_tokens = min(kept_tokens, prompt_tokens)
             state = self._describe_engine(engine, capacity, now)
             wait_s = first_event_s(state, prompt_tokens - cached_tokens)
+            queue_s = first_event_s(state, 0.0)
             weighted_s = weighted_first_event_s(state, prompt_tokens - cached_tokens)
             harm_s = delay_of_others_s(state, prompt_tokens - cached_tokens)
             displacement_s = displacement_cost_s(state)
@@ -353,6 +357,7 @@
             rank_cost_s=rank_cost,
             wait_s=estimate_s,
             is_present=is_present,
+            queue_s=queue_s,
             cached_tokens=cached_tokens,
             speed=speed,
         )
--- a/src/chiveslip/gateway/routing.py
+++ b/src/chiveslip/gateway/routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import random
 from collections.abc import Mapping
 
@@ -192,6 +193,18 @@
                 return route
         return None
 
+    def find_shortest_target_s(self, service: str) -> float:
+        """Return the shortest latency objective in seconds of routes to a service."""
+        return min(
+            (
+                route.target_latency_s
+                for routes in self.routes.values()
+                for route in routes
+                if any(name == service for name, _ in route.services)
+            ),
+            default=math.inf,
+        )
+
     def is_for_engine(self, service: str) -> bool:
         """Return whether engines run a service."""
         found = self.services.get(service)
