Take no status that is none for an answer of a peer

Cause: the status of an answer that a peer hands over was passed on unchecked, also 0 for an answer without a head. A peer of an older build passes on what its endpoint sent. Change: handover asks the same rule as connections (dispatch/response_end.py); such an answer counts as lost: a request that may be repeated is, another ends with 502. Evidence: all of the 44 new cases of testing/gateway/test_handover.py failed before.

--- a/src/chiveslip/dispatch/connection.py
+++ b/src/chiveslip/dispatch/connection.py
@@ -35,6 +35,7 @@
 from chiveslip.dispatch.held_bytes import Holding
 from chiveslip.dispatch.outgoing import REQUEST_ID_HEADER
 from chiveslip.dispatch.outgoing import OutgoingRequest
+from chiveslip.dispatch.response_end import MAX_STATUS
 from chiveslip.dispatch.response_end import Ending
 from chiveslip.dispatch.response_end import Framing
 from chiveslip.dispatch.response_end import ResponseEnd
@@ -78,7 +79,6 @@
 _VERSIONS = frozenset({"HTTP/1.0", "HTTP/1.1"})
 # Interim statuses below 200 included.
 _MIN_STATUS = 100
-_MAX_STATUS = 599
 # What the bytes of a response are counted as that is kept until it is complete.
 _HELD_KIND = "whole responses"
 
@@ -348,7 +348,7 @@
         return f"invalid version {version}"
     if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
         return "status 101, though no other protocol was asked for"
-    if not _MIN_STATUS <= status <= _MAX_STATUS:
+    if not _MIN_STATUS <= status <= MAX_STATUS:
         return f"invalid status {status:03}"
     has_body = "Transfer-Encoding" in headers or (
         headers.get("Content-Length", "0") != "0"
--- a/src/chiveslip/dispatch/response_end.py
+++ b/src/chiveslip/dispatch/response_end.py
@@ -6,11 +6,14 @@
 from __future__ import annotations
 
 import enum
+import http
 import json
 
 import attrs
 from tornado.httputil import HTTPHeaders
 
+MAX_STATUS = 599
+
 
 class Framing(enum.Enum):
     """What shows where the body of a response ends."""
@@ -72,6 +75,11 @@
         )
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a status is one that a final response of HTTP can have."""
+    return http.HTTPStatus.OK <= status <= MAX_STATUS
+
+
 def parse_framing(method: str, status: int, headers: HTTPHeaders) -> Framing:
     """Return the framing that the head of a response to a method shows."""
     if method == "HEAD" or status in (204, 304):
--- a/src/chiveslip/gateway/handover.py
+++ b/src/chiveslip/gateway/handover.py
@@ -21,6 +21,7 @@
 from tornado.httputil import HTTPHeaders
 
 from chiveslip.clock import Clock
+from chiveslip.dispatch.response_end import is_final_status
 from chiveslip.gateway.call import Call
 from chiveslip.gateway.endpoint_statements import EndpointStatement
 from chiveslip.gateway.endpoint_statements import EndpointStatements
@@ -115,6 +116,11 @@
     status: int
     headers: HTTPHeaders
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the status is one that an answer can have."""
+        return is_final_status(self.status)
+
     @property
     def is_success(self) -> bool:
         """Whether the status is one of a success."""
@@ -258,6 +264,11 @@
                 self._statements.record(incarnation, _LEAVING)
             if part.status:
                 head = _Head(status=part.status, headers=part.headers)
+            if (part.status or part.is_end) and not head.is_final:
+                # A peer of an older build passes on what an endpoint in trouble sent.
+                return self._build_lost_answer(
+                    call, stream, f"the peer answered with status {head.status:03}"
+                )
             if part.was_not_run:
                 call.was_sent = False
             is_stream = call.route.is_stream and head.is_success
--- a/testing/gateway/test_handover.py
+++ b/testing/gateway/test_handover.py
@@ -102,6 +102,19 @@
     assert send(make_gateway, path, *peers)[::2] == (status, received)
 
 
+@pytest.mark.parametrize("status", [0, 1, 42, 99, 100, 101, 103, 199, 600, 700, 999])
+@pytest.mark.parametrize(
+    ("path", "received"),
+    [("/once/x", 1), ("/freely/x", 2), ("/stream/x", 1), ("/resumable/x", 2)],
+)
+def test_status_of_a_peer_that_is_none_is_no_answer(
+    make_gateway: MakeGateway, path: str, received: int, status: int
+) -> None:
+    """Guards against an older peer that passes on what an endpoint in trouble sent."""
+    odd = ScriptedPeer(parts=(part(b"answer", status=status, is_end=True),))
+    assert send(make_gateway, path, odd)[::2] == (502, received)
+
+
 def test_refusal_of_a_peer_after_an_attempt_that_may_have_run_is_not_passed_on(
     make_gateway: MakeGateway,
 ) -> None:
