Test who is kept from long queues, and each form of regions

The bound on queues had tests of its rule alone; nothing showed that newcomers of a large fleet meet it, and that returns, repeats, handed-over requests and small fleets do not.

--- a/testing/gateway/test_engine_selection.py
+++ b/testing/gateway/test_engine_selection.py
@@ -6,6 +6,7 @@
 import math
 import random
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 import pytest
@@ -107,6 +108,7 @@
 
     def __init__(self) -> None:
         self.busy: set[str] = set()
+        self.waiting = 64
 
     async def read_report(self, engine: ListedEndpoint) -> EngineReport:
         return EngineReport(
@@ -116,7 +118,7 @@
             adapters=frozenset(),
             loading_adapters=frozenset(),
             running=64 if engine.id in self.busy else 0,
-            waiting=64 if engine.id in self.busy else 0,
+            waiting=self.waiting if engine.id in self.busy else 0,
             cache_used=0,
         )
 
@@ -423,6 +425,63 @@
     assert target.endpoint.id not in harness.control.busy
 
 
+def send_into_queue(
+    waiting: int,
+    *,
+    priority: int = 1,
+    remaining_s: float | None = 15.1,
+    attempts: int = 0,
+    received_by: str = "",
+    receives_all_peers: bool = False,
+) -> Target | Refusal:
+    """Choose an engine while all have as many waiting requests."""
+    harness = build_harness(receives_all_peers=receives_all_peers)
+    harness.control.busy = {"e1", "e2"}
+    harness.control.waiting = waiting
+    call = harness.make_call()
+    call.route = attrs.evolve(ROUTE, has_sessions=True, priority=priority)
+    call.table = attrs.evolve(TABLE, routes={"h": (call.route,)})
+    call.metadata = attrs.evolve(call.metadata, max_wait_s=remaining_s)
+    call.attempts = attempts
+    call.received_by = received_by
+    return asyncio.run(harness.selector.select_target(call))
+
+
+@pytest.mark.parametrize(
+    ("waiting", "options", "is_sent"),
+    [
+        pytest.param(0, {}, True, id="no-queue"),
+        pytest.param(14, {}, False, id="newcomer"),
+        pytest.param(14, {"remaining_s": None}, False, id="no-time-declared"),
+        pytest.param(14, {"remaining_s": 13.0}, True, id="returned"),
+        pytest.param(14, {"attempts": 1}, True, id="repeat-inside-the-instance"),
+        pytest.param(14, {"received_by": "peer"}, True, id="judged-by-a-peer"),
+        pytest.param(14, {"receives_all_peers": True}, True, id="small-fleet"),
+        pytest.param(6, {"priority": 0}, True, id="short-queue-most-urgent"),
+        pytest.param(6, {"priority": 3}, False, id="short-queue-less-urgent"),
+    ],
+)
+def test_only_newcomers_of_large_fleets_are_kept_from_long_queues(
+    waiting: int, options: dict[str, Any], is_sent: bool
+) -> None:
+    """Guards against queues that outlast a load, and against refusals without need."""
+    assert isinstance(send_into_queue(waiting, **options), Target) is is_sent
+
+
+def test_newcomers_kept_from_a_queue_are_told_distinct_times() -> None:
+    """Guards against callers that all return at the same moment."""
+    harness = build_harness(receives_all_peers=False)
+    harness.control.busy = {"e1", "e2"}
+    harness.control.waiting = 14
+    call = harness.make_call()
+    call.route = attrs.evolve(ROUTE, has_sessions=True)
+    call.table = attrs.evolve(TABLE, routes={"h": (call.route,)})
+    refusals = [asyncio.run(harness.selector.select_target(call)) for _ in range(20)]
+    times = [r.advised_retry_after_s for r in refusals if isinstance(r, Refusal)]
+    assert len(set(times)) > 10
+    assert all(time is not None and time >= 0.3 for time in times)
+
+
 def hold_off_at(harness: SelectorHarness, held_s: dict[str, float]) -> None:
     """Let the coordinators of these engines hold off their loads for a time."""
     until = {name: harness.clock.now() + s for name, s in held_s.items()}
--- a/testing/platform/test_settings_template.py
+++ b/testing/platform/test_settings_template.py
@@ -148,6 +148,34 @@
     assert [w.key for w in loaded.warnings] == ["fleet.regions"]
 
 
+def check_regions(text: str) -> Any:
+    """Check settings whose regions are written as a text of their own."""
+    rendered = render(TEMPLATE.read_text(), FIELDS | {"zones": None})
+    assert 'regions: ""' in rendered
+    written = "regions: |-\n    " + text
+    return check_settings(rendered.replace('regions: ""', written), "s.yaml")
+
+
+@pytest.mark.parametrize(
+    ("text", "regions"),
+    [
+        ("glasgow=north,cardiff=west-1", 2),
+        ('{"glasgow": "north"}', 1),
+        ("glasgow = north", 1),
+    ],
+)
+def test_regions_are_read_in_each_form(text: str, regions: int) -> None:
+    expected = (("glasgow", "north"), ("cardiff", "west-1"))[:regions]
+    assert check_regions(text).unwrap().settings.fleet.regions == expected
+
+
+@pytest.mark.parametrize("text", ["north", "a=b=c", "7", "glasgow,x=y", "'\""])
+def test_unreadable_text_of_regions_does_not_stop_the_instance(text: str) -> None:
+    loaded = check_regions(text).unwrap()
+    assert set(loaded.settings.fleet.regions) <= {("x", "y")}
+    assert [w.key for w in loaded.warnings] == ["fleet.regions"]
+
+
 def test_seeds_may_be_empty() -> None:
     assert render_settings(FIELDS | {"seeds": []}).fleet.seeds == ()
 
